--- /dev/null
+++ b/packages/contract/src/index.ts
@@ -0,0 +1,32 @@
+export {
+  changeRowSchema,
+  changeSchema,
+  memberSchema,
+  sections,
+  type Change,
+  type ChangeRow,
+  type EntryChange,
+  type Member,
+  type Section,
+} from './change.js'
+export {
+  applyChange,
+  applyChangeRow,
+  emptyConfiguration,
+  entryName,
+  type Configuration,
+} from './configuration.js'
+export { diffDocument, documentDigest } from './diff.js'
+export {
+  documentSchema,
+  keySchema,
+  type EnvironmentDocument,
+  type Key,
+  type Operator,
+  type Pool,
+  type Queue,
+  type Runner,
+  type Service,
+  type Team,
+} from './document.js'
+export { parseEnvironment, type DocumentFault, type ParseResult } from './parse.js'
--- /dev/null
+++ b/packages/errors/src/index.ts
@@ -0,0 +1,5 @@
+export { BaseError } from './base-error.js'
+export { systemClock, type Clock } from './clock.js'
+export { errorTable, type ErrorAnswer, type ErrorKind } from './kinds.js'
+export { outcomes, type Outcome } from './outcome.js'
+export { RequestError, toRequestError, type RequestErrorOptions } from './request-error.js'
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,2 @@
+export { defineSettings, type Settings, type SettingSpec } from './define-settings.js'
+export { runProgram, type ProgramOptions } from './run-program.js'
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,1 @@
+export * from './gen/bulrush/peer/v1/peer_pb.js'
