--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,15 @@
+export {
+  createLogger,
+  type LogFields,
+  type Logger,
+  type LoggerOptions,
+  type LogLevel,
+} from './logger.js'
+export { createMetrics, type Labels, type Metrics } from './metrics.js'
+export {
+  createTracing,
+  failSpan,
+  formatTraceparent,
+  type Tracing,
+  type TracingOptions,
+} from './tracing.js'
--- /dev/null
+++ b/packages/telemetry/src/tracing.ts
@@ -0,0 +1,92 @@
+import {
+  ROOT_CONTEXT,
+  SpanKind,
+  SpanStatusCode,
+  trace,
+  type Context,
+  type Span,
+  type Tracer,
+} from '@opentelemetry/api'
+import { resourceFromAttributes } from '@opentelemetry/resources'
+import {
+  BatchSpanProcessor,
+  NodeTracerProvider,
+  ParentBasedSampler,
+  TraceIdRatioBasedSampler,
+  type SpanExporter,
+} from '@opentelemetry/sdk-trace-node'
+
+const traceparentPattern = /^00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})$/
+
+/** Options of {@link createTracing}. */
+export interface TracingOptions {
+  program: string
+  member?: string
+  /** Part of the traces to record when the caller has not decided; 0 to 1. */
+  ratio?: number
+  /** Receives ended spans; without it spans are propagated but not exported. */
+  exporter?: SpanExporter
+}
+
+/** Starts spans and carries the W3C trace context. */
+export interface Tracing {
+  /** Starts the span of an incoming request; a malformed `traceparent` starts a new trace. */
+  startServer(name: string, traceparent: string | undefined): Span
+  /** Starts the span of an outgoing call below `parent`. */
+  startClient(name: string, parent: Span): Span
+  close(): Promise<void>
+}
+
+/**
+ * Creates the tracing of a process.
+ *
+ * @example
+ * const span = tracing.startServer('call', req.headers.traceparent)
+ * span.end()
+ */
+export function createTracing(opts: TracingOptions): Tracing {
+  const provider = new NodeTracerProvider({
+    resource: resourceFromAttributes({
+      'service.name': opts.program,
+      ...(opts.member === undefined ? {} : { 'service.instance.id': opts.member }),
+    }),
+    sampler: new ParentBasedSampler({ root: new TraceIdRatioBasedSampler(opts.ratio ?? 0) }),
+    spanProcessors: opts.exporter === undefined ? [] : [new BatchSpanProcessor(opts.exporter)],
+  })
+  const tracer = provider.getTracer('bulrushbridge')
+  return {
+    startServer: (name, traceparent) =>
+      tracer.startSpan(name, { kind: SpanKind.SERVER }, parseTraceparent(traceparent)),
+    startClient: (name, parent) => startClient(tracer, name, parent),
+    close: () => provider.shutdown(),
+  }
+}
+
+function startClient(tracer: Tracer, name: string, parent: Span): Span {
+  return tracer.startSpan(name, { kind: SpanKind.CLIENT }, trace.setSpan(ROOT_CONTEXT, parent))
+}
+
+function parseTraceparent(header: string | undefined): Context {
+  const match = header === undefined ? null : traceparentPattern.exec(header)
+  if (match === null) return ROOT_CONTEXT
+  const [, traceId = '', spanId = '', flags = '00'] = match
+  return trace.setSpanContext(ROOT_CONTEXT, {
+    traceId,
+    spanId,
+    traceFlags: Number.parseInt(flags, 16),
+    isRemote: true,
+  })
+}
+
+/** The `traceparent` header that continues the trace of a span. */
+export function formatTraceparent(span: Span): string {
+  const { traceId, spanId, traceFlags } = span.spanContext()
+  return `00-${traceId}-${spanId}-${traceFlags.toString(16).padStart(2, '0')}`
+}
+
+/** Ends a span as failed. */
+export function failSpan(span: Span, kind: string): void {
+  span.setStatus({ code: SpanStatusCode.ERROR, message: kind })
+  span.setAttribute('bulrush.error', kind)
+  span.end()
+}
