feat(standins): add stand-ins for table service, object store and host list

Alternatives ruled out: mocking the adapter (hides lost answers and silent sockets, which arise below it); a proxy in front of a correct server (a second process and no control over the point at which a request takes effect).

Change: one fault server on node:http with a small handler per stand-in.

--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,11 @@
+export type { Counters, ListenOptions, Standin } from './fault-server.js'
+export { seededRandom, type Faults, type LoseAnswers } from './faults.js'
+export {
+  createHostListStandin,
+  type HostListOptions,
+  type HostListStandin,
+  type ListedHost,
+} from './host-list.js'
+export { createManualClock, until, type ManualClock } from './manual-clock.js'
+export { createObjectStandin } from './object.js'
+export { createTableStandin } from './table.js'
--- /dev/null
+++ b/packages/standins/src/main.ts
@@ -0,0 +1,17 @@
+import { binary, run, subcommands } from 'cmd-ts'
+import { standinCommand } from './commands.js'
+import { createHostListStandin } from './host-list.js'
+import { createObjectStandin } from './object.js'
+import { createTableStandin } from './table.js'
+
+const program = subcommands({
+  name: 'bulrush-standin',
+  description: "Stand-ins for the platform's services, with one switch per fault.",
+  cmds: {
+    table: standinCommand('table', 'transactional table service', createTableStandin),
+    object: standinCommand('object', 'object store', createObjectStandin),
+    hosts: standinCommand('hosts', 'list of live and leaving hosts', createHostListStandin),
+  },
+})
+
+await run(binary(program), process.argv)
