fix(errors): make RequestError and StoreError constructible

Cause: modern-errors throws on `new` of a class that was declared with `extends`, so every RequestError and StoreError failed when created. Ruled out: ModernError.subclass for each class, because the library also merges the message of a cause into the message that callers see. Change: BaseError is a plain Error class. Conclusion: errors of the closed list can be thrown.

--- a/packages/errors/src/base-error.ts
+++ b/packages/errors/src/base-error.ts
@@ -1,10 +1,10 @@
-import ModernError from 'modern-errors'
-
 /**
- * Base of all error classes of the project. The declared type is a plain Error constructor,
- * because the generic instance type of modern-errors is not assignable to Error.
+ * Base of all error classes of the project. It does not extend modern-errors: that library refuses
+ * `new` on classes declared with `extends`, and merges the message of a cause, which may hold
+ * internal details, into the message shown to callers.
  */
-export const BaseError = ModernError as unknown as new (
-  message: string,
-  opts?: ErrorOptions,
-) => Error
+export class BaseError extends Error {
+  constructor(message: string, opts: ErrorOptions = {}) {
+    super(message, opts.cause === undefined ? {} : { cause: opts.cause })
+  }
+}
