feat(config-view): add an entry host's view of the configuration

Cause: entry hosts need a configuration that is known to be current with and without the store. Ruled out: counting hosts instead of processes in majorities (a restarted process has lost its restrictions); accepting a restriction held by a mere majority (a host that alone reaches the store may serve without it).

--- /dev/null
+++ b/packages/config-view/__tests__/config-view.test.ts
@@ -0,0 +1,149 @@
+import type { RequestError } from '@bulrushbridge/errors'
+import t from 'tap'
+import { VirtualFleet } from './virtual-fleet.js'
+
+const ids = ['a', 'b', 'c']
+
+async function registered(): Promise<VirtualFleet> {
+  const fleet = new VirtualFleet(1)
+  await fleet.registerAll(ids)
+  await fleet.runUntil(fleet.now + 1000)
+  return fleet
+}
+
+function viewOf(fleet: VirtualFleet, id: string) {
+  const view = fleet.views.get(id)
+  if (!view) throw new Error(`no view ${id}`)
+  return view
+}
+
+const zoneOut = { kind: 'zone-out', zone: 'z' } as const
+const zoneBack = { kind: 'zone-back', zone: 'z' } as const
+
+void t.test('a committed change reaches every view and is accepted', async t => {
+  const fleet = await registered()
+  const result = await fleet.drive(viewOf(fleet, 'a').propose(zoneOut, { by: 'op' }))
+  t.match(result, { accepted: true, acknowledged: ids, missing: [] })
+  for (const id of ids) t.same(viewOf(fleet, id).current().zonesOut, ['z'])
+})
+
+void t.test('a promotion against an old version names the winner', async t => {
+  const fleet = await registered()
+  const expectedVersion = viewOf(fleet, 'a').committed().version
+  const promote = (digest: string) => ({ kind: 'promote' as const, digest, entries: [] })
+  const first = viewOf(fleet, 'a').propose(promote('1'), { by: 'anna', expectedVersion })
+  await fleet.drive(first)
+  const second = viewOf(fleet, 'b').propose(promote('2'), { by: 'bo', expectedVersion })
+  const err = (await fleet.drive(second.catch((e: unknown) => e))) as RequestError
+  t.equal(err.kind, 'version-conflict')
+  t.match(err.message, /anna/)
+})
+
+void t.test('commutative changes that race are all committed', async t => {
+  const fleet = await registered()
+  const before = viewOf(fleet, 'a').committed().version
+  const all = ids.map(id => viewOf(fleet, id).propose({ kind: 'zone-out', zone: id }, { by: id }))
+  await fleet.drive(Promise.all(all))
+  await fleet.runUntil(fleet.now + 1000)
+  t.same([...viewOf(fleet, 'a').current().zonesOut].sort(), ids)
+  t.equal(viewOf(fleet, 'a').committed().version, before + 3)
+})
+
+void t.test(
+  'views stay confirmed by a majority while the store is down, a lone one does not',
+  async t => {
+    const fleet = await registered()
+    fleet.storeDown = true
+    fleet.cutLinks.add('a-b').add('a-c')
+    await fleet.runUntil(fleet.now + 4000)
+    t.equal(viewOf(fleet, 'a').isConfirmed(), false)
+    t.equal(viewOf(fleet, 'b').isConfirmed(), true)
+  },
+)
+
+void t.test(
+  'a view starts from its peers while the store is down and regains restrictions',
+  async t => {
+    const fleet = await registered()
+    fleet.storeDown = true
+    const result = await fleet.drive(viewOf(fleet, 'a').restrict(zoneOut, { by: 'op' }))
+    t.match(result, { version: 0, accepted: true })
+    const restarted = fleet.start('c', ids)
+    await fleet.runUntil(fleet.now + 2000)
+    t.same(restarted.current().zonesOut, ['z'])
+    t.equal(restarted.isConfirmed(), true)
+  },
+)
+
+void t.test(
+  'a restriction is not accepted while a host that may serve does not hold it',
+  async t => {
+    const fleet = await registered()
+    fleet.storeDown = true
+    fleet.cutLinks.add('a-c').add('b-c')
+    const result = await fleet.drive(viewOf(fleet, 'a').restrict(zoneOut, { by: 'op' }))
+    t.match(result, { accepted: false, missing: ['c'] })
+  },
+)
+
+void t.test('a restriction is committed once, and a later zone-back is not undone', async t => {
+  const fleet = await registered()
+  const before = viewOf(fleet, 'a').committed().version
+  fleet.storeDown = true
+  await fleet.drive(viewOf(fleet, 'a').restrict(zoneOut, { by: 'op' }))
+  // Host c is paused with the restriction in memory until after the zone came back.
+  fleet.frozenUntil.set('c', fleet.now + 9000)
+  fleet.storeDown = false
+  await fleet.runUntil(fleet.now + 2000)
+  t.equal(viewOf(fleet, 'a').committed().version, before + 1)
+  await fleet.drive(viewOf(fleet, 'b').propose(zoneBack, { by: 'op' }))
+  await fleet.runUntil(fleet.now + 15_000)
+  for (const id of ids) t.same(viewOf(fleet, id).current().zonesOut, [], id)
+  t.equal(viewOf(fleet, 'a').committed().version, before + 2)
+})
+
+void t.test(
+  'a restarted host does not confirm by the store before restrictions are committed',
+  async t => {
+    const fleet = await registered()
+    fleet.storeDown = true
+    await fleet.drive(viewOf(fleet, 'a').restrict(zoneOut, { by: 'op' }))
+    for (const id of ids) fleet.frozenUntil.set(id, fleet.now + 2500)
+    const restarted = fleet.start('d', ids)
+    fleet.storeDown = false
+    const end = fleet.now + 8000
+    await fleet.runUntil(end, () => {
+      if (restarted.isConfirmed()) t.same(restarted.current().zonesOut, ['z'])
+    })
+    t.equal(restarted.isConfirmed(), true)
+  },
+)
+
+void t.test(
+  'the settle rule refuses a second membership change that the majority has not seen',
+  async t => {
+    const fleet = await registered()
+    fleet.cutLinks.add('a-b').add('a-c')
+    fleet.frozenUntil.set('b', fleet.now + 60_000).set('c', fleet.now + 60_000)
+    const a = viewOf(fleet, 'a')
+    const inc = (id: string) => a.committed().members[id]?.incarnation ?? ''
+    const first = await fleet.drive(a.removeMember('b', inc('b')))
+    t.equal(first.accepted, false)
+    const second = a.removeMember('c', inc('c')).catch((e: unknown) => e)
+    t.equal(((await fleet.drive(second)) as RequestError).kind, 'version-conflict')
+  },
+)
+
+void t.test('a snapshot is written each 100 versions and a new view starts from it', async t => {
+  const fleet = await registered()
+  for (let i = viewOf(fleet, 'a').committed().version; i < 103; i++) {
+    await fleet.drive(viewOf(fleet, 'a').propose({ kind: 'zone-out', zone: `z${i}` }, { by: 'op' }))
+  }
+  t.ok(fleet.blobs.has('snapshots/000000000100'))
+  for (const key of [...fleet.rows.keys()]) {
+    if (key.startsWith('changes/') && key <= 'changes/000000000100') fleet.rows.delete(key)
+  }
+  const fresh = fleet.start('d', [])
+  await fleet.runUntil(fleet.now + 2000)
+  t.equal(fresh.committed().version, 103)
+})
--- /dev/null
+++ b/packages/config-view/__tests__/virtual-fleet.ts
@@ -0,0 +1,250 @@
+import {
+  StoreError,
+  type CallOptions,
+  type Check,
+  type ObjectStore,
+  type ScanOptions,
+  type TableService,
+} from '@bulrushbridge/store'
+import { emptyConfiguration, type Member } from '@bulrushbridge/contract'
+import { View } from '../src/config-view.js'
+import type { PeerConfig } from '../src/index.js'
+
+interface Event {
+  at: number
+  order: number
+  owner: string
+  run: () => void
+}
+
+/** Virtual time, a store and entry hosts whose faults a test switches. */
+export class VirtualFleet {
+  now = 0
+  storeDown = false
+  lossRate = 0
+  maxLatencyMs = 5
+  readonly rows = new Map<string, { version: number; value: unknown }>()
+  readonly blobs = new Map<string, string>()
+  readonly cutLinks = new Set<string>()
+  readonly frozenUntil = new Map<string, number>()
+  readonly views = new Map<string, View>()
+  /** Every process that ever ran, for checks after a restart. */
+  readonly byVersion = new Map<number, string>()
+  #events: Event[] = []
+  #order = 0
+  #starts = 0
+  #state: number
+
+  constructor(seed: number) {
+    this.#state = seed >>> 0
+  }
+
+  random(): number {
+    this.#state = (Math.imul(this.#state, 1664525) + 1013904223) >>> 0
+    return this.#state / 2 ** 32
+  }
+
+  at(ms: number, owner: string, run: () => void): () => void {
+    const event = { at: this.now + ms, order: this.#order++, owner, run }
+    this.#events.push(event)
+    return () => {
+      this.#events = this.#events.filter(e => e !== event)
+    }
+  }
+
+  /** Runs until the virtual time `end`; `check` runs every 50 ms. */
+  async runUntil(end: number, check: () => void = () => undefined): Promise<void> {
+    for (let next = this.now; next <= end; next += 50) {
+      await this.#runEvents(next)
+      check()
+    }
+  }
+
+  async #runEvents(end: number): Promise<void> {
+    for (;;) {
+      await new Promise(resolve => setImmediate(resolve))
+      const due = this.#events.filter(e => e.at <= end)
+      const first = due.sort((a, b) => a.at - b.at || a.order - b.order)[0]
+      if (!first) break
+      this.now = Math.max(this.now, first.at)
+      this.#events = this.#events.filter(e => e !== first)
+      const thaw = this.frozenUntil.get(first.owner) ?? 0
+      if (thaw > this.now) this.#events.push({ ...first, at: thaw })
+      else first.run()
+    }
+    this.now = end
+  }
+
+  #latency(): number {
+    return 1 + this.random() * this.maxLatencyMs
+  }
+
+  /** A call that takes effect after one latency and is answered after another, or never. */
+  #call<T>(owner: string, deadline: number, isUp: () => boolean, effect: () => T): Promise<T> {
+    return new Promise((resolve, reject) => {
+      const fail = (settled: boolean) => {
+        const error = new StoreError('no answer', { settled })
+        this.at(Math.max(0, deadline - this.now), owner, () => {
+          reject(error)
+        })
+      }
+      this.at(this.#latency(), 'network', () => {
+        if (!isUp()) {
+          fail(true)
+          return
+        }
+        const value = effect()
+        const latency = this.#latency()
+        if (this.random() < this.lossRate || this.now + latency > deadline) fail(false)
+        else
+          this.at(latency, owner, () => {
+            resolve(value)
+          })
+      })
+    })
+  }
+
+  table(owner: string): TableService {
+    const call = <T>(opts: { deadline?: number } | undefined, effect: () => T) =>
+      this.#call(owner, opts?.deadline ?? this.now + 2000, () => !this.storeDown, effect)
+    return {
+      read: (table: string, key: string, opts?: CallOptions) =>
+        call(opts, () => {
+          const row = this.rows.get(`${table}/${key}`)
+          return row && { key, version: row.version, value: row.value as never }
+        }),
+      scan: (table: string, opts: ScanOptions = {}) =>
+        call(opts, () =>
+          [...this.rows]
+            .filter(([key]) => key.startsWith(`${table}/`))
+            .map(([key, row]) => ({
+              key: key.slice(table.length + 1),
+              ...row,
+              value: row.value as never,
+            }))
+            .filter(({ key }) => key >= (opts.from ?? '') && key < (opts.to ?? '~'))
+            .sort((a, b) => (a.key < b.key ? -1 : 1))
+            .slice(0, opts.limit),
+        ),
+      commit: (tx, opts) =>
+        call(opts, () => {
+          const versionOf = (c: Check) => this.rows.get(`${c.table}/${c.key}`)?.version ?? 0
+          const failed = tx.checks.filter(c => versionOf(c) !== c.version)
+          if (failed.length > 0) return { committed: false as const, failed }
+          for (const { table, key, value } of tx.writes) {
+            const id = `${table}/${key}`
+            if (table === 'changes' && this.rows.has(id)) throw new Error(`second change ${key}`)
+            this.rows.set(id, { version: (this.rows.get(id)?.version ?? 0) + 1, value })
+          }
+          return { committed: true as const }
+        }),
+      close: () => Promise.resolve(),
+    }
+  }
+
+  objects(owner: string): ObjectStore {
+    const isUp = () => !this.storeDown
+    return {
+      put: (name, body, opts) =>
+        this.#call(owner, opts?.deadline ?? this.now + 2000, isUp, () => {
+          this.blobs.set(name, body)
+        }),
+      get: (name, opts) =>
+        this.#call(owner, opts?.deadline ?? this.now + 2000, isUp, () => this.blobs.get(name)),
+      close: () => Promise.resolve(),
+    }
+  }
+
+  #peers(self: string, ids: readonly string[]): PeerConfig {
+    const call = <T>(to: string, deadline: number | undefined, effect: (view: View) => T) =>
+      new Promise<T>((resolve, reject) => {
+        const end = deadline ?? this.now + 2000
+        const giveUp = () => {
+          this.at(Math.max(0, end - this.now), self, () => {
+            reject(new Error('no answer'))
+          })
+        }
+        const isCut = () => this.cutLinks.has([self, to].sort().join('-'))
+        this.at(this.#latency(), to, () => {
+          const view = this.views.get(to)
+          if (isCut() || !view) {
+            giveUp()
+            return
+          }
+          const value = structuredClone(effect(view))
+          this.at(this.#latency(), self, () => {
+            if (isCut() || this.now > end) giveUp()
+            else resolve(value)
+          })
+        })
+      })
+    return {
+      exchange: (peer, report, opts) => call(peer.id, opts.deadline, v => v.handleExchange(report)),
+      fetchChanges: (peer, after, snapshot, opts) =>
+        call(peer.id, opts.deadline, v => v.handleFetchChanges(after, snapshot)),
+      announce: (peer, message, opts) =>
+        call(peer.id, opts.deadline, v => v.handleAnnounce(message)),
+      seeds: () => ids.map(id => ({ id, peerAddress: id })),
+    }
+  }
+
+  /** Starts or restarts an entry host; a restarted one has lost its memory. */
+  start(id: string, ids: readonly string[]): View {
+    this.stop(id)
+    const incarnation = String(++this.#starts)
+    const member: Member = { id, zone: 'a', peerAddress: '127.0.0.1:1', incarnation }
+    const owner = `${id}#${incarnation}`
+    const view = new View({
+      member,
+      table: this.table(id),
+      objects: this.objects(id),
+      peers: this.#peers(id, ids),
+      clock: { now: () => this.now },
+      timers: { set: (run, ms) => this.at(ms, id, run) },
+      wallClock: () => owner,
+    })
+    this.views.set(id, view)
+    view.start()
+    return view
+  }
+
+  stop(id: string): void {
+    this.views.get(id)?.close()
+    this.views.delete(id)
+  }
+
+  /** Registers all hosts one after the other. */
+  async registerAll(ids: readonly string[]): Promise<void> {
+    const views = ids.map(id => this.start(id, ids))
+    await this.runUntil(this.now + 4000)
+    for (const view of views) {
+      await this.drive(view.join())
+    }
+  }
+
+  /** Advances time until a promise settles. */
+  async drive<T>(promise: Promise<T>): Promise<T> {
+    let settled = false
+    const settle = () => {
+      settled = true
+    }
+    promise.then(settle, settle)
+    const end = this.now + 60_000
+    const isDone = () => settled || this.now >= end
+    while (!isDone()) await this.runUntil(this.now + 50)
+    return promise
+  }
+
+  /** Fails when two views disagree about one version. */
+  checkAgreement(): string | undefined {
+    for (const view of this.views.values()) {
+      const cfg = view.committed()
+      if (cfg.version === 0) continue
+      const text = JSON.stringify(cfg, Object.keys(emptyConfiguration()).sort())
+      const known = this.byVersion.get(cfg.version)
+      if (known !== undefined && known !== text) return `views differ at version ${cfg.version}`
+      this.byVersion.set(cfg.version, text)
+    }
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/config-view/src/config-view.ts
@@ -0,0 +1,353 @@
+import { isDeepStrictEqual } from 'node:util'
+import {
+  applyChangeRow,
+  emptyConfiguration,
+  type Change,
+  type ChangeRow,
+  type Configuration,
+  type Member,
+} from '@bulrushbridge/contract'
+import type { Clock } from '@bulrushbridge/errors'
+import type { ObjectStore, TableService } from '@bulrushbridge/store'
+import { Acknowledgements } from './acknowledgements.js'
+import { ChangeHistory, fromChangeMessages, toChangeMessage } from './change-history.js'
+import { Confirmation } from './confirmation.js'
+import { parseSnapshot } from './head.js'
+import { isMajority, peersOf, voteOf, votesOf } from './membership.js'
+import type {
+  Announcement,
+  ConfigReport,
+  FetchedChanges,
+  PeerAddress,
+  PeerConfig,
+} from './peer-config.js'
+import { proposeChange, type ProposeOptions } from './propose.js'
+import { restrict, type RestrictOptions } from './restrict.js'
+import { RestrictionCommitter } from './restriction-committer.js'
+import { RestrictionSet, type PendingRestriction, type RestrictiveChange } from './restrictions.js'
+import { StoreReader } from './store-reader.js'
+import { callMs, pollIntervalMs, systemTimers, type Timers } from './timing.js'
+
+/** Options of {@link createConfigView}. */
+export interface ConfigViewOptions {
+  /** This entry host; the incarnation differs for each start of the process. */
+  member: Member
+  table: TableService
+  objects: ObjectStore
+  peers: PeerConfig
+  clock: Clock
+  timers?: Timers
+  /** Wall-clock time written into change rows, for people only. */
+  wallClock?: () => string
+  /** Told of failures in the background, for the log. */
+  onError?: (err: unknown) => void
+}
+
+/** What became of a change. */
+export interface ChangeResult {
+  /** Version that contains the change; 0 for a provisional restriction. */
+  version: number
+  /** Ids of the registered entry hosts that act on the change. */
+  acknowledged: string[]
+  /** Ids of the registered entry hosts that are not known to act on it. */
+  missing: string[]
+  /** True when no entry host serves without the change 3 s from now. */
+  accepted: boolean
+}
+
+/** An entry host's view of the configuration. */
+export interface ConfigView {
+  readonly member: Member
+  /** The configuration in force here, with provisional restrictions applied. */
+  current(): Configuration
+  /** The configuration without provisional restrictions. */
+  committed(): Configuration
+  /** Until when the view is confirmed, on the view's clock. */
+  confirmedUntil(): number
+  isConfirmed(): boolean
+  /** Restrictions that are not committed yet. */
+  provisional(): PendingRestriction[]
+  /** The most recent change row that this entry host has seen. */
+  lastChange(): ChangeRow | undefined
+  /** What is known of each registered entry host: the version it acts on. */
+  memberVersions(): Record<string, number>
+  /** Calls `cb` after each change of {@link ConfigView.current}; the result ends it. */
+  onChange(cb: (cfg: Configuration) => void): () => void
+  /** Commits a change. Throws `version-conflict`, `store-unavailable` or `unknown-object`. */
+  propose(change: Change, opts: ProposeOptions): Promise<ChangeResult>
+  /** Orders a zone out or a key withdrawn while the store is down. */
+  restrict(change: RestrictiveChange, opts: RestrictOptions): Promise<ChangeResult>
+  /** Registers this entry host. Needs a confirmed view. */
+  join(): Promise<ChangeResult>
+  /** Removes this entry host's registration. */
+  leave(): Promise<ChangeResult>
+  /** Removes an entry host that has vanished. */
+  removeMember(id: string, incarnation: string): Promise<ChangeResult>
+  handleExchange(report: ConfigReport): ConfigReport
+  handleFetchChanges(after: number, snapshot: boolean): FetchedChanges
+  handleAnnounce(message: Announcement): { version: number }
+  close(): void
+}
+
+/**
+ * Starts an entry host's view. It polls the store and exchanges with peers until closed.
+ *
+ * @example
+ * const view = createConfigView({ member, table, objects, peers, clock: systemClock })
+ * if (!view.isConfirmed()) throw new RequestError('view-expired')
+ */
+export function createConfigView(opts: ConfigViewOptions): ConfigView {
+  const view = new View(opts)
+  view.start()
+  return view
+}
+
+/** Implementation of {@link ConfigView}; the operations in other files work on it. */
+export class View implements ConfigView {
+  readonly member: Member
+  readonly table: TableService
+  readonly objects: ObjectStore
+  readonly peers: PeerConfig
+  readonly clock: Clock
+  readonly timers: Timers
+  readonly wallClock: () => string
+  readonly reader: StoreReader
+  readonly restrictions = new RestrictionSet()
+  readonly acknowledgements = new Acknowledgements()
+  readonly #committer: RestrictionCommitter
+  readonly #confirmation = new Confirmation()
+  readonly #history = new ChangeHistory()
+  readonly #listeners = new Set<(cfg: Configuration) => void>()
+  readonly #onError: (err: unknown) => void
+  #committed = emptyConfiguration()
+  #current = this.#committed
+  #stopTimer: (() => void) | undefined
+  #closed = false
+
+  constructor(opts: ConfigViewOptions) {
+    this.member = opts.member
+    this.table = opts.table
+    this.objects = opts.objects
+    this.peers = opts.peers
+    this.clock = opts.clock
+    this.timers = opts.timers ?? systemTimers
+    this.wallClock = opts.wallClock ?? (() => new Date().toISOString())
+    this.#onError = opts.onError ?? (() => undefined)
+    this.reader = new StoreReader(opts.table, opts.objects)
+    this.#committer = new RestrictionCommitter(this)
+  }
+
+  start(): void {
+    if (this.#closed) return
+    this.#stopTimer = this.timers.set(() => {
+      this.start()
+    }, pollIntervalMs)
+    // Neither call is awaited: a slow one must not delay the next poll.
+    this.#background(this.pollStore())
+    this.#background(this.exchangeRound())
+  }
+
+  close(): void {
+    this.#closed = true
+    this.#stopTimer?.()
+  }
+
+  get closed(): boolean {
+    return this.#closed
+  }
+
+  current(): Configuration {
+    return this.#current
+  }
+
+  committed(): Configuration {
+    return this.#committed
+  }
+
+  confirmedUntil(): number {
+    return this.#confirmation.until
+  }
+
+  isConfirmed(): boolean {
+    return this.clock.now() < this.#confirmation.until
+  }
+
+  provisional(): PendingRestriction[] {
+    return this.restrictions.pending
+  }
+
+  lastChange(): ChangeRow | undefined {
+    return this.#history.last()
+  }
+
+  memberVersions(): Record<string, number> {
+    const members = Object.values(this.#committed.members)
+    return Object.fromEntries(members.map(m => [m.id, this.acknowledgements.versionOf(voteOf(m))]))
+  }
+
+  onChange(cb: (cfg: Configuration) => void): () => void {
+    this.#listeners.add(cb)
+    return () => this.#listeners.delete(cb)
+  }
+
+  propose(change: Change, opts: ProposeOptions): Promise<ChangeResult> {
+    return proposeChange(this, change, opts)
+  }
+
+  restrict(change: RestrictiveChange, opts: RestrictOptions): Promise<ChangeResult> {
+    return restrict(this, change, opts)
+  }
+
+  join(): Promise<ChangeResult> {
+    return this.propose({ kind: 'member-join', member: this.member }, { by: this.member.id })
+  }
+
+  leave(): Promise<ChangeResult> {
+    return this.removeMember(this.member.id, this.member.incarnation)
+  }
+
+  removeMember(id: string, incarnation: string): Promise<ChangeResult> {
+    return this.propose({ kind: 'member-leave', id, incarnation }, { by: this.member.id })
+  }
+
+  /** Reads the head, catches up with it and confirms the view. */
+  async pollStore(): Promise<void> {
+    const read = this.#confirmation.readStarted(this.clock.now())
+    const deadline = read.startedAt + callMs
+    const { head } = await this.reader.head({ deadline })
+    this.#confirmation.readAnswered(read)
+    this.#background(this.#committer.run())
+    await this.catchUp(head.version, deadline)
+    if (this.#committed.version >= head.version) this.#confirmation.readCaughtUp(read)
+  }
+
+  /** Exchanges with every registered peer and confirms the view when a majority agrees. */
+  async exchangeRound(): Promise<void> {
+    const startedAt = this.clock.now()
+    const reported = new Map<string, number>()
+    const registered = peersOf(this.#committed, this.member.id)
+    const asked = registered.length > 0 || this.#committed.version > 0 ? registered : this.#seeds()
+    const evaluate = () => {
+      this.#evaluateRound(startedAt, reported)
+    }
+    evaluate()
+    await Promise.allSettled(
+      asked.map(async peer => {
+        const report = await this.exchangeWith(peer, startedAt + callMs)
+        reported.set(voteOf({ id: report.member, incarnation: report.incarnation }), report.version)
+        evaluate()
+        if (report.version <= this.#committed.version) return
+        await this.fetchFrom(peer, startedAt + callMs)
+        evaluate()
+      }),
+    )
+  }
+
+  #evaluateRound(startedAt: number, reported: Map<string, number>): void {
+    const held = this.#committed.version
+    if ([...reported.values()].some(version => version > held)) return
+    const votes = new Set([...reported.keys(), voteOf(this.member)])
+    if (isMajority(votes, votesOf(this.#committed))) this.#confirmation.confirmByMajority(startedAt)
+  }
+
+  /** One exchange; merges the peer's restrictions. */
+  async exchangeWith(peer: PeerAddress, deadline: number): Promise<ConfigReport> {
+    const report = await this.peers.exchange(peer, this.report(), { deadline })
+    this.#learn(report)
+    return report
+  }
+
+  /** Fetches missing changes from a peer. */
+  async fetchFrom(peer: PeerAddress, deadline: number): Promise<void> {
+    const { version } = this.#committed
+    const fetched = await this.peers.fetchChanges(peer, version, version === 0, { deadline })
+    const snapshot = parseSnapshot(fetched.snapshot)
+    if (snapshot) this.adopt(snapshot)
+    this.apply(fromChangeMessages(fetched.changes))
+  }
+
+  /** Brings the view to `version` from the store; peers supply it in {@link exchangeRound}. */
+  async catchUp(version: number, deadline: number): Promise<void> {
+    if (this.#committed.version >= version) return
+    if (this.#committed.version === 0) this.adopt(await this.reader.snapshot(version, { deadline }))
+    this.apply(await this.reader.changes(this.#committed.version, version, { deadline }))
+  }
+
+  /** Applies the rows that follow the held version; others are left out. */
+  apply(rows: readonly ChangeRow[]): void {
+    for (const row of rows) {
+      if (row.version !== this.#committed.version + 1) continue
+      this.#committed = applyChangeRow(this.#committed, row)
+      this.#history.push(row)
+      this.restrictions.settleRow(row)
+    }
+    this.refresh()
+  }
+
+  /** Takes over a whole configuration unless the view already holds a newer one. */
+  adopt(cfg: Configuration): void {
+    if (cfg.version <= this.#committed.version) return
+    this.#committed = cfg
+    this.#history.clear()
+    this.refresh()
+  }
+
+  /** Recomputes the configuration in force and tells the listeners if it differs. */
+  refresh(): void {
+    this.acknowledgements.report(voteOf(this.member), this.#committed.version, this.#heldIds())
+    const next = this.restrictions.applyTo(this.#committed)
+    if (next === this.#current || isDeepStrictEqual(next, this.#current)) return
+    this.#current = next
+    this.#listeners.forEach(cb => {
+      cb(next)
+    })
+  }
+
+  report(): ConfigReport {
+    return {
+      member: this.member.id,
+      incarnation: this.member.incarnation,
+      version: this.#committed.version,
+      restrictions: this.restrictions.messages(),
+    }
+  }
+
+  handleExchange(report: ConfigReport): ConfigReport {
+    this.#learn(report)
+    return this.report()
+  }
+
+  handleFetchChanges(after: number, snapshot: boolean): FetchedChanges {
+    const { version } = this.#committed
+    const rows = snapshot ? undefined : this.#history.after(after, version)
+    if (rows) return { version, changes: rows.map(toChangeMessage) }
+    return { version, changes: [], snapshot: JSON.stringify(this.#committed) }
+  }
+
+  handleAnnounce(message: Announcement): { version: number } {
+    if (message.restriction) this.restrictions.merge([message.restriction])
+    this.apply(fromChangeMessages(message.changes))
+    return { version: this.#committed.version }
+  }
+
+  #learn(report: ConfigReport): void {
+    const vote = voteOf({ id: report.member, incarnation: report.incarnation })
+    const ids = report.restrictions.map(({ id }) => id)
+    this.acknowledgements.report(vote, report.version, ids)
+    if (this.restrictions.merge(report.restrictions)) this.refresh()
+  }
+
+  #heldIds(): string[] {
+    return this.restrictions.pending.map(({ id }) => id)
+  }
+
+  #seeds(): PeerAddress[] {
+    return this.peers.seeds().filter(peer => peer.id !== this.member.id)
+  }
+
+  #background(task: Promise<void>): void {
+    task.catch((err: unknown) => {
+      this.#onError(err)
+    })
+  }
+}
--- /dev/null
+++ b/packages/config-view/src/index.ts
@@ -0,0 +1,20 @@
+export {
+  createConfigView,
+  type ChangeResult,
+  type ConfigView,
+  type ConfigViewOptions,
+} from './config-view.js'
+export type { Head } from './head.js'
+export type {
+  Announcement,
+  ChangeMessage,
+  ConfigReport,
+  FetchedChanges,
+  PeerAddress,
+  PeerConfig,
+  RestrictionMessage,
+} from './peer-config.js'
+export type { ProposeOptions } from './propose.js'
+export type { RestrictOptions } from './restrict.js'
+export { isRestrictive, type PendingRestriction, type RestrictiveChange } from './restrictions.js'
+export { systemTimers, type Timers } from './timing.js'
--- /dev/null
+++ b/packages/config-view/src/timing.ts
@@ -0,0 +1,50 @@
+/** Interval of store polls and of exchanges. */
+export const pollIntervalMs = 500
+
+/** Longest time that one call to the store or to a peer may take. */
+export const callMs = 2_000
+
+/** How long a contact confirms the view, counted from the start of the contact. */
+export const confirmMs = 2_000
+
+/** How long the store must have answered before a read of it confirms the view. */
+export const storeSettleMs = 3_000
+
+/**
+ * Longest pause between two answered reads that still counts as uninterrupted. A process that was
+ * paused for longer cannot know whether the store was down in between.
+ */
+export const maxReadGapMs = 1_500
+
+/** Time for the commit of a restriction; short, so that it can be repeated within 3 s. */
+export const restrictionCommitMs = 1_000
+
+/** Default time to wait for acknowledgements of a change. */
+export const acknowledgeMs = 2_000
+
+/** Pause between two attempts to get an acknowledgement. */
+export const retryMs = 100
+
+/** Versions between two snapshots. */
+export const snapshotInterval = 100
+
+/** Starts timers; tests replace it together with the clock. */
+export interface Timers {
+  /** Calls `fn` once after `ms`; the result cancels it. */
+  set(fn: () => void, ms: number): () => void
+}
+
+/** Timers of programs. */
+export const systemTimers: Timers = {
+  set: (fn, ms) => {
+    const timer = setTimeout(fn, ms)
+    return () => {
+      clearTimeout(timer)
+    }
+  },
+}
+
+/** Waits for `ms`. */
+export async function pause(timers: Timers, ms: number): Promise<void> {
+  await new Promise<void>(resolve => timers.set(resolve, ms))
+}
--- a/packages/contract/src/change.ts
+++ b/packages/contract/src/change.ts
@@ -48,5 +48,7 @@
   at: z.string(),
   by: z.string(),
   change: changeSchema,
+  /** Ids of the provisional restrictions that this row commits or revokes. */
+  settles: z.array(z.string()).optional(),
 })
 export type ChangeRow = z.infer<typeof changeRowSchema>
