--- /dev/null
+++ b/packages/peer-link/src/index.ts
@@ -0,0 +1,8 @@
+export { createPeerLink, type PeerLink, type PeerLinkOptions } from './peer-client.js'
+export { createPeerLinks, type PeerLinks } from './peer-links.js'
+export {
+  createPeerServer,
+  type PeerHandlers,
+  type PeerServer,
+  type PeerServerOptions,
+} from './peer-server.js'
--- /dev/null
+++ b/packages/peer-link/src/peer-server.ts
@@ -0,0 +1,72 @@
+import { createServer, type Http2Server, type ServerHttp2Session } from 'node:http2'
+import { Code, ConnectError, type Interceptor, type ServiceImpl } from '@connectrpc/connect'
+import { connectNodeAdapter } from '@connectrpc/connect-node'
+import { PeerService } from '@bulrushbridge/wire'
+import { isPeerAuthorized } from './peer-secret.js'
+
+/** What the peers may call. */
+export type PeerHandlers = ServiceImpl<typeof PeerService>
+
+/** Options of {@link createPeerServer}. */
+export interface PeerServerOptions {
+  host: string
+  port: number
+  secret: string
+  handlers: PeerHandlers
+}
+
+/** The peer service of one entry host. */
+export interface PeerServer {
+  /** `IP:port` that it listens on. */
+  readonly address: string
+  close(): Promise<void>
+}
+
+/**
+ * Serves the peers of this entry host. A call without the shared secret is answered with
+ * `unauthenticated` before any handler runs.
+ *
+ * @example
+ * const server = await createPeerServer({ host: '127.0.1.1', port: 7200, secret, handlers })
+ */
+export async function createPeerServer(opts: PeerServerOptions): Promise<PeerServer> {
+  const authenticate: Interceptor = next => req => {
+    if (!isPeerAuthorized(req.header.get('authorization'), opts.secret)) {
+      throw new ConnectError('the peer secret is missing or wrong', Code.Unauthenticated)
+    }
+    return next(req)
+  }
+  const adapter = connectNodeAdapter({
+    interceptors: [authenticate],
+    routes: router => router.service(PeerService, opts.handlers),
+  })
+  const server = createServer({}, adapter)
+  const sessions = new Set<ServerHttp2Session>()
+  server.on('session', session => {
+    sessions.add(session)
+    session.once('close', () => sessions.delete(session))
+    // A reset of the connection by the peer must not end the process.
+    session.on('error', () => undefined)
+  })
+  const port = await listen(server, opts)
+  return {
+    address: `${opts.host}:${port}`,
+    close: () => {
+      for (const session of sessions) session.destroy()
+      return new Promise(resolve => {
+        server.close(() => {
+          resolve()
+        })
+      })
+    },
+  }
+}
+
+async function listen(server: Http2Server, opts: PeerServerOptions): Promise<number> {
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(opts.port, opts.host, resolve)
+  })
+  const address = server.address()
+  return typeof address === 'object' && address !== null ? address.port : opts.port
+}
