--- /dev/null
+++ b/packages/entry/src/operator-server.ts
@@ -0,0 +1,61 @@
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import { H3 } from 'h3'
+import { toNodeHandler } from 'h3/node'
+import type { Metrics } from '@bulrushbridge/telemetry'
+import { listen } from './caller-server.js'
+
+/** Options of {@link createOperatorServer}. */
+export interface OperatorServerOptions {
+  host: string
+  port: number
+  /** The operators' API. */
+  api: H3
+  metrics: Metrics
+  /** Why callers should be sent elsewhere; undefined while this entry host is ready. */
+  notReady: () => string | undefined
+}
+
+/** The HTTP server for operators, the balancer's checks and the scraping of metrics. */
+export interface OperatorServer {
+  readonly address: string
+  close(): Promise<void>
+}
+
+/**
+ * Serves the operators' API, `/health/live`, `/health/ready` and `/metrics`.
+ *
+ * @example
+ * const server = await createOperatorServer({ host, port, api, metrics, notReady })
+ */
+export async function createOperatorServer(opts: OperatorServerOptions): Promise<OperatorServer> {
+  const app = new H3()
+  app.get('/health/live', () => Response.json({ state: 'ok' }))
+  app.get('/health/ready', () => {
+    const reason = opts.notReady()
+    return reason === undefined
+      ? Response.json({ state: 'ready' })
+      : Response.json({ state: 'not-ready', reason }, { status: 503 })
+  })
+  app.get(
+    '/metrics',
+    () =>
+      new Response(opts.metrics.render(), {
+        headers: { 'content-type': 'text/plain; version=0.0.4; charset=utf-8' },
+      }),
+  )
+  app.mount('', opts.api)
+  const server = createServer(
+    toNodeHandler(app) as (req: IncomingMessage, res: ServerResponse) => void,
+  )
+  const port = await listen(server, opts.host, opts.port)
+  return {
+    address: `${opts.host}:${port}`,
+    close: () =>
+      new Promise(resolve => {
+        server.close(() => {
+          resolve()
+        })
+        server.closeAllConnections()
+      }),
+  }
+}
