feat(store): add duties, group committer and object store adapter

Cause: duty holders, idempotency records and jobs need fenced leases and grouped writes; a token read-back could spend all its time on one silent connection, and a status such as 410 was taken for a result.

Read-back attempts are bounded to 250 ms and go on up to the deadline.

--- a/packages/standins/src/manual-clock.ts
+++ b/packages/standins/src/manual-clock.ts
@@ -25,11 +25,12 @@
           at: time + ms,
           wake: () => {
             sleepers.delete(sleeper)
+            signal?.removeEventListener('abort', sleeper.wake)
             resolve()
           },
         }
         sleepers.add(sleeper)
-        signal?.addEventListener('abort', sleeper.wake, { once: true })
+        signal?.addEventListener('abort', sleeper.wake)
       }),
     advance: ms => {
       time += ms
--- /dev/null
+++ b/packages/store/__tests__/table-service.test.ts
@@ -0,0 +1,80 @@
+import t, { type Test } from 'tap'
+import { createObjectStandin, createTableStandin, seededRandom } from '@bulrushbridge/standins'
+import { createHttpObjectStore, createHttpTableService, StoreError } from '../src/index.js'
+
+async function setup(t: Test) {
+  const standin = await createTableStandin()
+  const table = createHttpTableService({ url: standin.url })
+  t.teardown(async () => {
+    await table.close()
+    await standin.close()
+  })
+  return { standin, table }
+}
+
+const put = (key: string, value: unknown) => ({
+  checks: [],
+  writes: [{ table: 'a', key, value }],
+})
+
+const inMs = (ms: number) => ({ deadline: performance.now() + ms })
+
+void t.test('lost answers are settled and never applied twice', async t => {
+  const { standin, table } = await setup(t)
+  standin.faults.loseAnswers = { probability: 0.4, seed: 11 }
+  const random = seededRandom(12)
+  for (let n = 1; n <= 60; n++) {
+    const version = (await readUntil(table, 'n'))?.version ?? 0
+    t.equal(version, n - 1)
+    const checks = [{ table: 'a', key: 'n', version }]
+    const result = await table.commit({ ...put('n', random()), checks }, inMs(5_000))
+    t.same(result, { committed: true })
+  }
+})
+
+async function readUntil(table: ReturnType<typeof createHttpTableService>, key: string) {
+  for (;;) {
+    try {
+      return await table.read('a', key)
+    } catch (err) {
+      if (!(err instanceof StoreError)) throw err
+    }
+  }
+}
+
+void t.test('a transaction overtaken by its read-back stays without effect', async t => {
+  const { standin, table } = await setup(t)
+  standin.faults.maxWritesPerSecond = 1
+  await table.commit(put('first', 1))
+  // The second write waits a second in the service; its read-back does not.
+  const err = await t.rejects(table.commit(put('late', 1), inMs(600)), {
+    name: 'StoreError',
+    settled: true,
+  })
+  t.ok(err)
+  standin.faults.maxWritesPerSecond = 0
+  await new Promise(resolve => setTimeout(resolve, 1_100))
+  t.equal(await table.read('a', 'late'), undefined)
+})
+
+void t.test('an outage up to the deadline leaves the result unknown', async t => {
+  const { standin, table } = await setup(t)
+  standin.faults.silent = true
+  await t.rejects(table.commit(put('x', 1), inMs(200)), { name: 'StoreError', settled: false })
+  await t.rejects(table.read('a', 'x', inMs(50)), { name: 'StoreError' })
+  standin.faults.silent = false
+  t.equal(await table.read('a', 'x'), undefined)
+})
+
+void t.test('an object whose answer was lost is stored', async t => {
+  const standin = await createObjectStandin()
+  const objects = createHttpObjectStore({ url: standin.url })
+  t.teardown(async () => {
+    await objects.close()
+    await standin.close()
+  })
+  standin.faults.loseAnswers = { next: 1 }
+  await objects.put('documents/0a', 'text')
+  t.equal(await objects.get('documents/0a'), 'text')
+  t.equal(await objects.get('documents/0b'), undefined)
+})
--- a/packages/store/src/http-table-service.ts
+++ b/packages/store/src/http-table-service.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import { systemClock, type Clock } from '@bulrushbridge/errors'
-import { Agent, request } from 'undici'
+import { HttpClient, parseAnswer, type HttpAnswer } from './http-client.js'
 import { StoreError } from './store-error.js'
 import type {
   CallOptions,
@@ -12,10 +12,10 @@
 } from './table-service.js'
 
 /** Used when a call gives no deadline. */
-const defaultCallMs = 2_000
+export const defaultCallMs = 2_000
 
-/** Pause between two reads of a token whose transaction got no answer. */
-const readBackPauseMs = 50
+/** Longest attempt to read a token back, so that one silent connection does not use up the time. */
+const readBackAttemptMs = 250
 
 /** Options of {@link createHttpTableService}. */
 export interface HttpTableServiceOptions {
@@ -36,20 +36,19 @@
 }
 
 class HttpTableService implements TableService {
-  readonly #url: string
+  readonly #http: HttpClient
   readonly #clock: Clock
-  readonly #agent = new Agent({ connections: 8, pipelining: 1 })
 
   constructor(opts: HttpTableServiceOptions) {
-    this.#url = opts.url.replace(/\/$/, '')
     this.#clock = opts.clock ?? systemClock
+    this.#http = new HttpClient(opts.url, this.#clock)
   }
 
   async read<T>(table: string, key: string, opts: CallOptions = {}): Promise<Row<T> | undefined> {
     const path = `/tables/${encodeURIComponent(table)}/${encodeURIComponent(key)}`
-    const answer = await this.#call('GET', path, undefined, this.#deadline(opts))
+    const answer = await this.#get(path, this.#deadline(opts))
     if (answer.status === 404) return undefined
-    return answer.body as Row<T>
+    return parseAnswer(expectOk(answer)) as Row<T>
   }
 
   async scan<T>(table: string, opts: ScanOptions = {}): Promise<Row<T>[]> {
@@ -58,73 +57,80 @@
     if (opts.to !== undefined) query.set('to', opts.to)
     if (opts.limit !== undefined) query.set('limit', String(opts.limit))
     const path = `/tables/${encodeURIComponent(table)}?${query.toString()}`
-    const answer = await this.#call('GET', path, undefined, this.#deadline(opts))
-    return answer.body as Row<T>[]
+    const answer = await this.#get(path, this.#deadline(opts))
+    return parseAnswer(expectOk(answer)) as Row<T>[]
   }
 
   async commit(tx: Transaction, opts: CallOptions = {}): Promise<CommitResult> {
     const token = randomUUID()
     const deadline = this.#deadline(opts)
+    const body = JSON.stringify({ checks: tx.checks, writes: tx.writes, token })
     // Half of the time is kept for reading back the token if the answer is lost.
     const firstDeadline = (this.#clock.now() + deadline) / 2
+    if (this.#clock.now() >= firstDeadline) throw new StoreError('the deadline passed')
+    let answer: HttpAnswer
     try {
-      const answer = await this.#call('POST', '/transactions', { ...tx, token }, firstDeadline)
-      return answer.body as CommitResult
+      const call = { method: 'POST', path: '/transactions', body, deadline: firstDeadline } as const
+      answer = await this.#http.call(call)
+      if (answer.status === 200 || answer.status === 409) return asResult(answer)
     } catch (err) {
       return this.#readBack(token, deadline, err)
     }
+    throw new StoreError(`the transaction was refused with ${answer.status}`)
   }
 
   async close(): Promise<void> {
-    await this.#agent.destroy()
+    await this.#http.close()
   }
 
   #deadline(opts: CallOptions): number {
     return opts.deadline ?? this.#clock.now() + defaultCallMs
   }
 
-  /** The service fences a token that it reports as unknown, so a late transaction cannot follow. */
+  #get(path: string, deadline: number): Promise<HttpAnswer> {
+    return this.#http.callTwice({ method: 'GET', path, deadline })
+  }
+
+  /**
+   * Settles a transaction without an answer. The service fences a token that it reports as
+   * unknown, so the transaction cannot take effect afterwards and 404 is final.
+   */
   async #readBack(token: string, deadline: number, cause: unknown): Promise<CommitResult> {
     while (this.#clock.now() < deadline) {
-      try {
-        const answer = await this.#call('GET', `/tokens/${token}`, undefined, deadline)
-        if (answer.status === 200) return answer.body as CommitResult
+      const attemptDeadline = Math.min(deadline, this.#clock.now() + readBackAttemptMs)
+      const result = await this.#readToken(token, attemptDeadline)
+      if (result === 'fenced') {
         throw new StoreError('the transaction did not take effect', { cause })
-      } catch (err) {
-        if (err instanceof StoreError && err.message === 'the transaction did not take effect') {
-          throw err
-        }
-        await new Promise(resolve => setTimeout(resolve, readBackPauseMs))
       }
+      if (result !== undefined) return result
+      await this.#http.pause(deadline)
     }
     throw new StoreError('the result of the transaction is unknown', { settled: false, cause })
   }
 
-  async #call(
-    method: 'GET' | 'POST',
-    path: string,
-    body: unknown,
-    deadline: number,
-  ): Promise<{ status: number; body: unknown }> {
-    const leftMs = deadline - this.#clock.now()
-    if (leftMs <= 0) throw new StoreError('the deadline passed')
-    const signal = AbortSignal.timeout(Math.ceil(leftMs))
+  /** The token's result, or undefined when this attempt failed. */
+  async #readToken(token: string, deadline: number): Promise<CommitResult | 'fenced' | undefined> {
     try {
-      const res = await request(this.#url + path, {
-        method,
-        dispatcher: this.#agent,
-        signal,
-        ...(body === undefined
-          ? {}
-          : { body: JSON.stringify(body), headers: { 'content-type': 'application/json' } }),
-      })
-      const parsed: unknown = await res.body.json()
-      if (res.statusCode >= 500)
-        throw new StoreError(`the table service answered ${res.statusCode}`)
-      return { status: res.statusCode, body: parsed }
-    } catch (err) {
-      if (err instanceof StoreError) throw err
-      throw new StoreError('the table service does not answer', { cause: err })
+      const answer = await this.#http.call({ method: 'GET', path: `/tokens/${token}`, deadline })
+      if (answer.status === 404) return 'fenced'
+      return answer.status === 200 ? asResult(answer) : undefined
+    } catch {
+      return undefined
     }
   }
 }
+
+function expectOk(answer: HttpAnswer): HttpAnswer {
+  if (answer.status === 200) return answer
+  throw new StoreError(`the table service answered ${answer.status}`)
+}
+
+/** An answer that is no result counts as lost, so that its token is read back. */
+function asResult(answer: HttpAnswer): CommitResult {
+  const body = parseAnswer(answer) as Partial<CommitResult> | null
+  if (body?.committed === true) return { committed: true }
+  if (body?.committed === false && Array.isArray(body.failed)) {
+    return { committed: false, failed: body.failed }
+  }
+  throw new StoreError('the table service answered a malformed result')
+}
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,3 +1,11 @@
+export { createDuty, type Duty, type DutyOptions, type DutyRow, type HeldDuty } from './duty.js'
+export {
+  createGroupCommitter,
+  type Committer,
+  type GroupCommitter,
+  type GroupCommitterOptions,
+} from './group-committer.js'
+export { createHttpObjectStore } from './http-object-store.js'
 export { createHttpTableService, type HttpTableServiceOptions } from './http-table-service.js'
 export { StoreError } from './store-error.js'
 export type {
@@ -11,3 +19,4 @@
   Transaction,
   Write,
 } from './table-service.js'
+export { wait, type WaitingClock } from './wait.js'
