--- a/packages/store/src/group-committer.ts
+++ b/packages/store/src/group-committer.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events'
 import { systemClock } from '@bulrushbridge/errors'
 import { defaultCallMs } from './http-table-service.js'
 import { StoreError } from './store-error.js'
@@ -96,6 +97,8 @@
     // A member with little time left must not cost the others their result.
     const deadline = Math.max(...timely.map(member => member.deadline))
     const done = new AbortController()
+    // One listener per member with an earlier deadline.
+    setMaxListeners(0, done.signal)
     for (const member of timely) {
       if (member.deadline < deadline) void this.#rejectLate(member, done.signal)
     }
