feat(idempotency): run keyed requests at most once across entry hosts

Cause: a repeat through another entry host must find the first attempt before any byte is sent to an upstream.

Change: `begin` commits the record under a check that it does not exist. A begin that failed with an unknown result may be repeated once with its own request id.

--- /dev/null
+++ b/packages/idempotency/__tests__/records.test.ts
@@ -0,0 +1,145 @@
+import t, { type Test } from 'tap'
+import { createManualClock, createTableStandin, seededRandom, until } from '@bulrushbridge/standins'
+import { createGroupCommitter, createHttpTableService, type Committer } from '@bulrushbridge/store'
+import { createIdempotencyRecords, maxBodyBytes, retentionMs, sweep } from '../src/index.js'
+
+const answer = { status: 201, headers: { 'x-a': ['1', '2'] }, body: Buffer.from('made') }
+const request = { team: 'a', key: 'k/1', fingerprint: 'f', requestId: 'e1-1' }
+
+async function setup(t: Test) {
+  const standin = await createTableStandin()
+  const table = createHttpTableService({ url: standin.url })
+  const clock = createManualClock()
+  const member = (name: string, committer: Committer = table) =>
+    createIdempotencyRecords({
+      table,
+      committer,
+      member: name,
+      clock: { ...clock, now: () => performance.now() },
+    })
+  t.teardown(async () => {
+    await table.close()
+    await standin.close()
+  })
+  return { standin, table, clock, member }
+}
+
+void t.test('racing repeats through several entry hosts run once', async t => {
+  const { standin, table, member } = await setup(t)
+  const hosts = [1, 2, 3].map(n =>
+    member(`e${n}`, createGroupCommitter({ table, windowMs: 5, maxRows: 50 })),
+  )
+  const random = seededRandom(21)
+  standin.faults.loseAnswers = { probability: 0.1, seed: 22 }
+  const runs = new Map<string, number>()
+  await Promise.all(
+    Array.from({ length: 90 }, async (_, n) => {
+      const key = `k${Math.floor(random() * 12)}`
+      const host = hosts[n % 3]
+      const begun = await host
+        ?.begin({ ...request, key, requestId: `r${n}` })
+        .catch(() => undefined)
+      if (begun?.state === 'new') runs.set(key, (runs.get(key) ?? 0) + 1)
+    }),
+  )
+  t.ok(runs.size > 0)
+  t.ok([...runs.values()].every(count => count === 1))
+})
+
+void t.test('the record exists before begin returns, and a repeat replays the answer', async t => {
+  const { table, member } = await setup(t)
+  const first = member('e1')
+  const begun = await first.begin(request)
+  t.match(await table.read('once', 'a/k%2F1'), { value: { state: 'running' } })
+  t.same(await member('e2').begin({ ...request, requestId: 'e2-1' }), { state: 'unknown' })
+  if (begun.state === 'new') begun.finish(answer)
+  await first.close()
+  const repeat = await member('e2').begin({ ...request, requestId: 'e2-2' })
+  t.match(repeat, { state: 'finished', answer: { status: 201, headers: answer.headers } })
+  t.equal(repeat.state === 'finished' && Buffer.from(repeat.answer.body).toString(), 'made')
+  await t.rejects(first.begin({ ...request, fingerprint: 'g' }), {
+    name: 'RequestError',
+    kind: 'idempotency-key-reused',
+  })
+})
+
+void t.test('an answer too large to keep is known as finished', async t => {
+  const { member } = await setup(t)
+  const records = member('e1')
+  const begun = await records.begin(request)
+  if (begun.state === 'new') begun.finish({ ...answer, body: Buffer.alloc(maxBodyBytes + 1) })
+  await records.close()
+  await t.rejects(records.begin(request), {
+    name: 'RequestError',
+    kind: 'already-finished',
+    outcome: 'finished',
+  })
+})
+
+void t.test('a release lets a repeat run, and a late one deletes nothing', async t => {
+  const { member } = await setup(t)
+  const begun = await member('e1').begin(request)
+  t.equal(begun.state, 'new')
+  if (begun.state === 'new') {
+    await begun.release()
+    t.equal((await member('e2').begin({ ...request, requestId: 'e2-1' })).state, 'new')
+    await begun.release()
+  }
+  t.equal((await member('e3').begin({ ...request, requestId: 'e3-1' })).state, 'unknown')
+})
+
+void t.test('an outage refuses as not run, and only the same request may go on', async t => {
+  const { standin, table, member } = await setup(t)
+  let isLost = true
+  // The transaction takes effect, but neither its answer nor its read-back arrives.
+  const committer: Committer = {
+    commit: async (tx, opts) => {
+      if (isLost) {
+        await table.commit(tx, opts)
+        standin.faults.down = true
+      }
+      return table.commit(tx, { deadline: performance.now() + 150 })
+    },
+  }
+  const records = member('e1', committer)
+  await t.rejects(records.begin(request), {
+    name: 'RequestError',
+    kind: 'store-unavailable',
+    outcome: 'not-run',
+  })
+  standin.faults.down = false
+  isLost = false
+  t.same(await member('e2').begin({ ...request, requestId: 'e2-1' }), { state: 'unknown' })
+  t.equal((await records.begin(request)).state, 'new')
+  t.same(await records.begin(request), { state: 'unknown' }, 'it may have been dispatched by now')
+})
+
+void t.test('an answer is kept although the storage is down when it arrives', async t => {
+  const { standin, table, clock, member } = await setup(t)
+  const committer: Committer = {
+    commit: tx => table.commit(tx, { deadline: performance.now() + 100 }),
+  }
+  const records = member('e1', committer)
+  const begun = await records.begin(request)
+  standin.faults.down = true
+  if (begun.state === 'new') begun.finish(answer)
+  await new Promise(resolve => setTimeout(resolve, 150))
+  standin.faults.down = false
+  await until(async () => {
+    clock.advance(1_000)
+    return (await member('e2').begin({ ...request, requestId: 'x' })).state === 'finished'
+  })
+  t.pass()
+})
+
+void t.test('a sweep removes old records only, and nothing without the duty', async t => {
+  const { table, member } = await setup(t)
+  const begin = (n: number) => member('e1').begin({ ...request, key: `k${n}`, requestId: `r${n}` })
+  for (let n = 0; n < 5; n++) await begin(n)
+  const check = { table: 'duty-fences', key: 'sweep', version: 0 }
+  const later = { table, limit: 3, wallClock: () => Date.now() + retentionMs + 1_000 }
+  t.same(await sweep({ table, check, limit: 10 }), { removed: 0 })
+  t.same(await sweep({ ...later, check: { ...check, version: 7 } }), { removed: 0, next: 'a/k2' })
+  t.same(await sweep({ ...later, check }), { removed: 3, next: 'a/k2' })
+  t.same(await sweep({ ...later, check, after: 'a/k2' }), { removed: 2 })
+})
