fix(idempotency): report unknown when an existing record cannot be read

Cause: when the record of an earlier attempt exists but the storage fails before it is read, `not-run` would be untrue, as that attempt may have run.

Change: this case is `store-unavailable` with the outcome `unknown`.

Conclusion: a test has the storage fail between the refused commit and the read.

--- a/packages/idempotency/__tests__/records.test.ts
+++ b/packages/idempotency/__tests__/records.test.ts
@@ -114,6 +114,20 @@
   t.same(await records.begin(request), { state: 'unknown' }, 'it may have been dispatched by now')
 })
 
+void t.test('a record that exists but cannot be read is not reported as not run', async t => {
+  const { standin, table, member } = await setup(t)
+  await member('e1').begin(request)
+  const committer: Committer = {
+    commit: async tx => {
+      const result = await table.commit(tx)
+      standin.faults.down = true
+      return result
+    },
+  }
+  const repeat = member('e2', committer).begin({ ...request, requestId: 'e2-1' })
+  await t.rejects(repeat, { name: 'RequestError', kind: 'store-unavailable', outcome: 'unknown' })
+})
+
 void t.test('an answer is kept although the storage is down when it arrives', async t => {
   const { standin, table, clock, member } = await setup(t)
   const committer: Committer = {
--- a/packages/idempotency/src/records.ts
+++ b/packages/idempotency/src/records.ts
@@ -156,10 +156,19 @@
       // The versions of a row start at 1.
       return this.#new({ key, version: 1, value })
     }
-    const row = await this.#opts.table.read<OnceRow>(onceTable, key, { deadline })
+    const row = await this.#readExisting(key, deadline)
     return row === undefined ? undefined : this.#existing(row, opts)
   }
 
+  /** The record of another attempt; when it cannot be read, that attempt may have run. */
+  async #readExisting(key: string, deadline: number): Promise<Row<OnceRow> | undefined> {
+    try {
+      return await this.#opts.table.read<OnceRow>(onceTable, key, { deadline })
+    } catch (cause) {
+      throw new RequestError('store-unavailable', { outcome: 'unknown', cause })
+    }
+  }
+
   #existing(row: Row<OnceRow>, opts: BeginOptions): Begun {
     const { state, fingerprint, requestId, answer } = row.value
     if (fingerprint !== opts.fingerprint) throw new RequestError('idempotency-key-reused')
