--- a/packages/config-view/__tests__/config-view.test.ts
+++ b/packages/config-view/__tests__/config-view.test.ts
@@ -147,3 +147,38 @@
   await fleet.runUntil(fleet.now + 2000)
   t.equal(fresh.committed().version, 103)
 })
+
+void t.test(
+  'a slow response confirms from the start of the contact, not from its arrival',
+  async t => {
+    const fleet = await registered()
+    const [a, c] = [viewOf(fleet, 'a'), viewOf(fleet, 'c')]
+    fleet.storeCut.add('c')
+    fleet.responseMs.set('c', 1900)
+    await fleet.runUntil(fleet.now + 600)
+    const order = a.propose(zoneOut, { by: 'op', deadline: fleet.now + 2000 })
+    fleet.cutLinks.add('a-c').add('b-c')
+    const result = await fleet.drive(order)
+    t.equal(result.accepted, true)
+    const overdue = fleet.now + 2500
+    await fleet.runUntil(fleet.now + 5000, () => {
+      if (fleet.now >= overdue) t.notOk(c.isConfirmed() && c.current().zonesOut.length === 0)
+    })
+  },
+)
+
+void t.test('a restarted process that lost a change does not count in a majority', async t => {
+  const fleet = await registered()
+  fleet.cutLinks.add('a-c').add('b-c')
+  fleet.storeCut.add('c')
+  const result = await fleet.drive(viewOf(fleet, 'a').propose(zoneOut, { by: 'op' }))
+  t.match(result, { accepted: true, missing: ['c'] })
+  fleet.storeDown = true
+  fleet.cutLinks.clear()
+  fleet.cutLinks.add('a-c').add('a-b')
+  const restarted = fleet.start('b', ids)
+  await fleet.runUntil(fleet.now + 4000)
+  t.equal(restarted.committed().version, viewOf(fleet, 'c').committed().version)
+  t.notOk(restarted.isConfirmed())
+  t.notOk(viewOf(fleet, 'c').isConfirmed())
+})
--- a/packages/config-view/__tests__/virtual-fleet.ts
+++ b/packages/config-view/__tests__/virtual-fleet.ts
@@ -26,6 +26,10 @@
   readonly rows = new Map<string, { version: number; value: unknown }>()
   readonly blobs = new Map<string, string>()
   readonly cutLinks = new Set<string>()
+  /** Hosts whose own link to the store is cut. */
+  readonly storeCut = new Set<string>()
+  /** Latency of the responses that a host receives from its peers. */
+  readonly responseMs = new Map<string, number>()
   readonly frozenUntil = new Map<string, number>()
   readonly views = new Map<string, View>()
   /** Every process that ever ran, for checks after a restart. */
@@ -75,6 +79,10 @@
     this.now = end
   }
 
+  #reachesStore(owner: string): boolean {
+    return !this.storeDown && !this.storeCut.has(owner)
+  }
+
   #latency(): number {
     return 1 + this.random() * this.maxLatencyMs
   }
@@ -106,7 +114,7 @@
 
   table(owner: string): TableService {
     const call = <T>(opts: { deadline?: number } | undefined, effect: () => T) =>
-      this.#call(owner, opts?.deadline ?? this.now + 2000, () => !this.storeDown, effect)
+      this.#call(owner, opts?.deadline ?? this.now + 2000, () => this.#reachesStore(owner), effect)
     return {
       read: (table: string, key: string, opts?: CallOptions) =>
         call(opts, () => {
@@ -143,7 +151,7 @@
   }
 
   objects(owner: string): ObjectStore {
-    const isUp = () => !this.storeDown
+    const isUp = () => this.#reachesStore(owner)
     return {
       put: (name, body, opts) =>
         this.#call(owner, opts?.deadline ?? this.now + 2000, isUp, () => {
@@ -172,8 +180,9 @@
             return
           }
           const value = structuredClone(effect(view))
-          this.at(this.#latency(), self, () => {
-            if (isCut() || this.now > end) giveUp()
+          // A response that has left the peer still arrives when the link is cut behind it.
+          this.at(this.responseMs.get(self) ?? this.#latency(), self, () => {
+            if (this.now > end) giveUp()
             else resolve(value)
           })
         })
