feat(contract): add semantic rules, exact positions and normal order

Cause: operators need to know where a document is wrong and what was meant; equal documents must have equal digests. Ruled out: a limit below the share as a fault, because unused share is lent and a team may be meant to stay low; it is a warning. Change: checkDocument with a table of rules, checkEnvironment with positions, suggestions for unknown fields and names, normaliseDocument.

--- a/packages/contract/src/diff.ts
+++ b/packages/contract/src/diff.ts
@@ -3,10 +3,13 @@
 import { sections, type EntryChange } from './change.js'
 import { entryName, type Configuration } from './configuration.js'
 import type { EnvironmentDocument } from './document.js'
+import { normaliseDocument } from './normalise.js'
 
 /** Digest that names a document in trial and promotion: SHA-256 of its normalised JSON. */
 export function documentDigest(doc: EnvironmentDocument): string {
-  return createHash('sha256').update(JSON.stringify(doc)).digest('hex')
+  return createHash('sha256')
+    .update(JSON.stringify(normaliseDocument(doc)))
+    .digest('hex')
 }
 
 /**
@@ -15,7 +18,8 @@
  * @example
  * const entries = diffDocument(cfg, doc)
  */
-export function diffDocument(cfg: Configuration, doc: EnvironmentDocument): EntryChange[] {
+export function diffDocument(cfg: Configuration, document: EnvironmentDocument): EntryChange[] {
+  const doc = normaliseDocument(document)
   const changes: EntryChange[] = sections.flatMap(section => {
     const wanted = new Map<string, unknown>(
       doc[section].map(entry => [entryName(section, entry), entry]),
--- a/packages/contract/src/index.ts
+++ b/packages/contract/src/index.ts
@@ -29,4 +29,12 @@
   type Service,
   type Team,
 } from './document.js'
-export { parseEnvironment, type DocumentFault, type ParseResult } from './parse.js'
+export { normaliseDocument } from './normalise.js'
+export {
+  checkEnvironment,
+  parseEnvironment,
+  type CheckResult,
+  type DocumentFault,
+  type ParseResult,
+} from './parse.js'
+export { checkDocument, requiredRunners, worstZone, type Violation } from './rules.js'
