--- a/packages/config-view/src/config-view.ts
+++ b/packages/config-view/src/config-view.ts
@@ -21,12 +21,12 @@
   PeerAddress,
   PeerConfig,
 } from './peer-config.js'
-import { proposeChange, type ProposeOptions } from './propose.js'
+import { awaitVersion, proposeChange, type ProposeOptions } from './propose.js'
 import { restrict, type RestrictOptions } from './restrict.js'
 import { RestrictionCommitter } from './restriction-committer.js'
 import { RestrictionSet, type PendingRestriction, type RestrictiveChange } from './restrictions.js'
 import { StoreReader } from './store-reader.js'
-import { callMs, pollIntervalMs, systemTimers, type Timers } from './timing.js'
+import { acknowledgeMs, callMs, pollIntervalMs, systemTimers, type Timers } from './timing.js'
 
 /** Options of {@link createConfigView}. */
 export interface ConfigViewOptions {
@@ -77,6 +77,8 @@
   propose(change: Change, opts: ProposeOptions): Promise<ChangeResult>
   /** Orders a zone out or a key withdrawn while the store is down. */
   restrict(change: RestrictiveChange, opts: RestrictOptions): Promise<ChangeResult>
+  /** Announces the held version again and waits for the acknowledgements, without a change. */
+  reannounce(): Promise<ChangeResult>
   /** Registers this entry host. Needs a confirmed view. */
   join(): Promise<ChangeResult>
   /** Removes this entry host's registration. */
@@ -198,6 +200,11 @@
     return restrict(this, change, opts)
   }
 
+  reannounce(): Promise<ChangeResult> {
+    const deadline = this.clock.now() + acknowledgeMs
+    return awaitVersion(this, this.#committed.version, [], deadline)
+  }
+
   join(): Promise<ChangeResult> {
     return this.propose({ kind: 'member-join', member: this.member }, { by: this.member.id })
   }
--- a/packages/config-view/src/propose.ts
+++ b/packages/config-view/src/propose.ts
@@ -42,7 +42,8 @@
   return awaitVersion(view, version, previous, deadline)
 }
 
-async function awaitVersion(
+/** Announces a version and waits for the majorities of the registered and the previous votes. */
+export async function awaitVersion(
   view: View,
   version: number,
   previous: string[],
