feat(team-share): allocate slots, order teams and jobs by share

Cause: each pool divides its slots over teams by share, over all entry hosts, without a shared counter. Alternatives ruled out: largest remainder with rotating ties, which gives a small remainder nothing in every period; rounding at a rotating offset is used instead, so quotas average to the exact allocation. Change: allocate, createFairQueue (start-time fair queueing), createFleetShare, dominantShare and fairOrder.

--- /dev/null
+++ b/packages/team-share/__tests__/fair-queue.test.ts
@@ -0,0 +1,85 @@
+import t from 'tap'
+import { createFairQueue } from '../src/index.js'
+
+const shares = new Map([
+  ['a', 3],
+  ['b', 1],
+])
+
+/** Serves one request at a time for `totalMs` and returns the time used per team. */
+function serve(queue: ReturnType<typeof createFairQueue>, now: { ms: number }, totalMs: number) {
+  const lengths: Record<string, number> = { a: 10, b: 170 }
+  const used: Record<string, number> = { a: 0, b: 0 }
+  for (const end = now.ms + totalMs; now.ms < end;) {
+    const team = queue.next() ?? ''
+    const charge = queue.started(team)
+    now.ms += lengths[team] ?? 0
+    used[team] = (used[team] ?? 0) + (lengths[team] ?? 0)
+    queue.ended(charge)
+  }
+  return used
+}
+
+void t.test('guards against a team that gets more because its requests are long', t => {
+  const now = { ms: 0 }
+  const queue = createFairQueue({ shares, clock: { now: () => now.ms } })
+  queue.activate('a')
+  queue.activate('b')
+  const used = serve(queue, now, 100_000)
+  t.ok(Math.abs((used.b ?? 0) / 100_000 - 0.25) < 0.01, `b used ${used.b ?? 0} ms`)
+  t.end()
+})
+
+void t.test('guards against credit for an idle past', t => {
+  const now = { ms: 0 }
+  const queue = createFairQueue({ shares, clock: { now: () => now.ms } })
+  queue.activate('a')
+  serve(queue, now, 50_000)
+  queue.activate('b')
+  const used = serve(queue, now, 10_000)
+  t.ok((used.b ?? 0) < 3000, `b used ${used.b ?? 0} of 10000 ms`)
+  t.end()
+})
+
+void t.test('guards against a blocked team that stops others or loses its place', t => {
+  const now = { ms: 0 }
+  const queue = createFairQueue({ shares, clock: { now: () => now.ms } })
+  queue.activate('a')
+  queue.activate('b')
+  queue.block('a')
+  t.equal(queue.next(), 'b')
+  serve(queue, now, 5000)
+  queue.unblock('a')
+  t.equal(queue.next(), 'a')
+  const used = serve(queue, now, 10_000)
+  t.ok((used.b ?? 0) > 1900, `b used ${used.b ?? 0} of 10000 ms after the block`)
+  t.end()
+})
+
+void t.test('guards against a team that waits for a debt charged at an old weight', t => {
+  const now = { ms: 0 }
+  const queue = createFairQueue({ shares: new Map([['a', 0.01]]), clock: { now: () => now.ms } })
+  queue.activate('a')
+  queue.activate('b')
+  queue.started('a')
+  queue.setWeights([
+    ['a', 10],
+    ['b', 1],
+  ])
+  const used = serve(queue, now, 20_000)
+  t.ok((used.a ?? 0) > 17_000, `a used ${used.a ?? 0} of 20000 ms`)
+  t.end()
+})
+
+void t.test('guards against a request whose real time is never charged', t => {
+  const now = { ms: 0 }
+  const queue = createFairQueue({ shares, clock: { now: () => now.ms } })
+  queue.activate('a')
+  queue.activate('b')
+  serve(queue, now, 20_000)
+  const charge = queue.started('a')
+  now.ms += 10_000
+  queue.ended(charge)
+  t.equal(serve(queue, now, 3000).a, 0)
+  t.end()
+})
--- /dev/null
+++ b/packages/team-share/src/allocate.ts
@@ -0,0 +1,209 @@
+/** What one team has running and waiting at one entry host. */
+export interface Demand {
+  member: string
+  team: string
+  running: number
+  waiting: number
+}
+
+/** Input of {@link allocate}. */
+export interface AllocateOptions {
+  /** Slots of the pool's runners in service. */
+  slots: number
+  /** Weight of each team. A team without an entry gets only what the others leave. */
+  shares: ReadonlyMap<string, number>
+  /** Entries of the same member and team are added up. */
+  demand: readonly Demand[]
+  /** Upper limit of running requests per team; absent means unlimited. */
+  limits?: ReadonlyMap<string, number>
+  /**
+   * Number of the rounding period, the same at every entry host. Quotas of successive periods
+   * average to the exact allocation.
+   */
+  rotation?: number
+}
+
+/** Result of {@link allocate}; slots everywhere. */
+export interface Allocation {
+  /** Exact allocation per team with demand. */
+  teams: Map<string, number>
+  /** Whole slots per member and team; entries of 0 are left out. */
+  quotas: Map<string, Map<string, number>>
+  /** Whole slots per member, rounded once from the exact sum over its teams. */
+  members: Map<string, number>
+  /** Slots that no demand claims. */
+  spare: number
+  /** Slots per unit of share for teams with more demand than share; infinite when none has. */
+  level: number
+  /** Exact allocation of one team at one member. */
+  exact(member: string, team: string): number
+}
+
+/** Weight of a team without a share: it is served from what the others leave. */
+export const NO_SHARE = 1e-9
+
+/** Step of the rounding offset per period; the golden ratio spreads successive offsets evenly. */
+const ROTATION_STEP = 0.618_033_988_749_894_9
+
+/** Absorbs floating-point error in sums that are whole numbers by construction. */
+const EPSILON = 1e-9
+
+interface Table {
+  teams: string[]
+  members: string[]
+  /** Demand per team and member, row by row. */
+  cells: Float64Array
+  /** Demand per team, capped by its limit. */
+  wanted: Float64Array
+  totals: Float64Array
+}
+
+/**
+ * Divides a pool's slots over teams by weighted max-min fairness and then over entry hosts by
+ * demand. Equal inputs in any order give equal outputs, so every entry host computes the same.
+ *
+ * Rounding: cumulative sums are rounded down at a common offset that rotates with `rotation`.
+ * Each quota is its exact value rounded down or up, and so is each team's sum. Plain largest
+ * remainder would give a small remainder nothing in every period; here each remainder is rounded
+ * up in the matching fraction of the periods.
+ *
+ * @example
+ * allocate({ slots: 8, shares: new Map([['a', 3], ['b', 1]]), demand })
+ */
+export function allocate(opts: AllocateOptions): Allocation {
+  const table = tabulate(opts)
+  const { teams, members, cells, totals } = table
+  const { granted, level } = fillLevels(opts.slots, opts.shares, table)
+  const width = members.length
+  const offset = fraction((opts.rotation ?? 0) * ROTATION_STEP)
+  const exact = new Float64Array(cells.length)
+  const memberSums = new Float64Array(width)
+  const quotas = new Map(members.map(member => [member, new Map<string, number>()]))
+  let sum = offset
+  let rounded = 0
+  let given = 0
+  for (const [row, team] of teams.entries()) {
+    const factor = at(granted, row) / Math.max(at(totals, row), 1)
+    given += at(granted, row)
+    let rowSum = 0
+    for (let col = 0; col < width; col++) {
+      const value = at(cells, row * width + col) * factor
+      if (value === 0) continue
+      exact[row * width + col] = value
+      memberSums[col] = at(memberSums, col) + value
+      rowSum += value
+      const next = Math.floor(sum + rowSum + EPSILON)
+      if (next > rounded) quotas.get(members[col] ?? '')?.set(team, next - rounded)
+      rounded = next
+    }
+    // Restarting from the exact team sum keeps the error of a row from reaching the next.
+    sum = offset + given
+  }
+  const rows = new Map(teams.map((team, row) => [team, row]))
+  const cols = new Map(members.map((member, col) => [member, col]))
+  return {
+    teams: new Map(teams.map((team, row) => [team, at(granted, row)])),
+    quotas,
+    members: roundSums(members, memberSums, offset),
+    spare: Math.max(0, opts.slots - given),
+    level,
+    exact(member, team) {
+      const row = rows.get(team)
+      const col = cols.get(member)
+      return row === undefined || col === undefined ? 0 : at(exact, row * width + col)
+    },
+  }
+}
+
+function tabulate({ demand, limits }: AllocateOptions): Table {
+  const teamIndex = indexNames(demand, 'team')
+  const memberIndex = indexNames(demand, 'member')
+  const { names: teams } = teamIndex
+  const { names: members } = memberIndex
+  const cells = new Float64Array(teams.length * members.length)
+  const totals = new Float64Array(teams.length)
+  let i = 0
+  for (const { running, waiting } of demand) {
+    const row = teamIndex.rankOf(i)
+    const cell = row * members.length + memberIndex.rankOf(i++)
+    cells[cell] = at(cells, cell) + running + waiting
+    totals[row] = at(totals, row) + running + waiting
+  }
+  const wanted = totals.map((total, row) =>
+    Math.min(total, limits?.get(teams[row] ?? '') ?? Number.POSITIVE_INFINITY),
+  )
+  return { teams, members, cells, wanted, totals }
+}
+
+/** Sorted distinct names, and the rank of each entry's name; one map lookup per entry. */
+function indexNames(
+  demand: readonly Demand[],
+  field: 'team' | 'member',
+): { names: string[]; rankOf: (entry: number) => number } {
+  const ids = new Map<string, number>()
+  const idOf = new Int32Array(demand.length)
+  let i = 0
+  for (const entry of demand) {
+    const name = entry[field]
+    let id = ids.get(name)
+    if (id === undefined) ids.set(name, (id = ids.size))
+    idOf[i++] = id
+  }
+  const names = [...ids.keys()].sort(byCodeUnit)
+  const rank = new Int32Array(names.length)
+  for (const [position, name] of names.entries()) rank[ids.get(name) ?? 0] = position
+  return { names, rankOf: i => rank[idOf[i] ?? 0] ?? 0 }
+}
+
+/** Weighted water filling: teams in order of demand per share; the rest divide what is left. */
+function fillLevels(
+  slots: number,
+  shares: ReadonlyMap<string, number>,
+  { teams, wanted }: Table,
+): { granted: Float64Array; level: number } {
+  const weights = Float64Array.from(teams, team => Math.max(shares.get(team) ?? 0, NO_SHARE))
+  const need = wanted.map((want, row) => want / at(weights, row))
+  const order = [...teams.keys()].sort((a, b) => at(need, a) - at(need, b) || a - b)
+  const weightFrom = new Float64Array(order.length + 1)
+  for (let i = order.length - 1; i >= 0; i--) {
+    weightFrom[i] = at(weightFrom, i + 1) + at(weights, order[i] ?? 0)
+  }
+  const granted = new Float64Array(teams.length)
+  let left = slots
+  for (const [i, row] of order.entries()) {
+    const level = left / at(weightFrom, i)
+    if (at(need, row) > level) {
+      for (const rest of order.slice(i)) granted[rest] = level * at(weights, rest)
+      return { granted, level }
+    }
+    granted[row] = at(wanted, row)
+    left -= at(wanted, row)
+  }
+  return { granted, level: Number.POSITIVE_INFINITY }
+}
+
+function roundSums(members: string[], sums: Float64Array, offset: number): Map<string, number> {
+  let sum = offset
+  let rounded = 0
+  return new Map(
+    members.map((member, col) => {
+      sum += at(sums, col)
+      const before = rounded
+      rounded = Math.floor(sum + EPSILON)
+      return [member, rounded - before]
+    }),
+  )
+}
+
+function at(values: Float64Array, index: number): number {
+  return values[index] ?? 0
+}
+
+function fraction(value: number): number {
+  return value - Math.floor(value)
+}
+
+/** Compares without a locale, so that every entry host sorts alike. */
+function byCodeUnit(a: string, b: string): number {
+  return a < b ? -1 : a > b ? 1 : 0
+}
--- /dev/null
+++ b/packages/team-share/src/index.ts
@@ -0,0 +1,21 @@
+export {
+  allocate,
+  NO_SHARE,
+  type AllocateOptions,
+  type Allocation,
+  type Demand,
+} from './allocate.js'
+export { dominantShare, fairOrder, type Resources, type TeamUsage } from './dominant-share.js'
+export {
+  createFairQueue,
+  type Charge,
+  type FairQueue,
+  type FairQueueOptions,
+} from './fair-queue.js'
+export {
+  createFleetShare,
+  type FleetShare,
+  type FleetShareOptions,
+  type TeamDemand,
+} from './fleet-share.js'
+export { heapHandle, IndexedHeap, type HeapHandle } from './indexed-heap.js'
