feat(standins): add a runner stand-in

Cause: tests of the request path need a runner with faults that can be switched one by one and with counts of what really started.

Alternatives ruled out: mocking undici (hides what sockets do when they close, reset or fall silent).

Change: node:http server with slots and a waiting line, starts per request id and idempotency key, running maximum per team, /health, /running, /stats, /faults. `runnerCommand` is exported; main.ts does not list it yet.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -9,3 +9,11 @@
 export { createManualClock, until, type ManualClock } from './manual-clock.js'
 export { createObjectStandin } from './object.js'
 export { createTableStandin } from './table.js'
+export {
+  createRunnerStandin,
+  runnerCommand,
+  type RunnerFaults,
+  type RunnerOptions,
+  type RunnerStandin,
+  type RunnerStats,
+} from './runner.js'
