--- /dev/null
+++ b/packages/entry/src/relay-answer.ts
@@ -0,0 +1,76 @@
+import type { ServerResponse } from 'node:http'
+import { RequestError } from '@bulrushbridge/errors'
+import { maxBodyBytes, type Answer } from '@bulrushbridge/idempotency'
+import type { UpstreamAnswer } from '@bulrushbridge/upstream-link'
+import { isPassedToCaller } from './call-request.js'
+
+/**
+ * Passes an upstream's answer on. When it is cut, the caller's connection is destroyed, so that the
+ * caller cannot take a part for the whole.
+ */
+export async function relayAnswer(
+  res: ServerResponse,
+  answer: UpstreamAnswer,
+  requestId: string,
+): Promise<void> {
+  if (res.destroyed) {
+    answer.body.destroy()
+    throw new RequestError('caller-left', { outcome: 'unknown' })
+  }
+  writeHead(res, answer, requestId)
+  const { body } = answer
+  await new Promise<void>((resolve, reject) => {
+    const fail = (cause: unknown) => {
+      res.destroy()
+      body.destroy()
+      reject(
+        cause instanceof RequestError
+          ? cause
+          : new RequestError('caller-left', { outcome: 'unknown', cause }),
+      )
+    }
+    body.once('error', fail)
+    res.once('error', fail)
+    res.once('finish', resolve)
+    res.once('close', () => {
+      if (!res.writableFinished) fail(undefined)
+    })
+    body.pipe(res)
+  })
+}
+
+/** Answers with a stored answer of an earlier attempt. */
+export function replayAnswer(res: ServerResponse, answer: Answer, requestId: string): void {
+  writeHead(res, answer, requestId)
+  res.end(answer.body)
+}
+
+function writeHead(
+  res: ServerResponse,
+  answer: Pick<UpstreamAnswer, 'status' | 'headers'>,
+  requestId: string,
+): void {
+  res.statusCode = answer.status
+  for (const [name, value] of Object.entries(answer.headers)) {
+    if (isPassedToCaller(name)) res.setHeader(name, value)
+  }
+  res.setHeader('bulrush-request-id', requestId)
+  res.setHeader('bulrush-outcome', 'finished')
+}
+
+/** Calls `keep` with the whole answer once it is complete, or with its size when it is too large. */
+export function captureBody(answer: UpstreamAnswer, keep: (answer: Answer) => void): void {
+  const chunks: Buffer[] = []
+  let bytes = 0
+  answer.body.on('data', (chunk: Buffer) => {
+    bytes += chunk.length
+    // One byte over the limit is enough for the record to say that the answer was too large.
+    if (bytes - chunk.length <= maxBodyBytes) chunks.push(chunk)
+  })
+  answer.body.once('end', () => {
+    const headers = Object.fromEntries(
+      Object.entries(answer.headers).filter(([name]) => isPassedToCaller(name)),
+    )
+    keep({ status: answer.status, headers, body: Buffer.concat(chunks) })
+  })
+}
--- /dev/null
+++ b/packages/testbed/src/operator.ts
@@ -0,0 +1,49 @@
+import { request } from 'undici'
+
+/** Answer of the operators' API. */
+export interface OperatorAnswer {
+  status: number
+  body: Record<string, unknown>
+}
+
+/** An operator who uses one entry host's API. */
+export interface Operator {
+  get(path: string): Promise<OperatorAnswer>
+  post(path: string, body?: unknown): Promise<OperatorAnswer>
+  /** Runs a trial of the document and promotes it. */
+  promote(text: string): Promise<OperatorAnswer>
+}
+
+/** Longest time for one call, in milliseconds. */
+const callMs = 15_000
+
+/**
+ * Creates an operator.
+ *
+ * @example
+ * const operator = createOperator('127.0.1.1:7100', credential)
+ * await operator.post('zones/a/out')
+ */
+export function createOperator(address: string, credential: string): Operator {
+  const call = async (method: 'GET' | 'POST', path: string, body?: string) => {
+    const res = await request(`http://${address}/operator/v1/${path}`, {
+      method,
+      headers: { authorization: `Bearer ${credential}` },
+      signal: AbortSignal.timeout(callMs),
+      ...(body === undefined ? {} : { body }),
+    })
+    return { status: res.statusCode, body: (await res.body.json()) as Record<string, unknown> }
+  }
+  return {
+    get: path => call('GET', path),
+    post: (path, body) => call('POST', path, body === undefined ? '' : JSON.stringify(body)),
+    promote: async text => {
+      const trial = await call('POST', 'trial', text)
+      if (trial.status !== 200) return trial
+      const status = await call('GET', 'status')
+      const { digest } = trial.body
+      const expectedVersion = status.body.version
+      return call('POST', 'promote', JSON.stringify({ digest, expectedVersion }))
+    },
+  }
+}
--- /dev/null
+++ b/packages/testbed/src/testbed.ts
@@ -0,0 +1,236 @@
+import {
+  createHostListStandin,
+  createObjectStandin,
+  createRunnerStandin,
+  createTableStandin,
+  type HostListStandin,
+  type RunnerStandin,
+  type Standin,
+} from '@bulrushbridge/standins'
+import { createCaller, type Caller, type CallerAnswer, type CallerRequest } from './caller.js'
+import { launch, type RunningProgram } from './launch.js'
+import { createLink, type Link } from './link.js'
+import { createLoopback } from './loopback.js'
+import { createOperator, type Operator } from './operator.js'
+import {
+  createSampleDocument,
+  type SampleDocument,
+  type SampleRunner,
+  type SampleTeam,
+} from './sample-document.js'
+
+/** Secret of the peers in tests. */
+const peerSecret = 'testbed-peer-secret'
+
+/** Options of {@link createTestbed}. */
+export interface TestbedOptions {
+  /** Entry hosts; the n-th is `e<n>` in the n-th zone. */
+  entryHosts?: number
+  zones?: string[]
+  /** Runners of the service `finder`, spread over the zones. */
+  runners?: number
+  slots?: number
+  /** Work time of a request that names none, in milliseconds. */
+  workMs?: number
+  teams?: SampleTeam[]
+  /** Milliseconds that an entry host waits for the balancer at a shutdown. */
+  balancerWaitMs?: number
+  /** Environment variables of the entry hosts. */
+  env?: Record<string, string>
+  seed?: number
+}
+
+/** An entry host of a testbed. */
+export interface TestEntry {
+  id: string
+  zone: string
+  program: RunningProgram
+  callers: string
+  operators: string
+  /** Its link to the table service. */
+  storeLink: Link
+}
+
+/** A whole system: stand-ins in this process, entry hosts as processes of their own. */
+export interface Testbed {
+  readonly table: Standin
+  readonly objects: Standin
+  readonly hosts: HostListStandin
+  readonly runners: RunnerStandin[]
+  readonly runnerEntries: SampleRunner[]
+  readonly sample: SampleDocument
+  readonly entries: TestEntry[]
+  readonly caller: Caller
+  /** Starts an entry host, or a replacement of one with the same id. */
+  startEntry(id: string, zone: string): Promise<TestEntry>
+  /** An operator at the n-th entry host. */
+  operator(n?: number): Operator
+  /** Sends a request of a team to the n-th entry host on the team's own queue. */
+  send(n: number, team: string, req?: Partial<CallerRequest>): Promise<CallerAnswer>
+  /** Waits until all listed entry hosts are ready. */
+  ready(entries?: TestEntry[]): Promise<void>
+  close(): Promise<void>
+}
+
+/**
+ * Starts a system, promotes the sample document and waits until every entry host is ready.
+ *
+ * @example
+ * const bed = await createTestbed({ entryHosts: 3, runners: 4 })
+ * const answer = await bed.send(0, 'lamps')
+ * await bed.close()
+ */
+export async function createTestbed(opts: TestbedOptions = {}): Promise<Testbed> {
+  const zones = opts.zones ?? ['a', 'b', 'c']
+  const loopback = createLoopback()
+  const table = await createTableStandin({ host: loopback.next(), port: 0 })
+  const objects = await createObjectStandin({ host: loopback.next(), port: 0 })
+  const hosts = await createHostListStandin({ host: loopback.next(), port: 0 })
+  const runners: RunnerStandin[] = []
+  const runnerEntries: SampleRunner[] = []
+  for (let n = 1; n <= (opts.runners ?? 4); n++) {
+    const [id, zone] = [`r${n}`, zones[(n - 1) % zones.length] ?? '']
+    const runner = await createRunnerStandin({
+      host: loopback.next(),
+      port: 0,
+      id,
+      zone,
+      slots: opts.slots ?? 8,
+      workMs: opts.workMs ?? 5,
+      seed: (opts.seed ?? 1) + n,
+    })
+    runners.push(runner)
+    runnerEntries.push({ id, host: `host-${id}`, zone, address: runner.address })
+  }
+  const teams = opts.teams ?? [
+    { name: 'lamps', share: 2, limit: 100 },
+    { name: 'mills', share: 1, limit: 100 },
+  ]
+  const sample = createSampleDocument({
+    zones,
+    teams,
+    runners: runnerEntries,
+    ...(opts.slots === undefined ? {} : { slots: opts.slots }),
+  })
+  const entries: TestEntry[] = []
+  const programs: RunningProgram[] = []
+  const links: Link[] = []
+  const caller = createCaller()
+
+  const startEntry = async (id: string, zone: string): Promise<TestEntry> => {
+    const host = loopback.next()
+    const storeLink = await createLink({ host, target: new URL(table.url).host })
+    links.push(storeLink)
+    const settings: Record<string, string> = {
+      member: id,
+      zone,
+      host,
+      'caller-port': '0',
+      'operator-port': '0',
+      'peer-port': '0',
+      'table-url': `http://${storeLink.address}`,
+      'object-url': objects.url,
+      'hosts-url': hosts.url,
+      'bootstrap-digest': sample.operator.digest,
+      'balancer-wait': String(opts.balancerWaitMs ?? 200),
+      peers: entries.map(each => `${each.id}=${each.program.ready.peers ?? ''}`).join(','),
+    }
+    const args = Object.entries(settings).flatMap(([name, value]) => [`--${name}`, value])
+    const program = await launch('bulrush-entry', args, {
+      BULRUSH_PEER_SECRET: peerSecret,
+      ...opts.env,
+    })
+    programs.push(program)
+    const { callers = '', operators = '' } = program.ready
+    const entry = { id, zone, program, callers, operators, storeLink }
+    const at = entries.findIndex(each => each.id === id)
+    if (at === -1) entries.push(entry)
+    else entries[at] = entry
+    return entry
+  }
+
+  const entryAt = (n: number): TestEntry => {
+    const entry = entries[n]
+    if (entry === undefined) throw new RangeError(`there is no entry host ${n}`)
+    return entry
+  }
+
+  const bed: Testbed = {
+    table,
+    objects,
+    hosts,
+    runners,
+    runnerEntries,
+    sample,
+    entries,
+    caller,
+    startEntry,
+    operator: (n = 0) => createOperator(entryAt(n).operators, sample.operator.credential),
+    send: (n, team, req = {}) =>
+      caller.send({
+        entry: entryAt(n).callers,
+        queue: team,
+        key: sample.keys[team] ?? '',
+        ...req,
+      }),
+    ready: async (listed = entries) => {
+      await until(async () => (await Promise.all(listed.map(isReady))).every(Boolean))
+    },
+    close: async () => {
+      await caller.close()
+      for (const { process: child } of programs) child.kill('SIGKILL')
+      await Promise.all(programs.map(program => program.ended()))
+      await Promise.all([
+        ...links.map(link => link.close()),
+        ...runners.map(runner => runner.close()),
+        table.close(),
+        objects.close(),
+        hosts.close(),
+      ])
+    },
+  }
+  try {
+    for (let n = 1; n <= (opts.entryHosts ?? 3); n++) {
+      await startEntry(`e${n}`, zones[(n - 1) % zones.length] ?? '')
+    }
+    await until(async () => (await bed.operator().promote(sample.text)).status === 200)
+    await bed.ready()
+  } catch (err) {
+    const logs = programs.map(program => program.log()).join('\n')
+    await bed.close()
+    throw new Error(`the testbed did not start: ${logs}`, { cause: err })
+  }
+  return bed
+}
+
+async function isReady(entry: TestEntry): Promise<boolean> {
+  try {
+    const res = await fetch(`http://${entry.operators}/health/ready`)
+    return res.status === 200
+  } catch {
+    return false
+  }
+}
+
+/** Longest wait of {@link until}, in milliseconds. */
+const untilMs = 30_000
+
+/** Pause between two checks of {@link until}, in milliseconds. */
+const untilPauseMs = 50
+
+/**
+ * Waits until a condition holds.
+ *
+ * @throws Error when it does not hold in time.
+ */
+export async function until(
+  condition: () => boolean | Promise<boolean>,
+  limitMs = untilMs,
+): Promise<void> {
+  const deadline = performance.now() + limitMs
+  while (performance.now() < deadline) {
+    if (await condition()) return
+    await new Promise(resolve => setTimeout(resolve, untilPauseMs))
+  }
+  throw new Error(`the condition did not hold within ${limitMs} ms`)
+}
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -7,7 +7,7 @@
   'bulrush-control': 'packages/control/src/main.ts',
   bulrush: 'packages/cli/src/main.ts',
   'bulrush-standin': 'packages/standins/src/main.ts',
-  demo: 'packages/demo/src/main.ts',
+  demo: 'packages/testbed/src/demo.ts',
   bench: 'bench/main.ts',
 }
 
