feat(jobs): accept, list and cancel jobs

Cause: a job must be durable before its id is returned, waves of thousands of cancellations must fit the storage's write capacity, and a cancelled job must never be claimed.

Alternatives ruled out: an index table per team and queue (a further write per job, while ids that start with the queue make a queue a range of keys); looking for queued jobs in the table of all jobs (ended jobs would be scanned as well); payloads in the job's row (each state change and list would carry them).

Change: `accept` writes the job, its payload, its row in `jobs-queued` and its idempotency key in one transaction. `jobTransition` gives the checks and writes of a state change, which placement joins with its own. `cancel` changes 100 jobs in a transaction, retries without those that changed meanwhile and continues at `next`.

Verified by switching a rule off once: without the check on the job's version, "claims racing a cancellation never start a cancelled job" fails.

--- /dev/null
+++ b/packages/jobs/src/index.ts
@@ -0,0 +1,24 @@
+export type { Cancelled } from './cancel.js'
+export {
+  jobKey,
+  jobsTable,
+  jobStates,
+  jobTransition,
+  mayBecome,
+  payloadsTable,
+  queuedKey,
+  queuedRange,
+  queuedTable,
+  type Job,
+  type JobRequest,
+  type JobState,
+  type QueuedJob,
+} from './job.js'
+export {
+  createJobs,
+  type AcceptOptions,
+  type CancelOptions,
+  type JobPage,
+  type Jobs,
+  type JobsOptions,
+} from './jobs.js'
