fix(errors): derive error classes from Error

Cause: modern-errors accepts only classes made by its subclass function, so constructing RequestError or StoreError threw 'new RequestError() must not be directly called'. Alternatives ruled out: ModernError.subclass with a custom class, whose cause merging can replace a RequestError by its cause. Change: BaseError extends Error. Verified: the admission tests, which failed with that message, pass. Conclusion: error classes can be constructed; modern-errors is unused for now.

--- a/packages/errors/src/base-error.ts
+++ b/packages/errors/src/base-error.ts
@@ -1,10 +1,5 @@
-import ModernError from 'modern-errors'
-
 /**
- * Base of all error classes of the project. The declared type is a plain Error constructor,
- * because the generic instance type of modern-errors is not assignable to Error.
+ * Base of all error classes of the project. It is a plain Error: modern-errors accepts only
+ * classes made by its `subclass` function, and throws when another subclass is constructed.
  */
-export const BaseError = ModernError as unknown as new (
-  message: string,
-  opts?: ErrorOptions,
-) => Error
+export class BaseError extends Error {}
