--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -61,7 +61,12 @@
   })
   const table = createHttpTableService({ url: cfg['table-url'], clock })
   const objects = createHttpObjectStore({ url: cfg['object-url'], clock })
-  const committer = createGroupCommitter({ table, clock })
+  const committer = createGroupCommitter({
+    table,
+    clock,
+    windowMs: groupWindowMs,
+    maxRows: maxGroupRows,
+  })
   const decisions = createDecisionLog({ table, member: cfg.member, clock })
   const links = createPeerLinks({ secret: cfg['peer-secret'] })
   const peerLoad = createPeerLoad({ clock })
@@ -210,7 +215,7 @@
       table,
       objects,
       clock,
-      decisions: { explain: (kind, id) => decisions.read({ kind, id }) },
+      decisions: { explain: (kind, id) => decisions.read({ kind, id, limit: maxDecisions }) },
       ...(cfg['bootstrap-digest'] === '' ? {} : { bootstrapDigest: cfg['bootstrap-digest'] }),
     }),
     notReady: () => {
@@ -260,6 +265,15 @@
   }
 }
 
+/** Time for which records wait to be written together, in milliseconds. */
+const groupWindowMs = 5
+
+/** Most rows in one transaction of records. */
+const maxGroupRows = 100
+
+/** Most decision records in one answer to an operator. */
+const maxDecisions = 100
+
 /** Interval at which waiting requests and the confirmation reach the permits, in milliseconds. */
 const tickMs = 50
 
--- a/packages/idempotency/src/index.ts
+++ b/packages/idempotency/src/index.ts
@@ -3,6 +3,7 @@
   createIdempotencyRecords,
   type BeginOptions,
   type Begun,
+  type Earlier,
   type IdempotencyOptions,
   type IdempotencyRecords,
 } from './records.js'
--- a/packages/idempotency/src/records.ts
+++ b/packages/idempotency/src/records.ts
@@ -76,8 +76,16 @@
   | { state: 'finished'; answer: Answer }
   | { state: 'unknown' }
 
+/** What an earlier attempt left: its answer, or that it may have run. */
+export type Earlier = Exclude<Begun, { state: 'new' }>
+
 /** Records that make requests with an idempotency key run at most once. */
 export interface IdempotencyRecords {
+  /**
+   * Looks for an earlier attempt without leaving a record. Rejects like `begin`; when the storage
+   * does not answer the outcome is `unknown`, because an earlier attempt may have run.
+   */
+  find(opts: BeginOptions): Promise<Earlier | undefined>
   /**
    * Must be awaited before the first byte is sent upstream. Rejects with a RequestError of kind
    * `idempotency-key-reused`, `already-finished` or `store-unavailable`.
@@ -113,8 +121,16 @@
     this.#committer = opts.committer ?? opts.table
   }
 
+  async find(opts: BeginOptions): Promise<Earlier | undefined> {
+    const row = await this.#readExisting(rowKey(opts), this.#clock.now() + beginMs)
+    if (row === undefined) return undefined
+    const found = this.#existing(row, opts)
+    // Its own record of a failed begin: nothing was dispatched, and `begin` takes it over.
+    return found.state === 'new' ? undefined : found
+  }
+
   async begin(opts: BeginOptions): Promise<Begun> {
-    const key = `${encodeURIComponent(opts.team)}/${encodeURIComponent(opts.key)}`
+    const key = rowKey(opts)
     const deadline = this.#clock.now() + beginMs
     try {
       for (let attempt = 0; attempt < beginAttempts; attempt++) {
@@ -240,3 +256,7 @@
     }
   }
 }
+
+function rowKey({ team, key }: BeginOptions): string {
+  return `${encodeURIComponent(team)}/${encodeURIComponent(key)}`
+}
--- a/packages/team-keys/src/keyring.ts
+++ b/packages/team-keys/src/keyring.ts
@@ -36,6 +36,8 @@
   parseAuthorization(header: string | undefined): KeyOwner
   /** True while the key with this id and digest is in force. */
   isCurrent(keyId: string, digest: string): boolean
+  /** True while a key with this id is in force. */
+  has(keyId: string): boolean
 }
 
 /**
@@ -66,5 +68,6 @@
       return { team: entry.key.team, keyId: id, digest: entry.key.digest }
     },
     isCurrent: (keyId, digest) => current.get(keyId)?.key.digest === digest,
+    has: keyId => current.has(keyId),
   }
 }
