fix(standins): refuse fault switches of a wrong type

Cause: `POST /faults` took any value, so `{"down":"no"}` took the service down.

Change: a switch must have the type of its default.

--- a/packages/standins/__tests__/standins.test.ts
+++ b/packages/standins/__tests__/standins.test.ts
@@ -26,6 +26,7 @@
   const result = await fetch(`${standin.url}/tokens/one`)
   t.same(await result.json(), { committed: true })
   t.equal((await post(standin.url, '/faults', { typo: true })).status, 400)
+  t.equal((await post(standin.url, '/faults', { down: 'no' })).status, 400)
 })
 
 void t.test('a limited stand-in delays the excess instead of refusing it', async t => {
--- a/packages/standins/src/fault-server.ts
+++ b/packages/standins/src/fault-server.ts
@@ -136,8 +136,10 @@
     if (name === 'counters' && method === 'GET') return { status: 200, body: this.counters() }
     if (name !== 'faults' || method !== 'POST') return notFound
     const changes = JSON.parse(body) as Record<string, unknown>
-    const unknown = Object.keys(changes).filter(key => !(key in this.faults))
-    if (unknown.length > 0) return { status: 400, body: { error: 'unknown switch', unknown } }
+    const current = this.faults as unknown as Record<string, unknown>
+    const wrong = Object.keys(changes).filter(key => typeof changes[key] !== typeof current[key])
+    // A switch with a wrong name or type would leave a test without its fault.
+    if (wrong.length > 0) return { status: 400, body: { error: 'not a switch', wrong } }
     Object.assign(this.faults, changes)
     return { status: 200, body: this.faults }
   }
