fix(peer-link,telemetry): replace suspect links; enable roarr before it loads

The HTTP/2 pings of connect-node ended the process with ERR_HTTP2_INVALID_SESSION when a session was destroyed between two pings. Silent links are now found by the deadline of the calls: a call without an answer makes the link suspect, and the next call opens a new connection.

--- a/packages/peer-link/src/peer-client.ts
+++ b/packages/peer-link/src/peer-client.ts
@@ -1,21 +1,29 @@
-import { createClient, type Client, type Interceptor } from '@connectrpc/connect'
+import {
+  Code,
+  ConnectError,
+  createClient,
+  type Client,
+  type Interceptor,
+} from '@connectrpc/connect'
 import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node'
 import { PeerService } from '@bulrushbridge/wire'
 import { peerAuthorization } from './peer-secret.js'
 
-/** Interval of HTTP/2 pings on a link with a call in progress, in milliseconds. */
-const pingIntervalMs = 1_000
-
-/** Time for the answer to a ping; a link that misses it is replaced by a new one. */
-const pingTimeoutMs = 1_000
-
 /** Idle links are kept, because the exchange uses them every 500 ms. */
 const idleConnectionTimeoutMs = 60_000
 
-/** The link to one peer: one HTTP/2 connection that is replaced when it goes silent. */
+/** Failures after which the connection may be silent for good. */
+const suspectCodes: ReadonlySet<Code> = new Set([Code.DeadlineExceeded, Code.Unavailable])
+
+/** The link to one peer: one HTTP/2 connection. */
 export interface PeerLink {
   readonly address: string
   readonly calls: Client<typeof PeerService>
+  /**
+   * True after a call got no answer. The link must then be replaced, because a connection that
+   * something between the hosts has lost track of never answers again.
+   */
+  isSuspect(): boolean
   close(): void
 }
 
@@ -37,15 +45,18 @@
 export function createPeerLink(opts: PeerLinkOptions): PeerLink {
   const baseUrl = `http://${opts.address}`
   const sessionManager = new Http2SessionManager(baseUrl, {
-    pingIntervalMs,
-    pingTimeoutMs,
-    pingIdleConnection: true,
     idleConnectionTimeoutMs,
   })
   const authorization = peerAuthorization(opts.secret)
-  const authenticate: Interceptor = next => req => {
+  let suspect = false
+  const authenticate: Interceptor = next => async req => {
     req.header.set('authorization', authorization)
-    return next(req)
+    try {
+      return await next(req)
+    } catch (err) {
+      suspect ||= suspectCodes.has(ConnectError.from(err).code)
+      throw err
+    }
   }
   const transport = createConnectTransport({
     baseUrl,
@@ -60,6 +71,7 @@
   return {
     address: opts.address,
     calls: createClient(PeerService, transport),
+    isSuspect: () => suspect,
     close: () => {
       sessionManager.abort()
     },
--- a/packages/peer-link/src/peer-links.ts
+++ b/packages/peer-link/src/peer-links.ts
@@ -2,7 +2,7 @@
 
 /** The links of an entry host to all its peers, opened on first use. */
 export interface PeerLinks {
-  /** The link to a peer; an earlier one to another address of the same peer is closed. */
+  /** The link to a peer; a suspect one, or one to another address of the peer, is replaced. */
   to(peer: { id: string; peerAddress: string }): PeerLink
   /** Closes the links to peers that are not in the list. */
   retain(ids: ReadonlySet<string>): void
@@ -21,7 +21,7 @@
   return {
     to: peer => {
       const known = links.get(peer.id)
-      if (known?.address === peer.peerAddress) return known
+      if (known?.address === peer.peerAddress && !known.isSuspect()) return known
       known?.close()
       const link = createPeerLink({ address: peer.peerAddress, secret: opts.secret })
       links.set(peer.id, link)
--- a/packages/telemetry/src/logger.ts
+++ b/packages/telemetry/src/logger.ts
@@ -1,5 +1,6 @@
+// Must be loaded before roarr.
+import './log-environment.js'
 import { Roarr, type Logger as RoarrLogger } from 'roarr'
-import { setWriter } from './log-writer.js'
 
 /** Fields of a log line; must never hold a key or credential. */
 export type LogFields = Record<string, string | number | boolean | null | undefined>
@@ -34,7 +35,6 @@
  * log.warn('runner ejected', { runner: 'finder-3' })
  */
 export function createLogger(opts: LoggerOptions): Logger {
-  setWriter()
   const minimum = levels[opts.level ?? 'info']
   const roarr = Roarr.child({
     program: opts.program,
