fix(standins): close the connection at the start of the work under cutBefore

Cause: the connection closed after the work had ended, so a retry that did not wait for the first attempt to end was not caught by any test.

Change: the connection closes when the work starts, and the work goes on.

--- a/packages/standins/src/runner.ts
+++ b/packages/standins/src/runner.ts
@@ -17,7 +17,7 @@
   crossed: boolean
   /** Cuts the answer after half of its bytes. */
   cut: boolean
-  /** Closes the connection before the answer. */
+  /** Closes the connection when the work starts; the work goes on. */
   cutBefore: boolean
   /** Refuses with 503 and outcome not-run. */
   refuse: boolean
@@ -124,6 +124,7 @@
     if (stats.startedAt.length > MAX_STARTS) stats.startedAt.shift()
     const running = count(stats.running, team)
     stats.maxRunning[team] = Math.max(stats.maxRunning[team] ?? 0, running)
+    if (faults.cutBefore) req.socket.destroy()
     const left = Number(req.headers['bulrush-deadline'] ?? Infinity)
     const full = ms * faults.slowFactor * (0.9 + rng() * 0.2)
     await sleep(faults.overrunDeadline ? full : Math.min(full, left))
@@ -170,11 +171,7 @@
   }
 
   function answer(req: IncomingMessage, res: ServerResponse, url: URL, received: object): void {
-    if (silentSockets.has(req.socket)) return
-    if (faults.cutBefore) {
-      req.socket.destroy()
-      return
-    }
+    if (silentSockets.has(req.socket) || req.socket.destroyed) return
     const own = String(req.headers['bulrush-request-id'])
     const id = faults.crossed ? `other-${own}` : own
     const filler = 'x'.repeat(Number(url.searchParams.get('bytes') ?? 0))
