feat(upstream-routing): add runner selection and dispatch with bounded retries

Cause: entry hosts need to choose between runners without a shared view and to retry without running work twice or beyond a team's limit.

Alternatives ruled out: least loaded of all (herding); retrying an attempt with an unknown outcome at once (two runs under one permit); accepting any successful trial (a slow runner was reinstated by its first trial, seen in the test).

Change: two random choices, near zone first, ejection with a cap of a third, trials compared with the pool's latency, slow start, retry budget over 10 s. dispatch waits for an unknown attempt to settle before it retries, and holds the slot until then.

--- /dev/null
+++ b/packages/upstream-routing/__tests__/dispatch.test.ts
@@ -0,0 +1,134 @@
+import { RequestError, systemClock } from '@bulrushbridge/errors'
+import {
+  createRunnerStandin,
+  seededRandom,
+  type RunnerFaults,
+  type RunnerStandin,
+} from '@bulrushbridge/standins'
+import { createRunnerLinks, type UpstreamRequest } from '@bulrushbridge/upstream-link'
+import fc from 'fast-check'
+import { Readable } from 'node:stream'
+import { text } from 'node:stream/consumers'
+import { setTimeout as sleep } from 'node:timers/promises'
+import t, { type Test } from 'tap'
+import { createRetryBudget, createRouter, dispatch } from '../src/index.js'
+
+let nextId = 0
+const request = (path: string, more: Partial<UpstreamRequest> = {}): UpstreamRequest => ({
+  id: `m1-1-${++nextId}`,
+  method: 'POST',
+  path,
+  headers: [],
+  deadline: systemClock.now() + 3_000,
+  team: 'a',
+  ...more,
+})
+
+async function setUp(t: Test) {
+  const standins: RunnerStandin[] = []
+  for (const id of ['r0', 'r1', 'r2']) {
+    standins.push(await createRunnerStandin({ host: '127.0.0.1', port: 0, id, zone: 'a' }))
+  }
+  const runners = standins.map(({ address, stats }) => ({
+    id: stats.id,
+    host: `h-${stats.id}`,
+    zone: 'a',
+    address,
+  }))
+  const clock = systemClock
+  const router = createRouter({
+    service: { name: 's', slots: 8, connections: 64, runners },
+    zone: 'a',
+    rng: seededRandom(7),
+    clock,
+    createLinks: createRunnerLinks,
+  })
+  const retryBudget = createRetryBudget({ clock, ratio: 10 })
+  const send = (req: UpstreamRequest, idempotent = false) =>
+    dispatch({ router, req, idempotent, retryBudget, clock })
+  t.teardown(async () => {
+    router.setGone(runners.map(each => each.host))
+    await router.close()
+    await Promise.all(standins.map(each => each.close()))
+  })
+  const starts = (id: string): number =>
+    standins.reduce((sum, each) => sum + (each.stats.startsById[id] ?? 0), 0)
+  const switchAll = (patch: Partial<RunnerFaults>): void => {
+    for (const each of standins) each.switchFaults(patch)
+  }
+  const running = (): string[] => standins.flatMap(each => each.running())
+  return { router, send, starts, switchAll, running, standins }
+}
+
+void t.test('a refusal is retried elsewhere with the whole body, for any method', async t => {
+  const { send, standins, starts } = await setUp(t)
+  for (const each of standins.slice(0, 2)) each.switchFaults({ refuse: true })
+  for (let i = 0; i < 6; i++) {
+    const req = request('/work?ms=1', { body: Readable.from([Buffer.from('abc')]) })
+    const answer = await send(req).answer
+    t.match(JSON.parse(await text(answer.body)), { runner: 'r2', length: 3 })
+    t.equal(starts(req.id), 1)
+  }
+})
+
+void t.test('the permit and the slot are held until the work of a lost caller ends', async t => {
+  const { router, send, running } = await setUp(t)
+  const caller = new AbortController()
+  const req = request('/work?ms=500', { signal: caller.signal })
+  const { answer, settled } = send(req, true)
+  while (running().length === 0) await sleep(5)
+  caller.abort()
+  t.match(await answer.catch((err: unknown) => err), { kind: 'caller-left' })
+  t.same([...router.load().values()], [1])
+  await settled
+  t.same(running(), [])
+  t.equal(router.load().size, 0)
+})
+
+void t.test('a retry does not start while the first attempt may run', async t => {
+  const { send, switchAll, standins } = await setUp(t)
+  switchAll({ cutBefore: true })
+  const req = request('/work?ms=30', { method: 'GET' })
+  const { answer, settled } = send(req, true)
+  await answer.catch(() => undefined)
+  await settled
+  const maxima = standins.map(each => each.stats.maxRunning.a ?? 0)
+  t.same(maxima, [1, 1, 1], 'tried on each runner')
+  const times = standins.flatMap(each => each.stats.startedAt).sort((a, b) => a - b)
+  for (let i = 1; i < times.length; i++) t.ok((times[i] ?? 0) - (times[i - 1] ?? 0) >= 25)
+})
+
+void t.test('random faults: at most once, truthful not-run, whole answers', async t => {
+  const { send, starts, switchAll, running, standins } = await setUp(t)
+  const off = { ...standins[0]?.faults }
+  const fault = fc.constantFrom<Partial<RunnerFaults>>(
+    {},
+    { cut: true },
+    { cutBefore: true },
+    { crossed: true },
+    { refuse: true },
+    { failAll: true },
+  )
+  const steps = fc.array(fc.tuple(fault, fault, fault, fc.boolean()), { maxLength: 5 })
+  await fc.assert(
+    fc.asyncProperty(steps, async sequence => {
+      for (const [a, b, c, idempotent] of sequence) {
+        switchAll(off)
+        for (const [i, patch] of [a, b, c].entries()) standins[i]?.switchFaults(patch)
+        const req = request('/work?ms=2&bytes=500')
+        const { answer, settled } = send(req, idempotent)
+        const result = await answer
+          .then(async got => JSON.parse(await text(got.body)) as { id: string; filler: string })
+          .catch((err: unknown) => err as RequestError)
+        await settled
+        if (running().includes(req.id)) return false
+        if (!idempotent && starts(req.id) > 1) return false
+        if (result instanceof RequestError) {
+          if (!idempotent && result.outcome === 'not-run' && starts(req.id) > 0) return false
+        } else if (result.id !== req.id || result.filler.length !== 500) return false
+      }
+      return true
+    }),
+    { seed: 4_711, numRuns: 15 },
+  )
+})
--- /dev/null
+++ b/packages/upstream-routing/src/index.ts
@@ -0,0 +1,11 @@
+export { dispatch, type DispatchOptions, type Dispatched } from './dispatch.js'
+export { bufferBody, REPLAY_BYTES } from './request-body.js'
+export { createRetryBudget, type RetryBudget, type RetryBudgetOptions } from './retry-budget.js'
+export {
+  createRouter,
+  type AttemptResult,
+  type Reservation,
+  type Router,
+  type RouterOptions,
+  type RoutingDecision,
+} from './router.js'
--- /dev/null
+++ b/packages/upstream-routing/src/latency-window.ts
@@ -0,0 +1,30 @@
+/** Latest latencies kept per runner. */
+const SIZE = 32
+/** Fewer samples than this give no median. */
+const MIN_SAMPLES = 8
+
+/** The latest latencies of one runner, in milliseconds. */
+export class LatencyWindow {
+  readonly #samples: number[] = []
+  #next = 0
+
+  add(ms: number): void {
+    this.#samples[this.#next] = ms
+    this.#next = (this.#next + 1) % SIZE
+  }
+
+  clear(): void {
+    this.#samples.length = 0
+    this.#next = 0
+  }
+
+  /** The median, or undefined with too few samples. */
+  median(): number | undefined {
+    return this.#samples.length < MIN_SAMPLES ? undefined : median(this.#samples)
+  }
+}
+
+/** Median of a non-empty list; the lower one of two. */
+export function median(values: number[]): number | undefined {
+  return values.toSorted((a, b) => a - b)[(values.length - 1) >> 1]
+}
--- /dev/null
+++ b/packages/upstream-routing/src/routed-runner.ts
@@ -0,0 +1,58 @@
+import type { Runner } from '@bulrushbridge/contract'
+import type { RunnerHealth, RunnerLinks } from '@bulrushbridge/upstream-link'
+import { LatencyWindow } from './latency-window.js'
+
+/** Time of the slow start after a reinstatement, in milliseconds. */
+const SLOW_START_MS = 10_000
+
+/** State of one runner in the router. */
+export class RoutedRunner {
+  health: RunnerHealth = 'ok'
+  inFlight = 0
+  /** In flight from the peers' last reports. */
+  peerLoad = 0
+  failures = 0
+  isLeaving = false
+  isRemoved = false
+  /** Ejected until a trial request succeeds. */
+  isEjected = false
+  hasTrial = false
+  /** No trial starts before. */
+  trialAt = 0
+  reinstatedAt = -Infinity
+  readonly latencies = new LatencyWindow()
+
+  constructor(
+    readonly runner: Runner,
+    readonly links: RunnerLinks,
+  ) {}
+
+  /** Slots this entry host may use at `now`. */
+  allowed(slots: number, now: number): number {
+    const age = now - this.reinstatedAt
+    const own = age < SLOW_START_MS ? Math.max(1, Math.floor((slots * age) / SLOW_START_MS)) : slots
+    return Math.max(0, Math.min(own, slots - this.peerLoad))
+  }
+
+  /** Free slots for ordinary requests; 0 for a runner that takes none. */
+  free(slots: number, now: number): number {
+    if (this.isEjected || !this.isServing) return 0
+    return Math.max(0, this.allowed(slots, now) - this.inFlight)
+  }
+
+  /** True when its health and the host list allow new work. */
+  get isServing(): boolean {
+    return this.health !== 'shutting-down' && !this.isLeaving && !this.isRemoved
+  }
+
+  /** True when one trial request may be sent. */
+  canTry(now: number): boolean {
+    if (!this.isEjected || this.hasTrial || this.inFlight > 0) return false
+    return this.isServing && this.health === 'ok' && now >= this.trialAt
+  }
+
+  /** Load as compared between two runners. */
+  get load(): number {
+    return this.inFlight + this.peerLoad
+  }
+}
