test(upstream-routing): guard graceful shutdown of a runner

Cause: no test covered new work at a runner that shuts down.

Checked by switching the rule off: without the health condition this test and the router's exclusion test fail, with four assertions in all.

--- a/packages/upstream-routing/__tests__/dispatch.test.ts
+++ b/packages/upstream-routing/__tests__/dispatch.test.ts
@@ -98,6 +98,23 @@
   for (let i = 1; i < times.length; i++) t.ok((times[i] ?? 0) - (times[i - 1] ?? 0) >= 25)
 })
 
+void t.test('a graceful shutdown interrupts no request and gets no new work', async t => {
+  const { send, standins } = await setUp(t)
+  const running = Array.from({ length: 12 }, () => send(request('/work?ms=1000')))
+  await sleep(100)
+  const [leaving] = standins
+  const begun = leaving?.stats.startedAt.length
+  const stopped = leaving?.shutdown(2_500)
+  // Health is checked every second, so the router knows within that and its limit of a second.
+  await sleep(2_100)
+  const before = leaving?.stats.startedAt.length
+  t.equal(before, begun)
+  for (let i = 0; i < 20; i++) await text((await send(request('/work?ms=1')).answer).body)
+  t.equal(leaving?.stats.startedAt.length, before)
+  for (const { answer } of running) await text((await answer).body)
+  await stopped
+})
+
 void t.test('random faults: at most once, truthful not-run, whole answers', async t => {
   const { send, starts, switchAll, running, standins } = await setUp(t)
   const off = { ...standins[0]?.faults }
