feat(admission): queue requests with bounds, deadlines and truthful refusals

Cause: a pool needs a bounded queue that starts requests in the order of team shares and refuses early, as not run, what cannot make its deadline. Alternatives ruled out: a timer per request; one shared timer follows the earliest deadline. A hard bound per team, which strands queue places; unused places are lent up to 7/8 of the queue and reclaimed by displacement. Change: createAdmission; runners and permits arrive through its options. Verified by switching rules off, each made its test fail: displacement, passing over a blocked team, the lending limit, refusal of hopeless starts and expiry by the shared timer.

--- /dev/null
+++ b/packages/admission/src/index.ts
@@ -0,0 +1,10 @@
+export { LENDING_LIMIT, QUEUED_PER_SLOT } from './bounds.js'
+export { createAdmission } from './create-admission.js'
+export type {
+  Admission,
+  AdmissionOptions,
+  EntryRequest,
+  Start,
+  StartRefusal,
+  Timers,
+} from './types.js'
--- a/packages/team-share/src/indexed-heap.ts
+++ b/packages/team-share/src/indexed-heap.ts
@@ -34,6 +34,18 @@
     return this.#nodes[0]?.item
   }
 
+  /** Removes and returns the first item. */
+  shift(): T | undefined {
+    const first = this.#nodes[0]
+    if (first) this.remove(first)
+    return first?.item
+  }
+
+  /** All items, in no particular order. */
+  items(): T[] {
+    return this.#nodes.map(node => node.item)
+  }
+
   /** Adds a handle; one that is already inside is moved to its place. */
   push(handle: HeapHandle<T>): void {
     if (handle.pos < 0) {
