--- a/packages/admission/__tests__/admission.test.ts
+++ b/packages/admission/__tests__/admission.test.ts
@@ -8,7 +8,7 @@
   used: boolean
 }
 
-function setup(slots: number, shares: Record<string, number>) {
+function setup(slots: number, shares: Record<string, number>, order?: 'deadline') {
   const state = { now: 0, running: 0, timers: 0, onTimer: (): void => undefined }
   const blocked = new Map<string, StartRefusal>()
   const weights = new Map(Object.entries(shares))
@@ -27,6 +27,7 @@
       state.running++
       return { used: true }
     },
+    ...(order && { order }),
     queue: createFairQueue({ shares: weights, clock, initialCostMs: 10 }),
     shares: () => weights,
     timers: {
@@ -73,14 +74,23 @@
   t.same(results, ['b1:start'])
   blocked.clear()
   admission.pump()
+  blocked.set('a', 'no-permit')
+  finish()
+  await settle()
+  t.same(results, ['b1:start', 'b2:start'], 'found blocked while the queue was drained')
+  blocked.clear()
+  void enter('b', 'b3')
+  admission.pump()
   finish()
   await settle()
-  t.same(results, ['b1:start', 'a1:start'])
+  t.same(results, ['b1:start', 'b2:start', 'a1:start'])
 })
 
 void t.test('guards against one team filling the queue', async t => {
   const { results, enter, admission } = setup(2, { a: 1, b: 1 })
   for (let i = 0; i < 12; i++) void enter('a', `a${i}`)
+  await settle()
+  t.ok(results.includes('a9:queue-full'), 'an eighth of the queue was kept for b')
   for (let i = 0; i < 4; i++) void enter('b', `b${i}`)
   await settle()
   t.same(admission.demand(), [
@@ -108,7 +118,7 @@
 )
 
 void t.test('guards against a later deadline served first and a hopeless start', async t => {
-  const { state, results, enter, finish } = setup(1, { a: 1 })
+  const { state, results, enter, finish } = setup(1, { a: 1 }, 'deadline')
   void enter('a', 'a1')
   void enter('a', 'a2', 500)
   void enter('a', 'a3', 300)
--- a/packages/admission/src/create-admission.ts
+++ b/packages/admission/src/create-admission.ts
@@ -279,7 +279,7 @@
   #lineOf(team: string): TeamLine<R> {
     const known = this.#lines.get(team)
     if (known) return known
-    const line = new TeamLine<R>(team, this.#opts.order ?? 'deadline')
+    const line = new TeamLine<R>(team, this.#opts.order ?? 'arrival')
     this.#lines.set(team, line)
     return line
   }
--- a/packages/admission/src/types.ts
+++ b/packages/admission/src/types.ts
@@ -47,7 +47,10 @@
   queue: FairQueue
   /** Weights that bound each team's part of the queue; a new map when they change. */
   shares: () => ReadonlyMap<string, number>
-  /** Order within a team; `deadline` unless given. */
+  /**
+   * Order within a team; `arrival` unless given. In a burst, earliest deadline first gave the same
+   * goodput and a 99th percentile about a quarter longer (bench/share-and-burst.ts).
+   */
   order?: 'deadline' | 'arrival'
   timers?: Timers
 }
