--- /dev/null
+++ b/packages/team-limit/__tests__/rules.test.ts
@@ -0,0 +1,185 @@
+import type { Row, TableService, Transaction } from '@bulrushbridge/store'
+import t from 'tap'
+import {
+  createPermitReclaimer,
+  createTaskPermits,
+  createTeamPermits,
+  type BorrowAnswer,
+  type LedgerRow,
+  type PeerPermits,
+  type TeamPermits,
+} from '../src/index.js'
+
+const team = 'lumen'
+const a = { id: 'a', incarnation: 'a1' }
+const b = { id: 'b', incarnation: 'b1' }
+
+function createTable(): TableService & { isDown: boolean } {
+  const rows = new Map<string, Row>()
+  const idOf = (row: { table: string; key: string }) => `${row.table}|${row.key}`
+  const answer = <T>(op: () => T): Promise<T> =>
+    table.isDown ? Promise.reject(new Error('down')) : Promise.resolve(structuredClone(op()))
+  const table = {
+    isDown: false,
+    read: <T>(name: string, key: string) =>
+      answer(() => rows.get(idOf({ table: name, key })) as Row<T> | undefined),
+    scan: <T>(name: string) =>
+      answer(() =>
+        [...rows].filter(([id]) => id.startsWith(`${name}|`)).map(([, r]) => r as Row<T>),
+      ),
+    commit: (tx: Transaction) =>
+      answer(() => {
+        const failed = tx.checks.filter(c => (rows.get(idOf(c))?.version ?? 0) !== c.version)
+        if (failed.length > 0) return { committed: false as const, failed }
+        for (const write of tx.writes) {
+          const version = (rows.get(idOf(write))?.version ?? 0) + 1
+          if (write.value === null) rows.delete(idOf(write))
+          else rows.set(idOf(write), { key: write.key, version, value: write.value })
+        }
+        return { committed: true as const }
+      }),
+    close: () => Promise.resolve(),
+  }
+  return table
+}
+
+/** Two entry hosts, `a` with all permits of the division, on a clock that the test moves. */
+function createPair() {
+  const state = { now: 0, settled: true, hold: false, deliver: () => undefined as unknown }
+  const table = createTable()
+  const hosts = new Map<string, TeamPermits>()
+  const peers: PeerPermits = {
+    borrow: async (peer, call) => {
+      const answer = hosts.get(peer)?.handlers.onBorrow(call)
+      if (!answer) throw new Error('unreachable')
+      if (state.hold && answer.granted > 0) {
+        return new Promise<BorrowAnswer>(resolve => {
+          state.deliver = () => {
+            resolve(answer)
+          }
+        })
+      }
+      return Promise.resolve(answer)
+    },
+    giveBack: async (peer, call) => Promise.resolve(hosts.get(peer)?.handlers.onGiveBack(call)),
+  }
+  const isSettled = () => Promise.resolve(state.settled)
+  const clock = { now: () => state.now }
+  for (const { id, incarnation } of [a, b]) {
+    const opts = { member: id, incarnation, table, peers, isSettled, clock, rng: () => 0.5 }
+    hosts.set(id, createTeamPermits(opts))
+  }
+  const get = (id: string): TeamPermits => {
+    const host = hosts.get(id)
+    if (!host) throw new RangeError(`no host ${id}`)
+    return host
+  }
+  const run = async (ms: number, ids = ['a', 'b']) => {
+    for (const end = state.now + ms; state.now < end; state.now += 50) {
+      for (const id of ids) {
+        get(id).setConfirmed(Infinity)
+        get(id).tick()
+      }
+      await new Promise(setImmediate)
+    }
+  }
+  const configure = (id: string, version: number, limit: number, members = [a, b]) => {
+    get(id).configure({ version, limits: new Map([[team, limit]]), members })
+  }
+  return { state, table, a: get('a'), b: get('b'), run, configure, isSettled }
+}
+
+function takeAll(host: TeamPermits): number {
+  let taken = 0
+  while (host.tryTake(team)) taken++
+  return taken
+}
+
+void t.test('an answer that arrives after the loan may have been reused opens no loan', async t => {
+  const pair = createPair()
+  for (const id of ['a', 'b']) pair.configure(id, 1, 1)
+  await pair.run(1_000)
+  pair.state.hold = true
+  t.equal(takeAll(pair.b), 0)
+  await pair.run(100)
+  t.equal(pair.a.status()[0]?.lent, 1)
+  // The borrower is frozen with the answer in its socket, and is removed meanwhile.
+  pair.configure('a', 2, 1, [a])
+  await pair.run(3_000, ['a'])
+  t.equal(takeAll(pair.a), 1)
+  pair.state.deliver()
+  await new Promise(setImmediate)
+  t.equal(takeAll(pair.b), 0)
+})
+
+void t.test('permits of a vanished lender wait until the borrower has reported', async t => {
+  const pair = createPair()
+  for (const id of ['a', 'b']) pair.configure(id, 1, 1)
+  await pair.run(1_000)
+  pair.table.isDown = true
+  takeAll(pair.b)
+  await pair.run(200)
+  const work = pair.b.tryTake(team)
+  t.ok(work, 'b runs under a loan that the ledger does not know')
+  pair.table.isDown = false
+  const { table, isSettled } = pair
+  const reclaimer = createPermitReclaimer({ table, isSettled, dutyChecks: () => [] })
+  reclaimer.configure({ version: 2, members: [b] })
+  pair.configure('b', 2, 1, [b])
+  for (let pass = 0; pass < 5; pass++) {
+    t.same(await reclaimer.run(), [])
+    await pair.run(1_000, ['b'])
+  }
+  t.equal(takeAll(pair.b), 0)
+  work?.release()
+  await pair.run(3_000, ['b'])
+  t.same(await reclaimer.run(), ['a/a1'])
+  await pair.run(3_000, ['b'])
+  t.equal(takeAll(pair.b), 1)
+})
+
+void t.test('a raise is not given out while a holder may still miss it', async t => {
+  const pair = createPair()
+  for (const id of ['a', 'b']) pair.configure(id, 1, 4)
+  await pair.run(1_000)
+  // b sees the raise to 8 and the return to 4; a sees neither and keeps 2 of 4.
+  t.equal(takeAll(pair.a), 2)
+  pair.configure('b', 2, 8)
+  pair.b.setWaiting(team, 8)
+  takeAll(pair.b)
+  await pair.run(900, ['b'])
+  pair.configure('b', 3, 4)
+  const held = (pair.a.held().get(team) ?? 0) + (pair.b.held().get(team) ?? 0)
+  t.ok(held <= 4, `${held} held at limit 4`)
+})
+
+void t.test('tasks and requests share one limit', async t => {
+  const pair = createPair()
+  for (const id of ['a', 'b']) pair.configure(id, 1, 4)
+  const tasks = createTaskPermits({ table: pair.table })
+  tasks.configure({ version: 1, limits: new Map([[team, 4]]) })
+  const reserved = await tasks.reserveForTask(team, 3)
+  t.ok(reserved && (await pair.table.commit(reserved)).committed)
+  await pair.run(2_000)
+  t.equal(takeAll(pair.a) + takeAll(pair.b), 1)
+  t.equal(await tasks.reserveForTask(team, 1), undefined)
+  await pair.table.commit(await tasks.releaseForTask(team, 3))
+  await t.rejects(tasks.releaseForTask(team, 1), RangeError)
+})
+
+void t.test('a graceful shutdown gives up the ledger counts', async t => {
+  const pair = createPair()
+  for (const id of ['a', 'b']) pair.configure(id, 1, 4)
+  await pair.run(1_000)
+  const work = pair.a.tryTake(team)
+  const closed = pair.a.close({ deadline: pair.state.now + 60_000 })
+  await pair.run(1_000)
+  const before = await pair.table.read<LedgerRow>('permits', team)
+  t.equal(before?.value.holders['a/a1']?.held, 1, 'the running work keeps its permit')
+  work?.release()
+  await pair.run(5_000)
+  await closed
+  const after = await pair.table.read<LedgerRow>('permits', team)
+  t.notOk(after && 'a/a1' in after.value.holders)
+  t.same(await pair.table.scan('permit-holders').then(rows => rows.map(row => row.key)), ['b/b1'])
+})
--- a/packages/team-limit/src/lending.ts
+++ b/packages/team-limit/src/lending.ts
@@ -130,15 +130,17 @@
       return refusal
     }
     const now = ctx.clock.now()
+    const borrower = holderId(key.borrower, key.borrowerIncarnation)
     const existing = account.loansOut.get(loanId)
     if (existing) {
-      const isWanted = account.hasWaiters(now) || ctx.closing || existing.limit !== account.limit
+      // A borrower that asked for more must not recall its own loans.
+      const isWanted =
+        account.hasWaitersBeside(borrower, now) || ctx.closing || existing.limit !== account.limit
       if (isWanted) return { granted: existing.count, validForMs: 0 }
       existing.deadline = now + loanMs
       return { granted: existing.count, validForMs: loanMs }
     }
     if (!ctx.isMember(key.borrower, key.borrowerIncarnation)) return refusal
-    const borrower = holderId(key.borrower, key.borrowerIncarnation)
     if (key.seq <= (account.seenLoans.get(borrower) ?? -1)) return refusal
     account.seenLoans.set(borrower, key.seq)
     // A borrower that acts on a lower limit would not scale the loan down far enough later.
--- a/packages/team-limit/src/team-account.ts
+++ b/packages/team-limit/src/team-account.ts
@@ -110,9 +110,9 @@
     return waiter && now < waiter.until ? Math.max(1, this.#waiting) : 0
   }
 
-  /** True while anyone waits for a permit of this entry host. */
-  hasWaiters(now: number): boolean {
-    for (const { until } of this.#waiters.values()) if (now < until) return true
+  /** True while anyone but `who` waits for a permit of this entry host. */
+  hasWaitersBeside(who: string, now: number): boolean {
+    for (const [other, { until }] of this.#waiters) if (other !== who && now < until) return true
     return false
   }
 
--- a/packages/team-limit/src/team-permits.ts
+++ b/packages/team-limit/src/team-permits.ts
@@ -199,6 +199,8 @@
   close(opts: { deadline: number }): Promise<void> {
     this.#ctx.closing = true
     this.#ledger.wake()
+    // The process must not end before the ledger counts are given up.
+    this.#timer?.ref()
     return new Promise(resolve => {
       this.#closed = { deadline: opts.deadline, resolve }
     })
