test(team-limit): guard small limits and loans of a busy borrower

Alternatives: nine hosts in the random cases were ruled out for their run time. Change: a directed test of a borrower that asks for more, and nine hosts with limits 1, 2 and 3.

--- a/packages/team-limit/__tests__/rules.test.ts
+++ b/packages/team-limit/__tests__/rules.test.ts
@@ -183,3 +183,18 @@
   t.notOk(after && 'a/a1' in after.value.holders)
   t.same(await pair.table.scan('permit-holders').then(rows => rows.map(row => row.key)), ['b/b1'])
 })
+
+void t.test('a borrower that asks for more does not lose the loans it has', async t => {
+  const pair = createPair()
+  for (const id of ['a', 'b']) pair.configure(id, 1, 4)
+  await pair.run(1_000)
+  const works = []
+  for (let i = 0; i < 40; i++) {
+    const work = pair.b.tryTake(team)
+    if (work) works.push(work)
+    await pair.run(50)
+  }
+  t.equal(works.length, 4)
+  works[0]?.release()
+  t.ok(pair.b.tryTake(team), 'the freed permit can be taken again')
+})
--- a/packages/team-limit/__tests__/team-permits.property.test.ts
+++ b/packages/team-limit/__tests__/team-permits.property.test.ts
@@ -97,3 +97,14 @@
     t.pass('100 cases')
   },
 )
+
+void t.test('nine entry hosts share one to three permits without starving any', async t => {
+  for (const limit of [1, 2, 3]) {
+    const fleet = new Fleet({ seed: limit, hosts: 9, limit, loss: 0 })
+    fleet.workMs = 200
+    fleet.greedy = new Set(fleet.live().map(host => host.id))
+    await fleet.run(20_000)
+    const starts = fleet.live().map(host => host.starts)
+    t.ok(Math.min(...starts) >= 2, `limit ${limit}: ${starts.join(' ')}`)
+  }
+})
