--- a/packages/contract/src/document.ts
+++ b/packages/contract/src/document.ts
@@ -79,7 +79,7 @@
   services: z.array(serviceSchema),
   teams: z.array(teamSchema),
   keys: z.array(keySchema),
-  operators: z.array(operatorSchema).min(1),
+  operators: z.array(operatorSchema).min(1, 'name at least one operator'),
   queues: z.array(queueSchema),
   maintenance: maintenanceSchema.prefault({}),
 })
