feat(cli): add the bulrush command line

Cause: operators work from the command line and from scripts. Ruled out: repeating a change elsewhere after a lost response; it may have run, so the operator is told to look at the history.

--- /dev/null
+++ b/packages/cli/__tests__/cli.test.ts
@@ -0,0 +1,105 @@
+import { writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import t from 'tap'
+import { runCli, type Surroundings } from '../src/index.js'
+
+type Send = NonNullable<Surroundings['send']>
+
+const entries = ['--entry', 'http://127.0.0.2:1', '--entry', 'http://127.0.0.3:1']
+const connected = [...entries, '--credential', 'blro_anna_x']
+const done = { status: 200, outcome: undefined }
+const inForce = { version: 7, accepted: true, acknowledged: ['a'], missing: [], provisional: false }
+
+async function run(args: string[], send?: Send) {
+  const [out, err, urls]: string[][] = [[], [], []]
+  const status = await runCli(args, {
+    env: {},
+    write: text => out?.push(text),
+    writeError: text => err?.push(text),
+    send: (url, opts) => {
+      urls?.push(url)
+      return send ? send(url, opts) : Promise.reject(new Error('no entry host in this test'))
+    },
+  })
+  return { status, out: out?.join('\n') ?? '', err: err?.join('\n') ?? '', urls: urls ?? [] }
+}
+
+function failure(code: string): Promise<never> {
+  return Promise.reject(Object.assign(new Error(code), { code }))
+}
+
+void t.test('a change is not repeated elsewhere when it may have run', async t => {
+  const result = await run(['zone', 'out', 'z1', ...connected], () => failure('ECONNRESET'))
+  t.match(result, { status: 4, urls: { length: 1 }, err: /may have been made/ })
+})
+
+void t.test(
+  'a change goes to the next entry host when the first refused it as not run',
+  async t => {
+    const refusal = { kind: 'view-expired', message: 'This entry host is not current.' }
+    const result = await run(['zone', 'out', 'z1', ...connected], url =>
+      Promise.resolve(
+        url.includes('127.0.0.2')
+          ? { status: 503, outcome: 'not-run', body: { error: refusal } }
+          : { ...done, body: inForce },
+      ),
+    )
+    t.match(result, { status: 0, urls: { length: 2 } })
+  },
+)
+
+void t.test('a change goes to the next entry host when the first cannot be reached', async t => {
+  const result = await run(['key', 'withdraw', 'k1', '--json', ...connected], url =>
+    url.includes('127.0.0.2')
+      ? failure('ECONNREFUSED')
+      : Promise.resolve({ ...done, body: inForce }),
+  )
+  t.match(result, { status: 0, urls: { length: 2 } })
+  t.same(JSON.parse(result.out), inForce)
+})
+
+void t.test(
+  'a change that is not in force everywhere ends with status 5 and names the host',
+  async t => {
+    const body = { ...inForce, missing: ['c'] }
+    const result = await run(['zone', 'out', 'z1', ...connected], () =>
+      Promise.resolve({ ...done, body }),
+    )
+    t.match(result, { status: 5, out: /c +not yet/ })
+  },
+)
+
+void t.test('a refusal ends with status 3 and the sentence of the entry host', async t => {
+  const error = { kind: 'version-conflict', message: 'Changed by bo.' }
+  const args = ['promote', 'd', '--expected-version', '3', ...connected]
+  const refuse: Send = () => Promise.resolve({ status: 409, outcome: 'not-run', body: { error } })
+  t.match(await run(args, refuse), { status: 3, err: 'Changed by bo.', urls: { length: 1 } })
+})
+
+void t.test('usage faults end with status 1', async t => {
+  t.equal((await run([])).status, 1)
+  t.equal((await run(['nonsense'])).status, 1)
+  t.equal((await run(['status'])).status, 1)
+  t.equal((await run(['check', '/nowhere.yaml'])).status, 1)
+})
+
+void t.test('reads try every entry host and end with status 4 when none answers', async t => {
+  const result = await run(['status', ...connected], () => failure('ECONNRESET'))
+  t.match(result, { status: 4, urls: { length: 2 } })
+})
+
+void t.test('check and diff work offline', async t => {
+  const examples = join(import.meta.dirname, '../../contract/examples')
+  const lumenfit = join(examples, 'lumenfit.yaml')
+  t.match(await run(['check', lumenfit]), { status: 0, urls: { length: 0 } })
+  t.match(await run(['diff', lumenfit, lumenfit]), { status: 0, out: 'no difference' })
+  const bad = join(t.testdir(), 'bad.yaml')
+  writeFileSync(bad, 'environment: x\nzonse: [a]\n')
+  t.match(await run(['check', bad]), { status: 2, err: /bad\.yaml:2:1: unknown field 'zonse'/ })
+})
+
+void t.test('a generated key is printed with its digest', async t => {
+  const { out, status } = await run(['key', 'generate', 'anna', '--operator', '--json'])
+  t.equal(status, 0)
+  t.match(JSON.parse(out), { key: /^blro_anna_[0-9a-f]{48}$/, digest: /^[0-9a-f]{64}$/ })
+})
