fix(operator-api): accept credentials whose secret holds an underscore

Cause: the pattern left out '_', which base64url uses, so one credential in a few was refused and the first promotion of the testbed failed at random. Ruled out: the race between joins and the promotion.

--- a/packages/errors/src/program-error.ts
+++ b/packages/errors/src/program-error.ts
@@ -13,5 +13,5 @@
  * log.error(normalizeError(caught).message)
  */
 export function normalizeError(caught: unknown): Error {
-  return ModernError.normalize(caught, UnknownError) as unknown as Error
+  return ModernError.normalize(caught, UnknownError)
 }
--- a/packages/operator-api/src/authenticate.ts
+++ b/packages/operator-api/src/authenticate.ts
@@ -26,7 +26,7 @@
   bootstrapDigest: string | undefined,
 ): string {
   const text = header !== null && header.length <= maxHeaderLength ? header : ''
-  const match = /^Bearer (blro_([a-z][a-z0-9-]*)_([A-Za-z0-9-]+))$/.exec(text)
+  const match = /^Bearer (blro_([a-z][a-z0-9-]*)_([A-Za-z0-9_-]+))$/.exec(text)
   const [, credential = '', name = ''] = match ?? []
   const isFirst = cfg.documentDigest === ''
   const known = isFirst ? bootstrapDigest : cfg.operators[name]?.digest
