fix(testbed): end the process after a testbed was closed

Cause: resetAndDestroy() left the handle of a link's socket open in Node 20.20, so the process stayed alive. Ruled out: timers, the callers' agent and the children's pipes.

--- a/packages/testbed/src/link.ts
+++ b/packages/testbed/src/link.ts
@@ -51,7 +51,7 @@
 
   const server = createServer({ allowHalfOpen: true }, near => {
     if (state === 'cut') {
-      near.resetAndDestroy()
+      near.destroy()
       return
     }
     const far = connect({ host: targetHost, port: Number(targetPort), allowHalfOpen: true })
@@ -67,8 +67,8 @@
   }
   const dropAll = () => {
     for (const { near, far } of pairs) {
-      near.resetAndDestroy()
-      far.resetAndDestroy()
+      near.destroy()
+      far.destroy()
     }
     pairs.clear()
   }
