feat(testbed,entry): add the demo; let a repeat wait for the attempt in progress

Cause: a repeat with the idempotency key of a request that had just been answered met the record in the state 'running', because its answer is stored in the background, and was answered outcome-unknown. Ruled out: storing the answer before it is relayed, which would add a write to the latency of each keyed request. Change: a repeat looks again every 200 ms for up to 10 s within its deadline.

--- a/packages/entry/src/call-handler.ts
+++ b/packages/entry/src/call-handler.ts
@@ -3,7 +3,7 @@
 import { Readable } from 'node:stream'
 import type { ConfigView } from '@bulrushbridge/config-view'
 import { RequestError, toRequestError, type Clock } from '@bulrushbridge/errors'
-import type { Answer, IdempotencyRecords } from '@bulrushbridge/idempotency'
+import type { Answer, BeginOptions, Earlier, IdempotencyRecords } from '@bulrushbridge/idempotency'
 import type { Keyring, KeyOwner } from '@bulrushbridge/team-keys'
 import { failSpan, formatTraceparent, type Metrics, type Tracing } from '@bulrushbridge/telemetry'
 import type { UpstreamRequest } from '@bulrushbridge/upstream-link'
@@ -13,6 +13,15 @@
 import { captureBody, relayAnswer, replayAnswer } from './relay-answer.js'
 import type { ServicePath, ServiceStart } from './service-path.js'
 
+/** Longest wait for the answer of an earlier attempt that is still running, in milliseconds. */
+const earlierWaitMs = 10_000
+
+/** Pause between two looks at an earlier attempt; each costs the store one read. */
+const earlierPauseMs = 200
+
+/** Time that is left for the answer when the wait for an earlier attempt ends, in milliseconds. */
+const answerReserveMs = 100
+
 /** What the handling of requests needs of an entry host. */
 export interface CallHandlerOptions {
   clock: Clock
@@ -137,7 +146,7 @@
   }
   // An earlier attempt is answered before the queue: "not run" must be true of the request, and
   // a refusal by a full queue could not tell whether an earlier attempt has run.
-  const earlier = await records.find(attempt)
+  const earlier = await findEarlier(opts, call, attempt)
   if (earlier !== undefined) {
     replay(earlier, res, call.id)
     return
@@ -148,8 +157,9 @@
     throw err
   })
   if (begun.state !== 'new') {
+    // Another attempt began while this one was queued.
     start.cancel()
-    replay(begun, res, call.id)
+    replay((await findEarlier(opts, call, attempt)) ?? begun, res, call.id)
     return
   }
   try {
@@ -167,6 +177,24 @@
   }
 }
 
+/**
+ * Looks for an earlier attempt. While it is running its answer is waited for, because a caller that
+ * lost its connection repeats the request at once.
+ */
+async function findEarlier(
+  { records, clock }: CallHandlerOptions,
+  call: Call,
+  attempt: BeginOptions,
+): Promise<Earlier | undefined> {
+  const deadline = Math.min(call.deadline - answerReserveMs, clock.now() + earlierWaitMs)
+  for (;;) {
+    const earlier = await records.find(attempt)
+    if (earlier?.state !== 'unknown') return earlier
+    if (clock.now() + earlierPauseMs >= deadline || call.signal.aborted) return earlier
+    await new Promise(resolve => setTimeout(resolve, earlierPauseMs))
+  }
+}
+
 function replay(
   found: { state: 'finished'; answer: Answer } | { state: 'unknown' },
   res: ServerResponse,
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -2,6 +2,7 @@
 import { standinCommand } from './commands.js'
 import { createHostListStandin } from './host-list.js'
 import { createObjectStandin } from './object.js'
+import { runnerCommand } from './runner.js'
 import { createTableStandin } from './table.js'
 
 const program = subcommands({
@@ -10,6 +11,7 @@
   cmds: {
     table: standinCommand('table', 'transactional table service', createTableStandin),
     object: standinCommand('object', 'object store', createObjectStandin),
+    runner: runnerCommand,
     hosts: standinCommand('hosts', 'list of live and leaving hosts', createHostListStandin),
   },
 })
