feat(entry): renew a removed entry host, serve guests on open queues, keep trials idempotent

Cause: permits of a removed incarnation are given to others, so an entry host that registered again after a long pause was ready but refused every request for want of permits. A slot reserved for the trial of an ejected runner could carry a non-idempotent request, because the admission does not know methods. Ruled out: registering the same incarnation again, which could double permits. Change: a removed entry host finishes its requests and starts over with a new incarnation on the same ports; a non-idempotent request swaps a trial slot for another one or is refused as not run; an open queue may name the team that work without a key is charged to.

--- a/packages/contract/src/document.ts
+++ b/packages/contract/src/document.ts
@@ -59,6 +59,8 @@
   name,
   /** The only team whose work is taken, or `open` to all teams. */
   team: z.union([z.literal('open'), name]),
+  /** On an open queue: the team that work without a key is charged to; without it a key is needed. */
+  guestTeam: name.optional(),
   /** Service that answers its requests. */
   service: name.optional(),
   /** Pool whose workers run its jobs. */
--- a/packages/contract/src/rules.ts
+++ b/packages/contract/src/rules.ts
@@ -122,6 +122,9 @@
       ...(q.team === 'open'
         ? []
         : unknown('team', q.team, names(doc.teams), ['queues', i, 'team'])),
+      ...(q.guestTeam === undefined
+        ? []
+        : unknown('team', q.guestTeam, names(doc.teams), ['queues', i, 'guestTeam'])),
       ...(q.service === undefined
         ? []
         : unknown('service', q.service, names(doc.services), ['queues', i, 'service'])),
@@ -141,6 +144,12 @@
         ? [fault(['queues', i, 'team'], `queue '${q.name}' is open, but there is no team`)]
         : [],
     ),
+  'guest-team-on-team-queue': doc =>
+    doc.queues.flatMap((q, i) =>
+      q.team !== 'open' && q.guestTeam !== undefined
+        ? [fault(['queues', i, 'guestTeam'], `queue '${q.name}' is not open to all teams`)]
+        : [],
+    ),
   'team-named-open': doc =>
     doc.teams.flatMap((team, i) =>
       team.name === 'open'
--- /dev/null
+++ b/packages/entry/__tests__/open-queue.test.ts
@@ -0,0 +1,27 @@
+import t from 'tap'
+import { emptyConfiguration, type Queue } from '@bulrushbridge/contract'
+import { createKeyring, generateKey } from '@bulrushbridge/team-keys'
+import { ownerOf } from '../src/call-handler.js'
+
+const { key, digest } = generateKey('lamps-1')
+const keyring = createKeyring({
+  keys: { ...emptyConfiguration(), keys: { 'lamps-1': { id: 'lamps-1', team: 'lamps', digest } } },
+})
+const queue = (fields: Partial<Queue>): Queue => ({ name: 'q', team: 'open', ...fields })
+
+void t.test('work on a queue of one team is never taken for another or without a key', t => {
+  t.throws(() => ownerOf(keyring, queue({ team: 'mills' }), `Bearer ${key}`), {
+    kind: 'key-wrong-team',
+  })
+  t.throws(() => ownerOf(keyring, queue({ team: 'mills' }), undefined), { kind: 'key-missing' })
+  t.end()
+})
+
+void t.test('an open queue charges the team of the key, and a guest team only without a key', t => {
+  const open = queue({ guestTeam: 'guests' })
+  t.equal(ownerOf(keyring, open, `Bearer ${key}`).team, 'lamps')
+  t.equal(ownerOf(keyring, open, undefined).team, 'guests')
+  t.throws(() => ownerOf(keyring, open, `Bearer ${key}x`), { kind: 'key-invalid' })
+  t.throws(() => ownerOf(keyring, queue({}), undefined), { kind: 'key-missing' })
+  t.end()
+})
--- a/packages/entry/src/call-handler.ts
+++ b/packages/entry/src/call-handler.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { Readable } from 'node:stream'
 import type { ConfigView } from '@bulrushbridge/config-view'
+import type { Queue } from '@bulrushbridge/contract'
 import { RequestError, toRequestError, type Clock } from '@bulrushbridge/errors'
 import type { Answer, BeginOptions, Earlier, IdempotencyRecords } from '@bulrushbridge/idempotency'
 import type { Keyring, KeyOwner } from '@bulrushbridge/team-keys'
@@ -35,10 +36,17 @@
   isShuttingDown(): boolean
 }
 
+/** The team of a request that came without a key, on a queue that allows it. */
+interface GuestOwner {
+  team: string
+  keyId?: undefined
+  digest?: undefined
+}
+
 /** A request on its way through the handler. */
 interface Call extends CallRequest {
   id: string
-  owner: KeyOwner
+  owner: KeyOwner | GuestOwner
   service: ServicePath
   body: Buffer | Readable | undefined
   signal: AbortSignal
@@ -87,8 +95,7 @@
   const cfg = opts.view.current()
   const queue = cfg.queues[parsed.queue]
   if (queue === undefined) throw new RequestError('unknown-queue')
-  const owner = opts.keyring().parseAuthorization(req.headers.authorization)
-  if (queue.team !== 'open' && queue.team !== owner.team) throw new RequestError('key-wrong-team')
+  const owner = ownerOf(opts.keyring(), queue, req.headers.authorization)
   const service = opts.service(queue.service ?? '')
   if (service === undefined) throw new RequestError('unknown-queue')
   const { contentLength } = parsed
@@ -97,6 +104,23 @@
   return { ...parsed, id, owner, service, body, signal: callerSignal(res), traceparent }
 }
 
+/**
+ * The team that a request is charged to: the key's team, which must be the queue's own unless the
+ * queue is open; on an open queue with a guest team, that team for a request without a key.
+ */
+export function ownerOf(
+  keyring: Keyring,
+  queue: Queue,
+  authorization: string | undefined,
+): KeyOwner | GuestOwner {
+  if (queue.team === 'open' && queue.guestTeam !== undefined && authorization === undefined) {
+    return { team: queue.guestTeam }
+  }
+  const owner = keyring.parseAuthorization(authorization)
+  if (queue.team !== 'open' && queue.team !== owner.team) throw new RequestError('key-wrong-team')
+  return owner
+}
+
 /** Refuses while this entry host may not start work. */
 function assertServing(opts: CallHandlerOptions): void {
   if (opts.isShuttingDown()) throw new RequestError('shutting-down')
@@ -206,14 +230,23 @@
 
 function enter(call: Call): Promise<ServiceStart> {
   const { id, owner, deadline, signal } = call
-  return call.service.enter({ requestId: id, ...owner, deadline, signal })
+  const { team, keyId } = owner
+  return call.service.enter({
+    requestId: id,
+    team,
+    deadline,
+    signal,
+    ...(keyId === undefined ? {} : { keyId }),
+  })
 }
 
 /** The last check before the first byte leaves: the queue may have been entered long ago. */
 function assertMayStart(opts: CallHandlerOptions, call: Call): void {
   if (!opts.view.isConfirmed()) throw new RequestError('view-expired')
   const { keyId, digest } = call.owner
-  if (!opts.keyring().isCurrent(keyId, digest)) throw new RequestError('key-invalid')
+  if (keyId !== undefined && !opts.keyring().isCurrent(keyId, digest)) {
+    throw new RequestError('key-invalid')
+  }
 }
 
 function upstreamRequest(call: Call): UpstreamRequest & { idempotent: boolean } {
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -34,8 +34,10 @@
 export interface EntryHost {
   readonly view: ConfigView
   readonly addresses: { callers: string; operators: string; peers: string }
+  /** Resolves when the others have removed this incarnation; close it and create a new one. */
+  readonly removed: Promise<void>
   /** Shuts down gracefully: no request is cut. */
-  close(): Promise<void>
+  close(opts?: { balancerWaitMs?: number }): Promise<void>
 }
 
 /**
@@ -232,36 +234,40 @@
     peers: peers.address,
   })
 
+  let closed: Promise<void> | undefined
+  const close = async (opts: { balancerWaitMs?: number }) => {
+    shuttingDown = true
+    await drainEntryHost({
+      clock,
+      log,
+      balancerWaitMs: opts.balancerWaitMs ?? cfg['balancer-wait'],
+      limitMs: cfg['shutdown-limit'],
+      callers,
+      services,
+      records,
+      permits,
+      membership,
+    })
+    clearInterval(ticker)
+    hostList.close()
+    stopListening()
+    view.close()
+    await decisions.close()
+    await Promise.all([callers.close(), operators.close(), peers.close()])
+    links.close()
+    await Promise.all([table.close(), objects.close(), tracing.close()])
+    log.info('entry host stopped')
+  }
+
   return {
     view,
+    removed: membership.removed,
     addresses: {
       callers: callers.address,
       operators: operators.address,
       peers: peers.address,
     },
-    close: async () => {
-      shuttingDown = true
-      await drainEntryHost({
-        clock,
-        log,
-        balancerWaitMs: cfg['balancer-wait'],
-        limitMs: cfg['shutdown-limit'],
-        callers,
-        services,
-        records,
-        permits,
-        membership,
-      })
-      clearInterval(ticker)
-      hostList.close()
-      stopListening()
-      view.close()
-      await decisions.close()
-      await Promise.all([callers.close(), operators.close(), peers.close()])
-      links.close()
-      await Promise.all([table.close(), objects.close(), tracing.close()])
-      log.info('entry host stopped')
-    },
+    close: (opts = {}) => (closed ??= close(opts)),
   }
 }
 
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,6 +1,6 @@
 import { runProgram } from '@bulrushbridge/settings'
-import { createEntryHost } from './entry-host.js'
-import { entrySettings } from './settings.js'
+import { createEntryHost, type EntryHost } from './entry-host.js'
+import { entrySettings, type EntrySettings } from './settings.js'
 
 /** Exit statuses after a second signal: 128 and the signal's number. */
 const secondSignalStatus = { SIGINT: 130, SIGTERM: 143 } as const
@@ -11,9 +11,20 @@
   description: 'Serves callers, peers and operators on one entry host.',
   settings: entrySettings,
   main: async cfg => {
-    const entry = await createEntryHost(cfg)
+    let entry = await createEntryHost(cfg)
     process.stdout.write(`${JSON.stringify({ program: 'bulrush-entry', ...entry.addresses })}\n`)
     let closing = false
+    const isClosing = () => closing
+    const renew = async () => {
+      await entry.removed
+      if (isClosing()) return
+      // Nobody is sent here any more, so there is no balancer to wait for.
+      await entry.close({ balancerWaitMs: 0 })
+      if (isClosing()) return
+      entry = await createEntryHost(withPorts(cfg, entry.addresses))
+      void renew()
+    }
+    void renew()
     for (const signal of ['SIGINT', 'SIGTERM'] as const) {
       process.on(signal, () => {
         if (closing) process.exit(secondSignalStatus[signal])
@@ -25,3 +36,14 @@
     }
   },
 })
+
+/** Settings with the ports taken by an earlier incarnation, in case they were chosen freely. */
+function withPorts(cfg: EntrySettings, addresses: EntryHost['addresses']): EntrySettings {
+  const portOf = (address: string) => Number(address.split(':')[1])
+  return {
+    ...cfg,
+    'caller-port': portOf(addresses.callers),
+    'operator-port': portOf(addresses.operators),
+    'peer-port': portOf(addresses.peers),
+  }
+}
--- a/packages/entry/src/membership-task.ts
+++ b/packages/entry/src/membership-task.ts
@@ -8,13 +8,18 @@
 /** Keeps this entry host registered. */
 export interface MembershipTask {
   isRegistered(): boolean
+  /**
+   * Resolves when the registration of this incarnation has been removed by others. Its permits are
+   * being given to the rest, so it must not register again; only a new incarnation may.
+   */
+  readonly removed: Promise<void>
   /** Gives the registration up; resolves when that is committed or the deadline has passed. */
   leave(deadlineMs: number): Promise<void>
 }
 
 /**
- * Registers this entry host, and again after its registration was removed, for example because the
- * process was paused for longer than the others wait.
+ * Registers this entry host and notices when others have removed it, for example because the process
+ * was paused for longer than they wait.
  *
  * @example
  * const membership = createMembershipTask({ view, log })
@@ -24,10 +29,18 @@
   const { id, incarnation } = view.member
   const isRegistered = () => view.committed().members[id]?.incarnation === incarnation
   let leaving = false
+  let busy = false
+  let wasRegistered = false
+  let onRemoved: () => void = () => undefined
+  const removed = new Promise<void>(resolve => {
+    onRemoved = resolve
+  })
   const timer = setInterval(() => {
-    if (!busy && !leaving && !isRegistered()) void join()
+    if (leaving) return
+    if (isRegistered()) wasRegistered = true
+    else if (wasRegistered) onRemoved()
+    else if (!busy) void join()
   }, retryMs)
-  let busy = false
 
   const join = async () => {
     busy = true
@@ -43,6 +56,7 @@
 
   return {
     isRegistered,
+    removed,
     leave: async deadlineMs => {
       leaving = true
       clearInterval(timer)
--- a/packages/entry/src/service-path.ts
+++ b/packages/entry/src/service-path.ts
@@ -25,7 +25,8 @@
 export interface StartRequest {
   requestId: string
   team: string
-  keyId: string
+  /** Absent for a request without a key on an open queue. */
+  keyId?: string
   deadline: number
   signal: AbortSignal
 }
@@ -142,7 +143,8 @@
 
   async enter(req: StartRequest): Promise<ServiceStart> {
     const start = await this.#admission.enter(req)
-    const { slot, permit } = start.reservation
+    const { permit } = start.reservation
+    let { slot } = start.reservation
     const giveBack = () => {
       this.#running -= 1
       start.end()
@@ -153,6 +155,16 @@
     return {
       cancel: giveBack,
       dispatch: ({ idempotent, ...sent }, beforeWrite) => {
+        if (slot.isTrial && !idempotent) {
+          // The admission does not know methods, so it may have reserved a trial.
+          const other = this.#router.reserve({ idempotent })
+          if (other === undefined) {
+            giveBack()
+            return Promise.reject(new RequestError('no-upstream'))
+          }
+          slot.release()
+          slot = other
+        }
         const { answer, settled } = dispatch({
           router: this.#router,
           req: sent,
--- a/packages/upstream-routing/src/router.ts
+++ b/packages/upstream-routing/src/router.ts
@@ -41,6 +41,8 @@
 export interface Reservation {
   readonly runner: Runner
   readonly links: RunnerLinks
+  /** True for the trial of an ejected runner, which must not carry a non-idempotent request. */
+  readonly isTrial: boolean
   /** Reports an attempt that took `latencyMs`; at most once. */
   report(result: AttemptResult, latencyMs: number): void
   /** Gives the slot back; later calls do nothing. */
@@ -129,6 +131,7 @@
     return {
       runner: routed.runner,
       links: routed.links,
+      isTrial,
       report: (result, latencyMs) => {
         if (isReported) return
         isReported = true
