--- a/packages/entry/__tests__/open-queue.test.ts
+++ b/packages/entry/__tests__/open-queue.test.ts
@@ -1,5 +1,6 @@
 import t from 'tap'
 import { emptyConfiguration, type Queue } from '@bulrushbridge/contract'
+import { RequestError } from '@bulrushbridge/errors'
 import { createKeyring, generateKey } from '@bulrushbridge/team-keys'
 import { ownerOf } from '../src/call-handler.js'
 
@@ -10,10 +11,14 @@
 const queue = (fields: Partial<Queue>): Queue => ({ name: 'q', team: 'open', ...fields })
 
 void t.test('work on a queue of one team is never taken for another or without a key', t => {
-  t.throws(() => ownerOf(keyring, queue({ team: 'mills' }), `Bearer ${key}`), {
-    kind: 'key-wrong-team',
-  })
-  t.throws(() => ownerOf(keyring, queue({ team: 'mills' }), undefined), { kind: 'key-missing' })
+  t.throws(
+    () => ownerOf(keyring, queue({ team: 'mills' }), `Bearer ${key}`),
+    new RequestError('key-wrong-team'),
+  )
+  t.throws(
+    () => ownerOf(keyring, queue({ team: 'mills' }), undefined),
+    new RequestError('key-missing'),
+  )
   t.end()
 })
 
@@ -21,7 +26,7 @@
   const open = queue({ guestTeam: 'guests' })
   t.equal(ownerOf(keyring, open, `Bearer ${key}`).team, 'lamps')
   t.equal(ownerOf(keyring, open, undefined).team, 'guests')
-  t.throws(() => ownerOf(keyring, open, `Bearer ${key}x`), { kind: 'key-invalid' })
-  t.throws(() => ownerOf(keyring, queue({}), undefined), { kind: 'key-missing' })
+  t.throws(() => ownerOf(keyring, open, `Bearer ${key}x`), new RequestError('key-invalid'))
+  t.throws(() => ownerOf(keyring, queue({}), undefined), new RequestError('key-missing'))
   t.end()
 })
