feat(testbed): run scenarios in Gherkin against a whole system

Alternatives ruled out: cucumber's own runner (a second test runner beside tap); counting at each runner (an upper limit holds over all runners together, so starts and ends go to one recorder).

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -15,5 +15,6 @@
   type RunnerFaults,
   type RunnerOptions,
   type RunnerStandin,
+  type RunnerStart,
   type RunnerStats,
 } from './runner.js'
--- a/packages/standins/src/runner.ts
+++ b/packages/standins/src/runner.ts
@@ -43,6 +43,19 @@
   workMs?: number
   /** Seed of the work times, which vary by a tenth. */
   seed?: number
+  /** Told when work starts; the function that it returns is called when the work has ended. */
+  onStart?: (start: RunnerStart) => () => void
+}
+
+/** A start of work at a runner. */
+export interface RunnerStart {
+  runner: string
+  zone: string
+  team: string
+  requestId: string
+  /** Path and query. */
+  path: string
+  idempotencyKey: string | undefined
 }
 
 /** Counts of what ran. */
@@ -122,6 +135,14 @@
     if (typeof key === 'string') count(stats.startsByKey, key)
     stats.startedAt.push(Date.now())
     if (stats.startedAt.length > MAX_STARTS) stats.startedAt.shift()
+    const ended = opts.onStart?.({
+      runner: opts.id,
+      zone: opts.zone,
+      team,
+      requestId: id,
+      path: req.url ?? '',
+      idempotencyKey: typeof key === 'string' ? key : undefined,
+    })
     const running = count(stats.running, team)
     stats.maxRunning[team] = Math.max(stats.maxRunning[team] ?? 0, running)
     if (faults.cutBefore) req.socket.destroy()
@@ -129,6 +150,7 @@
     const full = ms * faults.slowFactor * (0.9 + rng() * 0.2)
     await sleep(faults.overrunDeadline ? full : Math.min(full, left))
     count(stats.running, team, -1)
+    ended?.()
   }
 
   async function thaw(): Promise<void> {
--- a/packages/testbed/src/caller.ts
+++ b/packages/testbed/src/caller.ts
@@ -17,7 +17,7 @@
 
 /** What a caller saw. */
 export interface CallerAnswer {
-  /** 0 when the connection was cut or no answer came. */
+  /** 0 when the connection was refused or cut, or no answer came. */
   status: number
   outcome: string
   kind: string
@@ -72,11 +72,13 @@
           body,
           ms: elapsed(),
         }
-      } catch {
+      } catch (err) {
+        // Nothing was sent when no connection could be opened; a balancer would try another host.
+        const isRefused = (err as NodeJS.ErrnoException).code === 'ECONNREFUSED'
         return {
           status: 0,
-          outcome: 'unknown',
-          kind: 'cut',
+          outcome: isRefused ? 'not-run' : 'unknown',
+          kind: isRefused ? 'no-connection' : 'cut',
           requestId: '',
           body: '',
           ms: elapsed(),
--- /dev/null
+++ b/packages/testbed/src/scenario-system.ts
@@ -0,0 +1,147 @@
+import { generateKey } from '@bulrushbridge/team-keys'
+import { createRunRecorder, type RunRecorder } from './run-recorder.js'
+import {
+  createTestbed,
+  until,
+  type Testbed,
+  type TestEntry,
+  type TestbedOptions,
+} from './testbed.js'
+
+/** What the `Given` steps of a scenario ask for. */
+export interface SystemSpec {
+  seed: number
+  zones: number
+  entryHosts: number
+  runners: number
+  slots: number
+  limits: Record<string, number>
+  balancerWaitMs: number
+}
+
+/** A key with its id in the document. */
+export interface TeamKey {
+  id: string
+  key: string
+}
+
+/** A running system with its recorder, shared by the scenarios of a feature. */
+export interface ScenarioSystem {
+  readonly spec: string
+  readonly bed: Testbed
+  readonly recorder: RunRecorder
+  /** Current key of each team; a withdrawn one is replaced by {@link healSystem}. */
+  readonly keys: Record<string, TeamKey>
+  /** Teams whose key was withdrawn. */
+  readonly withdrawn: Set<string>
+  /** Set while another document than the sample is in force. */
+  isChanged: boolean
+  /** Set after a fault that does not heal, such as a killed process. */
+  isSpent: boolean
+}
+
+/** Teams of every scenario with their shares. */
+const teamShares: Record<string, number> = { lamps: 2, mills: 1 }
+
+/** Limit of a team for which the scenario names none: more than all slots together. */
+const ampleLimit = 1_000
+
+/** Starts the system that a scenario asks for. */
+export async function startSystem(spec: SystemSpec): Promise<ScenarioSystem> {
+  const recorder = createRunRecorder()
+  const opts: TestbedOptions = {
+    seed: spec.seed,
+    zones: ['a', 'b', 'c', 'd'].slice(0, spec.zones),
+    entryHosts: spec.entryHosts,
+    runners: spec.runners,
+    slots: spec.slots,
+    balancerWaitMs: spec.balancerWaitMs,
+    runnerLinks: true,
+    onStart: recorder.onStart,
+    teams: Object.entries(teamShares).map(([name, share]) => ({
+      name,
+      share,
+      limit: spec.limits[name] ?? ampleLimit,
+    })),
+  }
+  const bed = await createTestbed(opts)
+  return {
+    spec: JSON.stringify(spec),
+    bed,
+    recorder,
+    keys: Object.fromEntries(
+      Object.entries(bed.sample.keys).map(([team, key]) => [team, { id: `${team}-1`, key }]),
+    ),
+    withdrawn: new Set(),
+    isChanged: false,
+    isSpent: false,
+  }
+}
+
+/** Entry hosts that answer as ready now. */
+export async function readyEntries(bed: Testbed): Promise<TestEntry[]> {
+  const ready = await Promise.all(
+    bed.entries.map(async entry => {
+      const res = await fetch(`http://${entry.operators}/health/ready`, {
+        signal: AbortSignal.timeout(readyCheckMs),
+      }).catch(() => undefined)
+      return res?.status === 200
+    }),
+  )
+  return bed.entries.filter((_, n) => ready[n] === true)
+}
+
+/** Time for one readiness check, in milliseconds. */
+const readyCheckMs = 500
+
+/** Switches every fault off and waits until all entry hosts are ready and nothing runs. */
+export async function healSystem(system: ScenarioSystem): Promise<void> {
+  const { bed, recorder } = system
+  Object.assign(bed.table.faults, { down: false, silent: false, slowMs: 0 })
+  bed.table.faults.loseAnswers = { next: 0 }
+  for (const entry of bed.entries) {
+    entry.storeLink.heal()
+    entry.program.kill('SIGCONT')
+  }
+  for (const link of bed.runnerLinks) link.heal()
+  for (const runner of bed.runners) {
+    runner.switchFaults({
+      silent: false,
+      lateMs: 0,
+      crossed: false,
+      cut: false,
+      cutBefore: false,
+      refuse: false,
+      failAll: false,
+      slowFactor: 1,
+      freeze: false,
+    })
+  }
+  if (system.isSpent) return
+  await bed.ready()
+  await until(() => recorder.running() === 0)
+  await restoreConfiguration(system)
+  recorder.clear()
+}
+
+/** Brings zones back, grants new keys for withdrawn ones and restores the document. */
+async function restoreConfiguration(system: ScenarioSystem): Promise<void> {
+  const { bed, keys, withdrawn } = system
+  const operator = bed.operator()
+  const status = await operator.get('status')
+  for (const zone of status.body.zonesOut as string[]) {
+    await until(async () => (await operator.post(`zones/${zone}/back`)).status === 200)
+  }
+  for (const team of withdrawn) {
+    const id = `${team}-${Number(keys[team]?.id.split('-')[1]) + 1}`
+    const { key, digest } = generateKey(id)
+    await until(
+      async () => (await operator.post('keys/grant', { id, team, digest })).status === 200,
+    )
+    keys[team] = { id, key }
+  }
+  withdrawn.clear()
+  if (!system.isChanged) return
+  await until(async () => (await operator.promote(bed.sample.text)).status === 200)
+  system.isChanged = false
+}
--- /dev/null
+++ b/packages/testbed/src/scenario-world.ts
@@ -0,0 +1,153 @@
+import { seededRandom } from '@bulrushbridge/standins'
+import { healSystem, readyEntries, startSystem } from './scenario-system.js'
+import type { ScenarioSystem, SystemSpec } from './scenario-system.js'
+import type { TestEntry } from './testbed.js'
+import { sendTraffic, type RecordedCall, type WorkKind } from './traffic.js'
+
+/** How callers choose an entry host. */
+export type Route = 'all' | 'balancer' | number
+
+/** What a scenario's callers do; see {@link ScenarioWorld.startTraffic}. */
+export interface TrafficSpec {
+  team: string
+  kind: WorkKind
+  count: number
+  overMs: number
+  workMs: number
+  route: Route
+}
+
+/** Deadline that callers give, in milliseconds. */
+const callerDeadlineMs = 5_000
+
+/** Bytes that runners add to each answer, so that a cut answer is cut inside its body. */
+const fillerBytes = 2_000
+
+/** Interval of the balancer's readiness checks, in milliseconds. */
+const balancerCheckMs = 100
+
+/** Longest wait at the end of a scenario for faults that heal by themselves, in milliseconds. */
+const settleMs = 15_000
+
+/** State of one scenario; the system may have served earlier scenarios of the feature. */
+export class ScenarioWorld {
+  readonly spec: SystemSpec = {
+    seed: 1,
+    zones: 3,
+    entryHosts: 3,
+    runners: 4,
+    slots: 8,
+    limits: {},
+    balancerWaitMs: 1_000,
+  }
+  /** Moments at which operators' orders were accepted, on `performance.now()`. */
+  readonly acceptedAt = new Map<string, number>()
+  /** Exit statuses of entry hosts that were told to stop. */
+  readonly exits: Promise<number>[] = []
+  /** Parts of the scenario that go on by themselves, such as the end of a fault. */
+  readonly pending: Promise<unknown>[] = []
+  #system: ScenarioSystem | undefined
+  #traffic: Promise<RecordedCall[]>[] = []
+  #rng: () => number = () => 0
+  #balancer: { timer: NodeJS.Timeout; ready: TestEntry[] } | undefined
+
+  constructor(private readonly feature: { system: ScenarioSystem | undefined }) {}
+
+  /** The system as the `Given` steps describe it, started at the first use. */
+  async system(): Promise<ScenarioSystem> {
+    if (this.#system !== undefined) return this.#system
+    const { feature } = this
+    const earlier = feature.system
+    if (earlier !== undefined && (earlier.isSpent || earlier.spec !== JSON.stringify(this.spec))) {
+      feature.system = undefined
+      await earlier.bed.close()
+    }
+    feature.system ??= await startSystem(this.spec)
+    this.#system = feature.system
+    this.#rng = seededRandom(this.spec.seed)
+    return this.#system
+  }
+
+  /** Sends requests in the background. */
+  async startTraffic(spec: TrafficSpec): Promise<void> {
+    const system = await this.system()
+    if (spec.route === 'balancer') await this.#startBalancer(system)
+    const { team, route } = spec
+    this.#traffic.push(
+      sendTraffic({
+        ...spec,
+        name: `${team}-${this.#traffic.length}-${Math.round(performance.now())}`,
+        fillerBytes,
+        deadlineMs: callerDeadlineMs,
+        rng: this.#rng,
+        chooseEntries: copies => this.#chooseEntries(system, route, copies),
+        key: () => system.keys[team]?.key ?? '',
+        send: req => system.bed.caller.send(req),
+      }),
+    )
+  }
+
+  /** The recorded calls, after all callers and all faults have ended. */
+  async calls(): Promise<RecordedCall[]> {
+    const calls = (await Promise.all(this.#traffic)).flat()
+    await this.#settle()
+    return calls
+  }
+
+  async #settle(): Promise<void> {
+    let timer: NodeJS.Timeout | undefined
+    const limit = new Promise<never>((_, reject) => {
+      timer = setTimeout(() => {
+        reject(new Error(`the faults did not end within ${settleMs} ms`))
+      }, settleMs)
+    })
+    await Promise.race([Promise.all(this.pending), limit]).finally(() => {
+      clearTimeout(timer)
+    })
+  }
+
+  #chooseEntries({ bed }: ScenarioSystem, route: Route, copies: number): string[] {
+    const listed = route === 'balancer' ? (this.#balancer?.ready ?? []) : bed.entries
+    const from = typeof route === 'number' ? [entryOf(bed.entries, route)] : listed
+    const hosts = from.length > 0 ? from : bed.entries
+    const first = Math.floor(this.#rng() * hosts.length)
+    return Array.from(
+      { length: copies },
+      (_, n) => hosts[(first + n) % hosts.length]?.callers ?? '',
+    )
+  }
+
+  /** Keeps the list of ready entry hosts, as a load balancer does. */
+  async #startBalancer({ bed }: ScenarioSystem): Promise<void> {
+    if (this.#balancer !== undefined) return
+    const check = async () => {
+      const ready = await readyEntries(bed)
+      if (this.#balancer !== undefined) this.#balancer.ready = ready
+    }
+    const timer = setInterval(() => void check(), balancerCheckMs)
+    this.#balancer = { timer, ready: bed.entries }
+    await check()
+  }
+
+  /** Ends what is left of the scenario and makes the system usable for the next one. */
+  async close(): Promise<void> {
+    await Promise.all(this.#traffic)
+    clearInterval(this.#balancer?.timer)
+    this.#balancer = undefined
+    await Promise.allSettled(this.pending)
+    if (this.#system === undefined) return
+    try {
+      await healSystem(this.#system)
+    } catch (err) {
+      this.#system.isSpent = true
+      throw err
+    }
+  }
+}
+
+/** The n-th entry host, counted from 1 as the steps do. */
+export function entryOf(entries: readonly TestEntry[], n: number): TestEntry {
+  const entry = entries[n - 1]
+  if (entry === undefined) throw new RangeError(`there is no entry host ${n}`)
+  return entry
+}
--- a/packages/testbed/src/testbed.ts
+++ b/packages/testbed/src/testbed.ts
@@ -4,6 +4,7 @@
   createRunnerStandin,
   createTableStandin,
   type HostListStandin,
+  type RunnerOptions,
   type RunnerStandin,
   type Standin,
 } from '@bulrushbridge/standins'
@@ -38,6 +39,10 @@
   /** Environment variables of the entry hosts. */
   env?: Record<string, string>
   seed?: number
+  /** Told of each start at the runners; see `RunnerOptions.onStart`. */
+  onStart?: RunnerOptions['onStart']
+  /** Puts a link before each runner, so that a test can cut or silence it. */
+  runnerLinks?: boolean
 }
 
 /** An entry host of a testbed. */
@@ -57,6 +62,8 @@
   readonly objects: Standin
   readonly hosts: HostListStandin
   readonly runners: RunnerStandin[]
+  /** Links to the runners, with the option `runnerLinks`. */
+  readonly runnerLinks: Link[]
   readonly runnerEntries: SampleRunner[]
   readonly sample: SampleDocument
   readonly entries: TestEntry[]
@@ -86,7 +93,9 @@
   const table = await createTableStandin({ host: loopback.next(), port: 0 })
   const objects = await createObjectStandin({ host: loopback.next(), port: 0 })
   const hosts = await createHostListStandin({ host: loopback.next(), port: 0 })
+  const links: Link[] = []
   const runners: RunnerStandin[] = []
+  const runnerLinks: Link[] = []
   const runnerEntries: SampleRunner[] = []
   for (let n = 1; n <= (opts.runners ?? 4); n++) {
     const [id, zone] = [`r${n}`, zones[(n - 1) % zones.length] ?? '']
@@ -98,9 +107,17 @@
       slots: opts.slots ?? 8,
       workMs: opts.workMs ?? 5,
       seed: (opts.seed ?? 1) + n,
+      ...(opts.onStart === undefined ? {} : { onStart: opts.onStart }),
     })
     runners.push(runner)
-    runnerEntries.push({ id, host: `host-${id}`, zone, address: runner.address })
+    let { address } = runner
+    if (opts.runnerLinks === true) {
+      const link = await createLink({ host: loopback.next(), target: address })
+      links.push(link)
+      runnerLinks.push(link)
+      address = link.address
+    }
+    runnerEntries.push({ id, host: `host-${id}`, zone, address })
   }
   const teams = opts.teams ?? [
     { name: 'lamps', share: 2, limit: 100 },
@@ -114,7 +131,6 @@
   })
   const entries: TestEntry[] = []
   const programs: RunningProgram[] = []
-  const links: Link[] = []
   const caller = createCaller()
 
   const startEntry = async (id: string, zone: string): Promise<TestEntry> => {
@@ -160,6 +176,7 @@
     objects,
     hosts,
     runners,
+    runnerLinks,
     runnerEntries,
     sample,
     entries,
