feat(host-pools): plan moves between pools and size the spare buffer

Cause: the control program needs the pool decisions as functions without I/O. Ruled out: a record per membership, because two planners could each write one; a dwell time instead of accumulated imbalance, because it ignores how many hosts are missing. Change: a host's pool is one field of a versioned row, replaced in a single write after the drain. Load moves follow the ski-rental rule: a shortage must have cost as much as the move. Buffer size covers the worst zone for the larger of promise and demand, and failures until a replacement.

--- /dev/null
+++ b/packages/host-pools/__tests__/moves.test.ts
@@ -0,0 +1,127 @@
+import fc from 'fast-check'
+import t from 'tap'
+import {
+  bufferSize,
+  moveHost,
+  observePressure,
+  planMoves,
+  poolMargin,
+  withoutHost,
+  type Fleet,
+  type FleetHost,
+  type HostRow,
+  type PoolPressure,
+} from '../src/index.js'
+
+const capacity = { cores: 16, memoryGb: 64 }
+function host(id: string, pool: string, zone: string): FleetHost {
+  return { id, pool, zone, rack: `${zone}-1`, state: 'serving', capacity, maintainedAt: 0 }
+}
+
+/** Pools `a` and `spare` of 8 hosts over 4 zones; 5 and 4 hosts are required. */
+function twoPools(): Fleet {
+  const hosts = ['a', 'spare'].flatMap(pool =>
+    Array.from({ length: 8 }, (_, i) => host(`${pool}${i}`, pool, `z${i % 4}`)),
+  )
+  const budgets = [
+    { service: 'a', pool: 'a', required: 5, zoneFailures: 1 },
+    { service: 'spare', pool: 'spare', required: 4, zoneFailures: 1 },
+  ]
+  return { hosts, budgets, zonesOut: new Set() }
+}
+
+const homes = new Map(twoPools().hosts.map(({ id, pool }) => [id, pool]))
+const shared = { sparePools: new Set(['spare']), homes, moveCostMs: 240_000 }
+
+/** Runs the planner every 10 s on the given needs of pool `a`; moves complete at once. */
+function run(needs: readonly number[]): string[] {
+  let fleet = twoPools()
+  let pressure: ReadonlyMap<string, PoolPressure> = new Map()
+  const moved: string[] = []
+  for (const [i, hosts] of needs.entries()) {
+    const demand = [
+      { pool: 'a', hosts },
+      { pool: 'spare', hosts: 4 },
+    ]
+    const input = { fleet, needs: demand, previous: pressure, now: i * 10_000 }
+    pressure = observePressure({ ...input, moveCostMs: 240_000 })
+    const plan = planMoves({ ...input, ...shared, pressure })
+    for (const { host: id, to, reason } of plan) {
+      fleet = { ...fleet, hosts: fleet.hosts.map(h => (h.id === id ? { ...h, pool: to } : h)) }
+      moved.push(reason)
+    }
+  }
+  return moved
+}
+
+void t.test('guards against a host in two pools when planners race', t => {
+  const step = fc.constantFrom('drain' as const, 'leave' as const, 'join' as const)
+  const action = fc.record({ planner: fc.nat(1), read: fc.boolean(), step })
+  const property = fc.property(fc.array(action, { maxLength: 40 }), actions => {
+    let row: HostRow = { version: 1, host: host('h', 'a', 'z0') }
+    const seen = [row, row]
+    const drains: string[] = []
+    for (const { planner, read, step } of actions) {
+      if (read) seen[planner] = row
+      const before = row
+      const to = ['b', 'c'][planner] ?? ''
+      const result = moveHost(step, row, to, seen[planner]?.version ?? 0)
+      if (!result.moved) continue
+      row = result.row
+      if (step === 'drain') drains.push(to)
+      t.equal(row.version, before.version + 1)
+      t.ok(before === seen[planner], 'the planner decided on the current row')
+      if (row.host.pool !== before.host.pool) {
+        t.ok(before.host.state === 'draining' && row.host.state === 'joining')
+        t.equal(row.host.pool, drains.at(-1), 'the move that drained the host decides its pool')
+      }
+    }
+  })
+  fc.assert(property, { seed: 11, numRuns: 300 })
+  t.end()
+})
+
+void t.test('guards against moves for bursts that end before a move would', t => {
+  const bursts = Array.from({ length: 2000 }, (_, i) => (i % 12 < 2 ? 13 : 1))
+  t.same(run(bursts), [])
+  t.end()
+})
+
+void t.test('guards against moving back and forth under noise', t => {
+  const property = fc.property(
+    fc.array(fc.constantFrom(7, 8, 9), { minLength: 500, maxLength: 500 }),
+    needs => run(needs).length <= 2,
+  )
+  fc.assert(property, { seed: 12, numRuns: 50 })
+  t.end()
+})
+
+void t.test('guards against a lasting shortage that is not filled and a loan kept for ever', t => {
+  const moved = run([...Array<number>(60).fill(9), ...Array<number>(60).fill(5)])
+  t.same(moved, ['load', 'give-back'])
+  t.end()
+})
+
+void t.test('guards against a donor that falls below its budget', t => {
+  const property = fc.property(fc.subarray([...homes.keys()]), failed => {
+    let fleet = failed.reduce((f, id) => withoutHost(f, id), twoPools())
+    const pressure = new Map(['a', 'spare'].map(pool => [pool, { debt: 1e9, at: 0 }]))
+    const needs = ['a', 'spare'].map(pool => ({ pool, hosts: 4 }))
+    for (const move of planMoves({ ...shared, fleet, needs, pressure })) {
+      fleet = withoutHost(fleet, move.host)
+      if (poolMargin(fleet, move.from) < 0) return false
+    }
+    return true
+  })
+  fc.assert(property, { seed: 13, numRuns: 300 })
+  t.end()
+})
+
+void t.test('guards against a buffer without the worst zone, failures or demand', t => {
+  const budget = { service: 'a', pool: 'a', required: 5, zoneFailures: 1 }
+  const calm = { budget, zones: 4, failuresPerHostHour: 0.0006, replaceHours: 0.1, demandHosts: 3 }
+  t.same(bufferSize(calm), { hosts: 7, buffer: 2, failures: 0 })
+  t.same(bufferSize({ ...calm, failuresPerHostHour: 0.1 }), { hosts: 8, buffer: 3, failures: 1 })
+  t.same(bufferSize({ ...calm, demandHosts: 6 }), { hosts: 8, buffer: 3, failures: 0 })
+  t.end()
+})
