feat(maintenance): plan waves that keep every budget should the worst zone go

Cause: the control program needs the maintenance decisions as functions without I/O. Ruled out: a fixed drain time, which either interrupts work or waits for nothing; waves sorted by deadline alone, which take from small zones first and use up the margin. A missing or unhealthy host counts as failed and so against the budget.

--- /dev/null
+++ b/packages/maintenance/__tests__/waves.test.ts
@@ -0,0 +1,190 @@
+import { budgetMargin, withHosts, type Fleet, type FleetHost } from '@bulrushbridge/host-pools'
+import fc from 'fast-check'
+import t from 'tap'
+import { dayMs, drainDeadline, mayLeave, planWave, reviewWave } from '../src/index.js'
+
+const capacity = { cores: 16, memoryGb: 64 }
+const states = ['serving', 'serving', 'serving', 'maintenance', 'failed'] as const
+
+const anyHost = fc.record({
+  pool: fc.constantFrom('a', 'b', 'c'),
+  zone: fc.constantFrom('z0', 'z1', 'z2', 'z3'),
+  rack: fc.constantFrom('r0', 'r1'),
+  state: fc.constantFrom(...states),
+  maintainedAt: fc.integer({ min: -60, max: 0 }).map(days => days * dayMs),
+})
+
+const anyFleet = fc
+  .record({
+    hosts: fc.array(anyHost, { maxLength: 45 }),
+    required: fc.array(fc.nat(10), { minLength: 3, maxLength: 3 }),
+    zoneFailures: fc.nat(1),
+  })
+  .map(({ hosts, required, zoneFailures }): Fleet => ({
+    hosts: hosts.map((host, i) => ({
+      ...host,
+      id: `h${i}`,
+      rack: `${host.zone}-${host.rack}`,
+      capacity,
+    })),
+    budgets: ['a', 'b', 'c'].map((pool, i) => ({
+      service: pool,
+      pool,
+      required: required[i] ?? 0,
+      zoneFailures,
+    })),
+    zonesOut: new Set(),
+  }))
+
+/** Serving hosts of a pool after the loss of each zone in turn, counted without the package. */
+function worstCase(hosts: readonly FleetHost[], pool: string, zoneFailures: number): number {
+  const serving = hosts.filter(h => h.pool === pool && h.state === 'serving')
+  if (zoneFailures === 0) return serving.length
+  return Math.min(...['z0', 'z1', 'z2', 'z3'].map(z => serving.filter(h => h.zone !== z).length))
+}
+
+function leave(fleet: Fleet, ids: readonly string[]): Fleet {
+  return withHosts(fleet, h => (ids.includes(h.id) ? { ...h, state: 'maintenance' } : h))
+}
+
+void t.test('guards against a wave that breaks a budget should the worst zone go', t => {
+  const property = fc.property(anyFleet, fleet => {
+    const { hosts } = planWave({ fleet, now: 0, roundStartedAt: 0 })
+    const after = leave(fleet, hosts)
+    for (const { pool, required, zoneFailures } of fleet.budgets) {
+      if (!hosts.some(id => fleet.hosts.some(h => h.id === id && h.pool === pool))) continue
+      t.ok(worstCase(after.hosts, pool, zoneFailures) >= required)
+    }
+  })
+  fc.assert(property, { seed: 21, numRuns: 300 })
+  t.end()
+})
+
+void t.test('guards against waves smaller than the budget allows', t => {
+  const property = fc.property(anyFleet, fleet => {
+    const same = withHosts(fleet, h => ({ ...h, maintainedAt: -1 }))
+    const planned = planWave({ fleet: same, now: 0, roundStartedAt: 0 }).hosts
+    for (const { pool, required, zoneFailures } of same.budgets) {
+      const serving = same.hosts.filter(h => h.pool === pool && h.state === 'serving')
+      const sizes = ['z0', 'z1', 'z2', 'z3'].map(z => serving.filter(h => h.zone === z).length)
+      const count = serving.filter(h => planned.includes(h.id)).length
+      t.equal(count, largestWave(sizes, required, zoneFailures))
+    }
+  })
+  fc.assert(property, { seed: 22, numRuns: 200 })
+  t.end()
+})
+
+/** Tries every number of hosts left per zone. */
+function largestWave(sizes: readonly number[], required: number, losses: number): number {
+  let best = 0
+  const total = sizes.reduce((a, b) => a + b, 0)
+  const visit = (i: number, left: number[]): void => {
+    const size = sizes[i]
+    if (size !== undefined) {
+      for (let n = 0; n <= size; n++) visit(i + 1, [...left, n])
+      return
+    }
+    const sum = left.reduce((a, b) => a + b, 0)
+    if (sum - (losses ? Math.max(...left) : 0) >= required) best = Math.max(best, total - sum)
+  }
+  visit(0, [])
+  return best
+}
+
+function evenFleet(): Fleet {
+  const hosts = Array.from({ length: 40 }, (_, i): FleetHost => {
+    const [pool, zone] = [`p${i % 5}`, `z${Math.floor(i / 5) % 4}`]
+    const maintainedAt = -((i * 7) % 42) * dayMs
+    return {
+      id: `h${i}`,
+      pool,
+      zone,
+      rack: `${zone}-${i % 3}`,
+      state: 'serving',
+      capacity,
+      maintainedAt,
+    }
+  })
+  const budgets = [0, 1, 2, 3, 4].map(i => {
+    return { service: `s${i}`, pool: `p${i}`, required: i === 4 ? 4 : 5, zoneFailures: 1 }
+  })
+  return { hosts, budgets, zonesOut: new Set() }
+}
+
+void t.test('guards against a host that is not maintained in its period', t => {
+  let fleet = evenFleet()
+  const latest = new Map(fleet.hosts.map(h => [h.id, h.maintainedAt]))
+  for (let day = 0; day < 200; day++) {
+    const now = day * dayMs
+    // Deadlines are 42 days after the last maintenance; a round begins two weeks before.
+    const { hosts, overdue } = planWave({
+      fleet,
+      now,
+      roundStartedAt: now - 28 * dayMs,
+      maxHosts: 2,
+    })
+    t.same(overdue, [])
+    for (const id of hosts) latest.set(id, now)
+    fleet = withHosts(fleet, h => ({ ...h, maintainedAt: latest.get(h.id) ?? 0 }))
+  }
+  t.end()
+})
+
+void t.test('guards against departures while a zone is out', t => {
+  const fleet = { ...evenFleet(), zonesOut: new Set(['z0']) }
+  t.same(planWave({ fleet, now: 0, roundStartedAt: 1 }).hosts, [])
+  const [host] = evenFleet().hosts.slice(5, 6)
+  if (host) t.same(mayLeave(fleet, host), { leave: false, reason: 'zone-out' })
+  t.end()
+})
+
+void t.test('guards against a wave that continues over unhealthy, missing or too many hosts', t => {
+  const fleet = leave(evenFleet(), ['h0', 'h1'])
+  const review = (wave: { id: string; backBy: number; healthy?: boolean }[], from = fleet) =>
+    reviewWave({ fleet: from, wave, now: 100 })
+  t.same(
+    review([
+      { id: 'h0', backBy: 200 },
+      { id: 'h1', backBy: 90, healthy: true },
+    ]).halt,
+    [],
+  )
+  t.same(review([{ id: 'h0', backBy: 200, healthy: false }]).halt, ['unhealthy-return'])
+  t.same(review([{ id: 'h0', backBy: 99 }]).missing, ['h0'])
+  t.same(review([{ id: 'h0', backBy: 99 }]).halt, ['host-missing'])
+  t.same(review([{ id: 'h0', backBy: 200 }], leave(fleet, ['h5'])).halt, ['budget-low'])
+  t.end()
+})
+
+void t.test('guards against a missing host that does not count against the budget', t => {
+  const { fleet } = reviewWave({ fleet: evenFleet(), wave: [{ id: 'h0', backBy: -1 }], now: 0 })
+  const budget = evenFleet().budgets[0]
+  if (budget) t.equal(budgetMargin(fleet, budget), 0)
+  t.notOk(
+    planWave({ fleet, now: 0, roundStartedAt: 1 }).hosts.some(id => Number(id.slice(1)) % 5 === 0),
+  )
+  t.end()
+})
+
+void t.test('guards against a fixed stop that cuts work off', t => {
+  t.equal(drainDeadline([], 50), 50)
+  t.equal(drainDeadline([{ endsBy: 900 }, { endsBy: 5000, checkpointBy: 700 }], 50), 900)
+  t.end()
+})
+
+void t.test('guards against urgency, zone and rack that do not decide who leaves first', t => {
+  const make = (id: string, zone: string, rack: string, deadlineDay: number): FleetHost => {
+    const maintainedAt = (deadlineDay - 42) * dayMs
+    return { id, pool: 'a', zone, rack, state: 'serving', capacity, maintainedAt }
+  }
+  const first = (...hosts: FleetHost[]) => {
+    const fleet = { hosts, budgets: [], zonesOut: new Set<string>() }
+    return planWave({ fleet, now: 0, roundStartedAt: dayMs, maxHosts: 1 }).hosts[0]
+  }
+  const large = [make('a1', 'z0', 'r0', 20), make('a2', 'z0', 'r1', 20)]
+  t.equal(first(...large, make('late', 'z1', 'r2', 1)), 'late')
+  t.equal(first(make('a0', 'z1', 'r2', 20), ...large), 'a1')
+  t.equal(first(...large, { ...make('b', 'z1', 'r0', 20), state: 'failed' }), 'a2')
+  t.end()
+})
