feat(bench): run the measurements from one program and measure an entry hop

The hop is compared with a direct call and with a minimal relay; load, runner and relay are processes of their own so that CPU is accounted to the right one.

A load generator inside the measuring process was ruled out: it competes with the runner for one event loop and distorts both.

--- a/bench/dispatch-overhead.ts
+++ b/bench/dispatch-overhead.ts
@@ -1,8 +1,3 @@
-/**
- * Compares `dispatch` with a bare undici request against a minimal server in a worker thread.
- *
- * Run: `npx esbuild bench/dispatch-overhead.ts --bundle --platform=node --format=cjs | node - [seed]`
- */
 import { systemClock } from '@bulrushbridge/errors'
 import { createRunnerLinks } from '@bulrushbridge/upstream-link'
 import { createRetryBudget, createRouter, dispatch } from '@bulrushbridge/upstream-routing'
@@ -10,10 +5,11 @@
 import type { Readable } from 'node:stream'
 import { Worker } from 'node:worker_threads'
 import { Pool } from 'undici'
+import type { Figure, MeasureOptions } from './figure.js'
+import { medianOf } from './hop.js'
 
-const REQUESTS = 20_000
-const WARM_UP = 5_000
-const CONCURRENCY = 8
+const warmUpRequests = 5_000
+const concurrency = 8
 
 const server = `
   const { createServer } = require('node:http')
@@ -35,7 +31,12 @@
   })
 }
 
-async function measure(name: string, seed: number, one: () => Promise<unknown>): Promise<void> {
+interface Sample {
+  activeUs: number
+  p99Ms: number
+}
+
+async function sample(requests: number, one: () => Promise<unknown>): Promise<Sample> {
   const latencies: number[] = []
   async function loop(count: number): Promise<void> {
     for (let i = 0; i < count; i++) {
@@ -45,36 +46,32 @@
     }
   }
   const all = (total: number): Promise<unknown> =>
-    Promise.all(Array.from({ length: CONCURRENCY }, () => loop(total / CONCURRENCY)))
-  await all(WARM_UP)
+    Promise.all(Array.from({ length: concurrency }, () => loop(total / concurrency)))
+  await all(warmUpRequests)
   latencies.length = 0
-  const began = performance.now()
   const before = performance.eventLoopUtilization()
-  await all(REQUESTS)
+  await all(requests)
   // Worker threads count in process.cpuUsage, so the main thread's active time stands for its CPU.
-  const active = performance.eventLoopUtilization(before).active
+  const { active } = performance.eventLoopUtilization(before)
   latencies.sort((a, b) => a - b)
-  const at = (share: number): number => latencies[Math.floor(latencies.length * share)] ?? 0
-  const figures = {
-    activeUsPerRequest: Math.round((active / REQUESTS) * 1e4) / 10,
-    medianMs: at(0.5).toFixed(3),
-    p99Ms: at(0.99).toFixed(3),
-    seconds: ((performance.now() - began) / 1e3).toFixed(2),
-  }
-  console.log(JSON.stringify({ name, seed, ...figures }))
+  const p99Ms = latencies[Math.floor(latencies.length * 0.99)] ?? 0
+  return { activeUs: (active * 1_000) / requests, p99Ms }
 }
 
-async function main(): Promise<void> {
-  const seed = Number(process.argv[2] ?? 1)
+/**
+ * Cost of `dispatch` against a bare undici request, with a minimal server in a worker thread and
+ * eight requests in progress. Medians of the rounds.
+ */
+export async function measureDispatch({ seed, quick }: MeasureOptions): Promise<Figure[]> {
   const worker = new Worker(server, { eval: true })
   const port = await new Promise<number>(resolve => worker.once('message', resolve))
   const address = `127.0.0.1:${port}`
   const clock = systemClock
-  const pool = new Pool(`http://${address}`, { connections: CONCURRENCY })
+  const pool = new Pool(`http://${address}`, { connections: concurrency })
   const router = createRouter({
     service: {
       name: 's',
-      slots: CONCURRENCY,
+      slots: concurrency,
       connections: 64,
       runners: [{ id: 'r', host: 'h', zone: 'a', address }],
     },
@@ -100,13 +97,20 @@
     await drain((await answer).body)
     await settled
   }
-  for (let round = 0; round < 3; round++) {
-    await measure('undici request', seed, bare)
-    await measure('dispatch', seed, dispatched)
+  const samples: { bare: Sample; dispatched: Sample }[] = []
+  for (let round = 0; round < (quick ? 1 : 3); round++) {
+    const requests = quick ? 5_000 : 20_000
+    const first = await sample(requests, bare)
+    samples.push({ bare: first, dispatched: await sample(requests, dispatched) })
   }
   await pool.close()
   await router.close()
   await worker.terminate()
+  const figure = (key: keyof Sample, name: string, unit: string): Figure => ({
+    name: `dispatch/${name}`,
+    unit,
+    value: medianOf(samples.map(each => each.dispatched[key])),
+    baseline: medianOf(samples.map(each => each.bare[key])),
+  })
+  return [figure('activeUs', 'active-per-request', 'us'), figure('p99Ms', 'p99', 'ms')]
 }
-
-void main()
--- /dev/null
+++ b/bench/measurements.ts
@@ -0,0 +1,33 @@
+import { measureAllocate } from './allocate-cost.js'
+import { measureDispatch } from './dispatch-overhead.js'
+import { measureEnter } from './enter-cost.js'
+import type { Measurement } from './figure.js'
+import { measureHop } from './hop.js'
+import { measurePermits } from './permits.js'
+import { measureShares } from './share-and-burst.js'
+
+/** All measurements in the order in which they run; the fleet policies add theirs here. */
+export const measurements: Measurement[] = [
+  {
+    name: 'enter-cost',
+    run: async ({ quick }) => [
+      { name: 'enter-cost', unit: 'us', value: await measureEnter(quick ? 20_000 : 200_000) },
+    ],
+  },
+  {
+    name: 'allocate-cost',
+    run: ({ quick }) => [
+      { name: 'allocate-cost', unit: 'ms', value: measureAllocate(quick ? 50 : 200) },
+    ],
+  },
+  { name: 'dispatch-overhead', run: measureDispatch },
+  {
+    name: 'permits',
+    run: ({ seed, quick }) => measurePermits({ seed, starts: quick ? 100_000 : 1_000_000 }),
+  },
+  {
+    name: 'share-and-burst',
+    run: ({ seed, quick }) => measureShares({ seeds: [seed], hosts: quick ? 3 : 9 }),
+  },
+  { name: 'hop', run: measureHop },
+]
