feat(cli): generate keys with team-keys and test the CLI against an entry host

The test of the generated key now parses it as an entry host does, which is stricter than the former pattern. Conclusion: a generated key and a generated credential are accepted by the code that checks them.

--- a/packages/cli/__tests__/cli.test.ts
+++ b/packages/cli/__tests__/cli.test.ts
@@ -1,12 +1,19 @@
 import { writeFileSync } from 'node:fs'
 import { join } from 'node:path'
+import { emptyConfiguration } from '@bulrushbridge/contract'
+import { authenticate } from '@bulrushbridge/operator-api'
+import { createKeyring } from '@bulrushbridge/team-keys'
 import t from 'tap'
 import { runCli, type Surroundings } from '../src/index.js'
 
 type Send = NonNullable<Surroundings['send']>
 
 const entries = ['--entry', 'http://127.0.0.2:1', '--entry', 'http://127.0.0.3:1']
-const connected = [...entries, '--credential', 'blro_anna_x']
+const connected = [
+  ...entries,
+  '--credential-file',
+  join(t.testdir({ credential: 'blro_anna_x' }), 'credential'),
+]
 const done = { status: 200, outcome: undefined }
 const inForce = { version: 7, accepted: true, acknowledged: ['a'], missing: [], provisional: false }
 
@@ -98,8 +105,25 @@
   t.match(await run(['check', bad]), { status: 2, err: /bad\.yaml:2:1: unknown field 'zonse'/ })
 })
 
-void t.test('a generated key is printed with its digest', async t => {
+void t.test('a generated key is one that entry hosts accept', async t => {
+  const { out, status } = await run(['key', 'generate', 'lamps-1', '--json'])
+  t.equal(status, 0)
+  const { key, digest } = JSON.parse(out) as { key: string; digest: string }
+  const keys = { 'lamps-1': { id: 'lamps-1', team: 'lamps', digest } }
+  const keyring = createKeyring({ keys: { keys, grantedKeys: {}, withdrawnKeys: [] } })
+  t.match(keyring.parseAuthorization(`Bearer ${key}`), { team: 'lamps', keyId: 'lamps-1' })
+})
+
+void t.test('a generated credential is one that entry hosts accept', async t => {
   const { out, status } = await run(['key', 'generate', 'anna', '--operator', '--json'])
   t.equal(status, 0)
-  t.match(JSON.parse(out), { key: /^blro_anna_[0-9a-f]{48}$/, digest: /^[0-9a-f]{64}$/ })
+  const { key, digest } = JSON.parse(out) as { key: string; digest: string }
+  t.equal(authenticate(`Bearer ${key}`, emptyConfiguration(), digest), 'anna')
+  t.equal((await run(['key', 'generate', 'Anna_1', '--operator'])).status, 1)
+  t.equal((await run(['key', 'generate', 'Lamps_1'])).status, 1)
+})
+
+void t.test('a credential is not taken from the arguments, which other users can list', async t => {
+  const result = await run(['status', ...entries, '--credential', 'blro_anna_x'])
+  t.match(result, { status: 1, urls: { length: 0 } })
 })
--- a/packages/cli/src/entry-client.ts
+++ b/packages/cli/src/entry-client.ts
@@ -46,7 +46,11 @@
 export function createEntryClient(opts: EntryClientOptions): EntryClient {
   const { entries, credential, send = sendOverHttp } = opts
   if (entries.length === 0) throw new CommandError('usage', 'Give an entry host with --entry.')
-  if (credential === '') throw new CommandError('usage', 'Give a credential with --credential.')
+  if (credential === '')
+    throw new CommandError(
+      'usage',
+      'Give a credential with --credential-file or BULRUSH_CREDENTIAL.',
+    )
 
   const ask = async (
     path: string,
--- a/packages/cli/src/offline.ts
+++ b/packages/cli/src/offline.ts
@@ -11,6 +11,7 @@
   type DocumentFault,
   type EntryChange,
 } from '@bulrushbridge/contract'
+import { generateKey as generateTeamKey } from '@bulrushbridge/team-keys'
 import { CommandError } from './command-error.js'
 import { cell, formatTable } from './table.js'
 
@@ -21,8 +22,11 @@
   exit?: 'partial'
 }
 
-/** Random bytes of a secret. */
-const secretBytes = 24
+/** Random bytes of an operator's secret. */
+const secretBytes = 32
+
+/** Ids that entry hosts accept in keys and credentials. */
+const idPattern = /^[a-z][a-z0-9-]{0,62}$/
 
 /** Reads a document's text. */
 export function readDocument(file: string): string {
@@ -85,9 +89,13 @@
 
 /** Generates a team's key or an operator's credential; only its digest belongs in the document. */
 export function generateKey(kind: 'team' | 'operator', name: string): Output {
-  const prefix = kind === 'operator' ? 'blro' : 'blrk'
-  const key = `${prefix}_${name}_${randomBytes(secretBytes).toString('hex')}`
-  const digest = createHash('sha256').update(key).digest('hex')
+  if (!idPattern.test(name)) {
+    throw new CommandError(
+      'usage',
+      `'${name}' cannot be an id; use lower-case letters, digits and hyphens.`,
+    )
+  }
+  const { key, digest } = kind === 'team' ? generateTeamKey(name) : generateCredential(name)
   const text = formatTable(
     ['field', 'value'],
     [
@@ -97,3 +105,8 @@
   )
   return { text: `${text}\nThe key is shown only once.`, json: { name, key, digest } }
 }
+
+function generateCredential(name: string): { key: string; digest: string } {
+  const key = `blro_${name}_${randomBytes(secretBytes).toString('base64url')}`
+  return { key, digest: createHash('sha256').update(key).digest('hex') }
+}
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -12,10 +12,11 @@
   string,
   subcommands,
 } from 'cmd-ts'
+import { programVersion } from '@bulrushbridge/settings'
 import { CommandError } from './command-error.js'
 import { createEntryClient, type EntryClient, type Send } from './entry-client.js'
 import { exitHelp, exitTable } from './exit-status.js'
-import { checkFile, diffFiles, generateKey, type Output } from './offline.js'
+import { checkFile, diffFiles, generateKey, readDocument, type Output } from './offline.js'
 import { change, diffInForce, explain, history, status, trial } from './online.js'
 
 /** Surroundings of the program; tests replace them. */
@@ -34,15 +35,15 @@
     type: array(string),
     description: 'URL of an entry host, may be repeated; else BULRUSH_ENTRY, separated by commas',
   }),
-  credential: option({
-    long: 'credential',
+  credentialFile: option({
+    long: 'credential-file',
     type: optional(string),
-    description: "the operator's credential; else BULRUSH_CREDENTIAL",
+    description: "file with the operator's credential; else BULRUSH_CREDENTIAL",
   }),
 }
 interface Connection {
   entry: string[]
-  credential: string | undefined
+  credentialFile: string | undefined
 }
 
 /** Runs `bulrush` with the arguments after the program's name; returns the exit status. */
@@ -64,10 +65,10 @@
 }
 
 function createProgram(around: Surroundings) {
-  const connect = ({ entry, credential }: Connection): EntryClient =>
+  const connect = ({ entry, credentialFile }: Connection): EntryClient =>
     createEntryClient({
       entries: entry.length > 0 ? entry : splitList(around.env.BULRUSH_ENTRY),
-      credential: credential ?? around.env.BULRUSH_CREDENTIAL ?? '',
+      credential: findCredential(credentialFile, around.env),
       ...(around.send ? { send: around.send } : {}),
     })
   const print = (asJson: boolean, run: () => Output | Promise<Output>) =>
@@ -85,6 +86,7 @@
 
   return subcommands({
     name: 'bulrush',
+    version: programVersion,
     description: `Controls a fleet through its entry hosts. ${exitHelp()}`,
     cmds: {
       check: command({
@@ -178,6 +180,12 @@
   })
 }
 
+/** Never a flag: the process list shows the arguments of every program. */
+function findCredential(file: string | undefined, env: Surroundings['env']): string {
+  const path = file ?? env.BULRUSH_CREDENTIAL_FILE
+  return (path === undefined ? env.BULRUSH_CREDENTIAL : readDocument(path))?.trim() ?? ''
+}
+
 function splitList(text: string | undefined): string[] {
   return (text ?? '').split(',').filter(part => part !== '')
 }
