--- a/packages/cli/__tests__/cli.test.ts
+++ b/packages/cli/__tests__/cli.test.ts
@@ -125,5 +125,6 @@
 
 void t.test('a credential is not taken from the arguments, which other users can list', async t => {
   const result = await run(['status', ...entries, '--credential', 'blro_anna_x'])
-  t.match(result, { status: 1, urls: { length: 0 } })
+  t.match(result, { status: 1, urls: { length: 0 }, err: /--credential-file/ })
+  t.notMatch(result.err, 'blro_anna_x')
 })
--- /dev/null
+++ b/packages/cli/src/cli-settings.ts
@@ -0,0 +1,11 @@
+import { z } from 'zod'
+
+/** Settings that all commands which talk to an entry host share. */
+export const cliSettings = {
+  entry: {
+    schema: z.string(),
+    description:
+      'URL of an entry host, may be repeated; in the variable, URLs are separated by commas',
+  },
+  credential: { schema: z.string(), description: "operator's credential", secret: true },
+} as const
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -12,7 +12,8 @@
   string,
   subcommands,
 } from 'cmd-ts'
-import { programVersion } from '@bulrushbridge/settings'
+import { findSecretArgument, programVersion } from '@bulrushbridge/settings'
+import { cliSettings } from './cli-settings.js'
 import { CommandError } from './command-error.js'
 import { createEntryClient, type EntryClient, type Send } from './entry-client.js'
 import { exitHelp, exitTable } from './exit-status.js'
@@ -33,12 +34,12 @@
   entry: multioption({
     long: 'entry',
     type: array(string),
-    description: 'URL of an entry host, may be repeated; else BULRUSH_ENTRY, separated by commas',
+    description: `${cliSettings.entry.description} (BULRUSH_ENTRY)`,
   }),
   credentialFile: option({
     long: 'credential-file',
     type: optional(string),
-    description: "file with the operator's credential; else BULRUSH_CREDENTIAL",
+    description: `file with the ${cliSettings.credential.description}; or BULRUSH_CREDENTIAL`,
   }),
 }
 interface Connection {
@@ -48,6 +49,11 @@
 
 /** Runs `bulrush` with the arguments after the program's name; returns the exit status. */
 export async function runCli(args: string[], around: Surroundings): Promise<number> {
+  const exposed = findSecretArgument(args, ['credential'])
+  if (exposed !== undefined) {
+    around.writeError(exposed)
+    return exitTable.usage.status
+  }
   const result = await runSafely(binary(createProgram(around)), ['node', 'bulrush', ...args])
   if (result._tag === 'ok') return findStatus(result.value)
   const { message, into, exitCode } = result.error.config
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,15 +1,18 @@
-import { runProgram } from '@bulrushbridge/settings'
+import { programExits, runProgram } from '@bulrushbridge/settings'
 import { createEntryHost } from './entry-host.js'
-import { entrySettings } from './settings.js'
+import { checkEntrySettings, entrySettings } from './settings.js'
 
 /** Exit statuses after a second signal: 128 and the signal's number. */
-const secondSignalStatus = { SIGINT: 130, SIGTERM: 143 } as const
+const secondSignalStatus = {
+  SIGINT: programExits.interrupted.status,
+  SIGTERM: programExits.terminated.status,
+} as const
 
 await runProgram({
   name: 'bulrush-entry',
-  version: '0.1.0',
   description: 'Serves callers, peers and operators on one entry host.',
   settings: entrySettings,
+  check: checkEntrySettings,
   main: async cfg => {
     const entry = await createEntryHost(cfg)
     process.stdout.write(`${JSON.stringify({ program: 'bulrush-entry', ...entry.addresses })}\n`)
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -37,7 +37,7 @@
   },
   'peer-secret': {
     schema: z.string().min(16, 'use at least 16 characters'),
-    description: 'secret shared by the entry hosts',
+    description: 'secret that the entry hosts of an environment share, at least 16 characters',
     secret: true,
   },
   peers: {
@@ -89,3 +89,14 @@
 
 /** Parsed settings of `bulrush-entry`. */
 export type EntrySettings = Settings<typeof entrySettings>
+
+/** Checks that concern several settings. */
+export function checkEntrySettings(cfg: EntrySettings): string[] {
+  const faults: string[] = []
+  if (cfg['default-deadline'] > cfg['max-deadline']) {
+    faults.push(
+      `--default-deadline (${cfg['default-deadline']}) is above --max-deadline (${cfg['max-deadline']})`,
+    )
+  }
+  return faults
+}
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,3 +1,10 @@
-export { defineSettings, type Settings, type SettingSpec } from './define-settings.js'
-export { runProgram, type ProgramOptions } from './run-program.js'
+export {
+  defineSettings,
+  environmentName,
+  findSecretArgument,
+  readSecret,
+  type Settings,
+  type SettingSpec,
+} from './define-settings.js'
 export { programVersion } from './program-version.js'
+export { programExits, runProgram, type ProgramOptions } from './run-program.js'
--- a/packages/settings/src/run-program.ts
+++ b/packages/settings/src/run-program.ts
@@ -1,32 +1,75 @@
-import { binary, command, run } from 'cmd-ts'
-import { defineSettings, type SettingSpec, type Settings } from './define-settings.js'
+import { binary, command, runSafely } from 'cmd-ts'
+import {
+  defineSettings,
+  findSecretArgument,
+  type SettingSpec,
+  type Settings,
+} from './define-settings.js'
+import { programVersion } from './program-version.js'
+
+/** Exit statuses of the programs that run until they are stopped. */
+export const programExits = {
+  done: { status: 0, meaning: 'stopped gracefully, or help or version shown' },
+  badSettings: { status: 1, meaning: 'a setting is missing or wrong' },
+  startFailed: { status: 2, meaning: 'the program could not start, for instance to listen' },
+  interrupted: { status: 130, meaning: 'second SIGINT during a graceful shutdown' },
+  terminated: { status: 143, meaning: 'second SIGTERM during a graceful shutdown' },
+} as const
 
 /** Options of {@link runProgram}. */
 export interface ProgramOptions<T extends Record<string, SettingSpec>> {
   name: string
-  version: string
   description: string
   settings: T
-  /** Runs the program; the process ends when its handles are closed. */
+  /** Checks that concern several settings; each message names them. */
+  check?: (cfg: Settings<T>) => string[]
+  /** Starts the program; the process ends when its handles are closed. */
   main: (cfg: Settings<T>) => Promise<void>
 }
 
 /**
- * Parses flags and environment variables and runs a program. Bad settings end it with status 1
- * and a message that names the setting.
+ * Parses flags and environment variables and runs a program. Bad settings end it with the status
+ * `badSettings` of {@link programExits} and a message that names the setting.
  *
  * @example
- * await runProgram({ name: 'bulrush-entry', version, description, settings, main })
+ * await runProgram({ name: 'bulrush-entry', description, settings, main })
  */
 export async function runProgram<T extends Record<string, SettingSpec>>(
   opts: ProgramOptions<T>,
 ): Promise<void> {
+  const { name, settings } = opts
+  const fail = (exit: 'badSettings' | 'startFailed', message: string) => {
+    process.stderr.write(`${message}\n`)
+    // A failed start may leave open handles, which would keep the process alive.
+    process.exit(programExits[exit].status)
+  }
+  const secrets = Object.keys(settings).filter(key => settings[key]?.secret === true)
+  const exposed = findSecretArgument(process.argv.slice(2), secrets)
+  if (exposed !== undefined) fail('badSettings', `${name}: ${exposed}`)
+
   const cmd = command({
-    name: opts.name,
-    version: opts.version,
+    name,
+    version: programVersion,
     description: opts.description,
-    args: defineSettings(opts.settings),
-    handler: args => opts.main(args as Settings<T>),
+    args: defineSettings(settings),
+    handler: args => args as Settings<T>,
   })
-  await run(binary(cmd), process.argv)
+  const parsed = await runSafely(binary(cmd), process.argv)
+  if (parsed._tag === 'error') {
+    const { message, into, exitCode } = parsed.error.config
+    if (exitCode !== 0) fail('badSettings', message)
+    process[into].write(`${message}\n`)
+    return
+  }
+  const cfg = parsed.value
+  const faults = opts.check?.(cfg) ?? []
+  if (faults.length > 0) fail('badSettings', faults.map(fault => `${name}: ${fault}`).join('\n'))
+  try {
+    await opts.main(cfg)
+  } catch (err) {
+    fail(
+      'startFailed',
+      `${name}: cannot start: ${err instanceof Error ? err.message : String(err)}`,
+    )
+  }
 }
--- a/packages/standins/src/commands.ts
+++ b/packages/standins/src/commands.ts
@@ -3,7 +3,8 @@
 import { z } from 'zod'
 import type { ListenOptions, Standin } from './fault-server.js'
 
-const listenSettings = {
+/** Settings of the stand-ins for the platform's services. */
+export const listenSettings = {
   host: { schema: z.string(), description: 'address to listen on', default: '127.0.0.1' },
   port: {
     schema: z.coerce.number().int().min(0).max(65_535),
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -1,4 +1,5 @@
 import { binary, run, subcommands } from 'cmd-ts'
+import { programVersion } from '@bulrushbridge/settings'
 import { standinCommand } from './commands.js'
 import { createHostListStandin } from './host-list.js'
 import { createObjectStandin } from './object.js'
@@ -6,6 +7,7 @@
 
 const program = subcommands({
   name: 'bulrush-standin',
+  version: programVersion,
   description: "Stand-ins for the platform's services, with one switch per fault.",
   cmds: {
     table: standinCommand('table', 'transactional table service', createTableStandin),
--- a/packages/standins/src/runner.ts
+++ b/packages/standins/src/runner.ts
@@ -274,7 +274,8 @@
 export type RunnerStandin = Awaited<ReturnType<typeof createRunnerStandin>>
 
 const natural = z.coerce.number().int().min(0)
-const settings = {
+/** Settings of `bulrush-standin runner`. */
+export const runnerSettings = {
   host: { schema: z.string(), description: 'address to listen on', default: '127.0.0.1' },
   port: { schema: natural.max(65_535), description: 'port; 0 takes a free one', default: '0' },
   id: { schema: z.string(), description: 'id of the runner', default: 'runner' },
@@ -287,7 +288,7 @@
 export const runnerCommand = command({
   name: 'runner',
   description: 'runner of a service',
-  args: defineSettings(settings),
+  args: defineSettings(runnerSettings),
   handler: async ({ 'work-ms': workMs, ...args }) => {
     const runner = await createRunnerStandin({ ...args, workMs })
     process.stdout.write(`${JSON.stringify({ standin: 'runner', address: runner.address })}\n`)
