--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -12,10 +12,12 @@
   string,
   subcommands,
 } from 'cmd-ts'
+import { findSecretArgument, programVersion } from '@bulrushbridge/settings'
+import { cliSettings } from './cli-settings.js'
 import { CommandError } from './command-error.js'
 import { createEntryClient, type EntryClient, type Send } from './entry-client.js'
 import { exitHelp, exitTable } from './exit-status.js'
-import { checkFile, diffFiles, generateKey, type Output } from './offline.js'
+import { checkFile, diffFiles, generateKey, readDocument, type Output } from './offline.js'
 import { change, diffInForce, explain, history, status, trial } from './online.js'
 
 /** Surroundings of the program; tests replace them. */
@@ -32,21 +34,26 @@
   entry: multioption({
     long: 'entry',
     type: array(string),
-    description: 'URL of an entry host, may be repeated; else BULRUSH_ENTRY, separated by commas',
+    description: `${cliSettings.entry.description} (BULRUSH_ENTRY)`,
   }),
-  credential: option({
-    long: 'credential',
+  credentialFile: option({
+    long: 'credential-file',
     type: optional(string),
-    description: "the operator's credential; else BULRUSH_CREDENTIAL",
+    description: `file with the ${cliSettings.credential.description}; or BULRUSH_CREDENTIAL`,
   }),
 }
 interface Connection {
   entry: string[]
-  credential: string | undefined
+  credentialFile: string | undefined
 }
 
 /** Runs `bulrush` with the arguments after the program's name; returns the exit status. */
 export async function runCli(args: string[], around: Surroundings): Promise<number> {
+  const exposed = findSecretArgument(args, ['credential'])
+  if (exposed !== undefined) {
+    around.writeError(exposed)
+    return exitTable.usage.status
+  }
   const result = await runSafely(binary(createProgram(around)), ['node', 'bulrush', ...args])
   if (result._tag === 'ok') return findStatus(result.value)
   const { message, into, exitCode } = result.error.config
@@ -64,10 +71,10 @@
 }
 
 function createProgram(around: Surroundings) {
-  const connect = ({ entry, credential }: Connection): EntryClient =>
+  const connect = ({ entry, credentialFile }: Connection): EntryClient =>
     createEntryClient({
       entries: entry.length > 0 ? entry : splitList(around.env.BULRUSH_ENTRY),
-      credential: credential ?? around.env.BULRUSH_CREDENTIAL ?? '',
+      credential: findCredential(credentialFile, around.env),
       ...(around.send ? { send: around.send } : {}),
     })
   const print = (asJson: boolean, run: () => Output | Promise<Output>) =>
@@ -85,6 +92,7 @@
 
   return subcommands({
     name: 'bulrush',
+    version: programVersion,
     description: `Controls a fleet through its entry hosts. ${exitHelp()}`,
     cmds: {
       check: command({
@@ -178,6 +186,12 @@
   })
 }
 
+/** Never a flag: the process list shows the arguments of every program. */
+function findCredential(file: string | undefined, env: Surroundings['env']): string {
+  const path = file ?? env.BULRUSH_CREDENTIAL_FILE
+  return (path === undefined ? env.BULRUSH_CREDENTIAL : readDocument(path))?.trim() ?? ''
+}
+
 function splitList(text: string | undefined): string[] {
   return (text ?? '').split(',').filter(part => part !== '')
 }
