feat(placement,host,standins): place jobs on workers under a fenced duty

Cause: accepted jobs stayed queued, because nothing claimed them or called a worker.

Change: the stand-in of a worker with its faults, the client of workers, rows of workers and tasks, the choice of workers (weighted dominant shares, urgent first, spread over zones and racks, learned sizes), blame on both sides, and the loop that claims, starts, renews, settles, cancels and moves tasks. A claim is one transaction of the duty's fence, the job, the task and the team's permit. A job row in `cancelling` has a row in `jobs-cancelling`, so that a round reads one range instead of every running job. Jobs have a kind.

Alternatives ruled out: releasing a start without an answer after its lease, because a paused worker may still read the call; it is settled by the worker (fencing its id) or once the host list no longer names the worker. Moving a non-idempotent task out of a zone taken out, because it would start twice; it runs to its end there.

Checked by switching rules off once: without the fence in transactions, with lapsing counted at once, and with non-idempotent jobs put back in the queue, one test of the placement duty fails each time (the frozen holder, and the lost worker twice).

Conclusion: the path from queue to worker works against the stand-ins. Blame of workers and learned sizes are in the holder's memory and start anew with the next holder. Reclaim of a lent share is not done.

--- /dev/null
+++ b/packages/host/src/index.ts
@@ -0,0 +1,19 @@
+export {
+  hostsTable,
+  poolRange,
+  taskKey,
+  tasksTable,
+  workerKey,
+  type TaskRow,
+  type TaskState,
+  type WorkerRow,
+  type WorkResources,
+} from './rows.js'
+export {
+  createWorkerClient,
+  WorkerError,
+  type ReportedTask,
+  type StartAnswer,
+  type StartTask,
+  type WorkerClient,
+} from './worker-client.js'
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -1,5 +1,6 @@
 export type { Cancelled } from './cancel.js'
 export {
+  cancellingTable,
   jobKey,
   jobsTable,
   jobStates,
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -9,6 +9,9 @@
 /** Queued jobs, key `<queue>/<0 urgent, 1 other>/<time and random part of the id>`. */
 export const queuedTable = 'jobs-queued'
 
+/** Jobs being cancelled, key `<queue>/<job id>`, so that the placement duty need not read all jobs. */
+export const cancellingTable = 'jobs-cancelling'
+
 /** Jobs by idempotency key, key `<team>/<queue>/<idempotency key>`. */
 export const jobKeysTable = 'job-keys'
 
@@ -58,6 +61,12 @@
   idempotent: boolean
   urgent: boolean
   request: JobRequest
+  /** Name of the job's kind; jobs of one kind resemble each other in size and run time. */
+  kind: string
+  /** Racks on whose workers the job has failed. */
+  failedRacks?: string[]
+  /** What the job saved when it was last taken off a worker. */
+  checkpoint?: unknown
   /** Name of the entry host that accepted the job. */
   member: string
   /** Wall clock in milliseconds. */
@@ -69,7 +78,15 @@
 /** Value of a row in `jobs-queued`: all that placement needs to choose a worker. */
 export type QueuedJob = Pick<
   Job,
-  'id' | 'team' | 'queue' | 'idempotent' | 'urgent' | 'request' | 'acceptedAt'
+  | 'id'
+  | 'team'
+  | 'queue'
+  | 'idempotent'
+  | 'urgent'
+  | 'request'
+  | 'kind'
+  | 'failedRacks'
+  | 'acceptedAt'
 >
 
 /** Percent-encodes a part of a key; `.` and `/` separate parts. */
@@ -94,10 +111,25 @@
   return `${keyPart(job.queue)}/${job.urgent ? 0 : 1}/${order}`
 }
 
+/** Key of a job's row in `jobs-cancelling`; {@link queuedRange} gives the range of a queue. */
+export function cancellingKey(job: Pick<Job, 'queue' | 'id'>): string {
+  return `${keyPart(job.queue)}/${job.id}`
+}
+
 /** The write that lists a job as queued. */
 export function queuedWrite(job: Job): Write {
-  const { id, team, queue, idempotent, urgent, request, acceptedAt } = job
-  const value: QueuedJob = { id, team, queue, idempotent, urgent, request, acceptedAt }
+  const { id, team, queue, idempotent, urgent, request, kind, failedRacks, acceptedAt } = job
+  const value: QueuedJob = {
+    id,
+    team,
+    queue,
+    idempotent,
+    urgent,
+    request,
+    kind,
+    acceptedAt,
+    ...(failedRacks === undefined ? {} : { failedRacks }),
+  }
   return { table: queuedTable, key: queuedKey(job), value }
 }
 
@@ -119,6 +151,7 @@
   row: Row<Job>,
   to: JobState,
   reason?: string,
+  changes: Pick<Job, 'failedRacks' | 'checkpoint'> = {},
 ): { checks: Check[]; writes: Write[] } {
   const job = row.value
   const from = job.state
@@ -126,11 +159,14 @@
   if (!mayBecome(from, to) || (runsAgain && !job.idempotent)) {
     throw new RangeError(`a job cannot go from ${from} to ${to}`)
   }
-  const next: Job = { ...job, state: to }
+  const next: Job = { ...job, ...changes, state: to }
   delete next.reason
   if (reason !== undefined) next.reason = reason
   const writes: Write[] = [{ table: jobsTable, key: row.key, value: next }]
   if (from === 'queued') writes.push({ table: queuedTable, key: queuedKey(job), value: null })
+  const cancellation = { table: cancellingTable, key: cancellingKey(job) }
+  if (from === 'cancelling') writes.push({ ...cancellation, value: null })
+  if (to === 'cancelling') writes.push({ ...cancellation, value: { job: row.key } })
   if (to === 'queued') writes.push(queuedWrite(next))
   return { checks: [{ table: jobsTable, key: row.key, version: row.version }], writes }
 }
--- a/packages/jobs/src/jobs.ts
+++ b/packages/jobs/src/jobs.ts
@@ -44,6 +44,8 @@
   idempotent: boolean
   urgent: boolean
   request: JobRequest
+  /** Name of the job's kind; the queue's name unless given. */
+  kind?: string
   payload: unknown
   idempotencyKey?: string
   /** On the clock of the table service. */
@@ -233,14 +235,15 @@
       idempotent,
       urgent,
       request,
+      kind: opts.kind ?? queue,
       member,
       acceptedAt,
     }
   }
 }
 
-function fingerprint({ idempotent, urgent, request, payload }: AcceptOptions): string {
+function fingerprint({ idempotent, urgent, request, kind, payload }: AcceptOptions): string {
   const { cpus, memoryMb, accelerators, runMs } = request
-  const asked = [idempotent, urgent, cpus, memoryMb, accelerators, runMs, payload]
+  const asked = [idempotent, urgent, cpus, memoryMb, accelerators, runMs, kind, payload]
   return createHash('sha256').update(JSON.stringify(asked)).digest('base64')
 }
--- /dev/null
+++ b/packages/placement/__tests__/fixture.ts
@@ -0,0 +1,137 @@
+import type { Test } from 'tap'
+import { hostsTable, tasksTable, workerKey, type TaskRow } from '@bulrushbridge/host'
+import { createJobs, type AcceptOptions, type Job } from '@bulrushbridge/jobs'
+import {
+  createManualClock,
+  createTableStandin,
+  createWorkerStandin,
+  until,
+  type WorkerStandin,
+} from '@bulrushbridge/standins'
+import { createDuty, createHttpTableService } from '@bulrushbridge/store'
+import { createTaskPermits, ledgerTable, type LedgerRow } from '@bulrushbridge/team-limit'
+import { createPlacementDuty, type PlacementDecision } from '../src/index.js'
+
+export const pool = 'batch'
+export const queue = 'lamps-jobs'
+const dutyTtlMs = 3_000
+const limit = 4
+
+/** A pool with workers `w1`... in racks `r1`... and zones `a` and `b`. */
+export async function createFixture(t: Test, opts: { workers?: number; racks?: number } = {}) {
+  const standin = await createTableStandin()
+  const zonesOut = new Set<string>()
+  const gone = new Set<string>()
+  const workers: WorkerStandin[] = []
+  const closers: (() => Promise<void>)[] = []
+  t.teardown(async () => {
+    for (const close of closers.reverse()) await close()
+    await Promise.all(workers.map(worker => worker.close()))
+    await standin.close()
+  })
+  const table = createHttpTableService({ url: standin.url })
+  closers.push(() => table.close())
+  for (let n = 1; n <= (opts.workers ?? 2); n++) {
+    const rack = `r${((n - 1) % (opts.racks ?? 10)) + 1}`
+    const worker = await createWorkerStandin({ id: `w${n}`, rack, zone: n % 2 === 1 ? 'a' : 'b' })
+    workers.push(worker)
+    const write = { table: hostsTable, key: workerKey(pool, worker.listed.id) }
+    await table.commit({ checks: [], writes: [{ ...write, value: { ...worker.listed, pool } }] })
+  }
+
+  /** A control program with its own clock: it is frozen while its rounds are not run. */
+  const holder = (name: string) => {
+    const clock = createManualClock()
+    const own = createHttpTableService({ url: standin.url, clock })
+    const duty = createDuty({
+      table: own,
+      duty: `placement/${pool}`,
+      holder: name,
+      ttlMs: dutyTtlMs,
+      clock,
+    })
+    const permits = createTaskPermits({ table: own })
+    const teams = ['lamps', 'mills', 'stones']
+    permits.configure({ version: 1, limits: new Map(teams.map(team => [team, limit])) })
+    const decisions: PlacementDecision[] = []
+    const shares = new Map(teams.map(team => [team, 1]))
+    const placement = createPlacementDuty({
+      table: own,
+      permits,
+      pool,
+      clock,
+      held: () => duty.held(),
+      configuration: () => ({ queues: [queue], shares, zonesOut }),
+      confirmedUntil: () => clock.now() + 2_000,
+      listed: () => ({ leaving: new Set(), gone }),
+      onDecision: decision => decisions.push(decision),
+    })
+    closers.push(async () => {
+      await duty.close()
+      await placement.close()
+      await own.close()
+    })
+    /** Passes time in steps, so that the duty's own calls reach the service. */
+    const pass = async (ms: number) => {
+      for (let passed = 0; passed < ms; passed += 250) {
+        clock.advance(250)
+        await new Promise(resolve => setTimeout(resolve, 5))
+      }
+    }
+    const take = () =>
+      until(async () => {
+        if (duty.held() === undefined) await pass(250)
+        return duty.held() !== undefined
+      })
+    /** Rounds until the condition holds. */
+    const rounds = (condition: () => boolean | Promise<boolean>) =>
+      until(async () => {
+        await pass(250)
+        await placement.round().catch(() => undefined)
+        return condition()
+      })
+    return { clock, duty, placement, decisions, pass, take, rounds }
+  }
+
+  const jobs = createJobs({ table, member: 'e1' })
+  const accept = (job: Partial<AcceptOptions> = {}) =>
+    jobs.accept({
+      team: 'lamps',
+      queue,
+      idempotent: true,
+      urgent: false,
+      request: { cpus: 1, memoryMb: 64, accelerators: 0, runMs: 50 },
+      payload: { runMs: 20 },
+      ...job,
+    })
+  const jobOf = async (id: string, team = 'lamps'): Promise<Job> => {
+    const job = await jobs.get({ team, id })
+    if (job === undefined) throw new Error(`there is no job ${id}`)
+    return job
+  }
+  const isIn = async (id: string, state: Job['state'], team = 'lamps') =>
+    (await jobOf(id, team)).state === state
+  const taskRows = async () => (await table.scan<TaskRow>(tasksTable)).map(row => row.value)
+  /** Permits that tasks of a team hold. */
+  const permitsInUse = async (team = 'lamps') => {
+    const row = await table.read<LedgerRow>(ledgerTable, team)
+    return row?.value.holders.tasks?.owed ?? 0
+  }
+  const starts = (id: string) =>
+    workers.reduce((sum, worker) => sum + (worker.counters().startsByJob[id] ?? 0), 0)
+  return {
+    standin,
+    table,
+    workers,
+    zonesOut,
+    gone,
+    holder,
+    jobs,
+    accept,
+    jobOf,
+    isIn,
+    taskRows,
+    permitsInUse,
+    starts,
+  }
+}
--- /dev/null
+++ b/packages/placement/src/index.ts
@@ -0,0 +1,12 @@
+export { blameJob, createWorkerBlame, type WorkerBlame } from './blame.js'
+export { canNeverRun, choosePlacements, type Placement, type PlacementState } from './choose.js'
+export { createLearnedSizes, type LearnedSizes, type ObservedJob } from './learned-sizes.js'
+export {
+  createPlacementDuty,
+  taskLeaseMs,
+  type PlacementConfiguration,
+  type PlacementDuty,
+  type PlacementDutyOptions,
+} from './placement-duty.js'
+export { jobAfterTask, type JobAfterTask, type TaskEnd } from './task-end.js'
+export type { PlacementDecision } from './worker-visits.js'
--- /dev/null
+++ b/packages/placement/src/learned-sizes.ts
@@ -0,0 +1,77 @@
+import type { WorkResources } from '@bulrushbridge/host'
+
+/** Weight of the newest observation. */
+const newestWeight = 0.2
+
+/** Observations before learned figures replace declared ones. */
+const minObservations = 3
+
+/** Deviations added to the mean, so that few jobs of a kind exceed what they are given. */
+const marginDeviations = 3
+
+/** Fraction added to the mean in any case, because identical observations have no deviation. */
+const marginFraction = 0.1
+
+/** What one ended job used at most, and for how long it ran. */
+export interface ObservedJob extends WorkResources {
+  runMs: number
+}
+
+interface Estimate {
+  mean: number
+  variance: number
+}
+
+const quantities = ['cpus', 'memoryMb', 'accelerators', 'runMs'] as const
+
+/** Sizes and run times of job kinds, learned from ended jobs. */
+export interface LearnedSizes {
+  observe(kind: string, job: ObservedJob): void
+  /** What to reserve for a job: learned figures with a margin, or what it declares. */
+  estimate(kind: string, declared: ObservedJob): ObservedJob
+}
+
+/**
+ * Creates the learned sizes of a pool: exponentially weighted means and deviations by kind.
+ * Accelerators are always as declared, because a job cannot share them.
+ *
+ * @example
+ * const { cpus } = sizes.estimate(job.kind, job.request)
+ */
+export function createLearnedSizes(): LearnedSizes {
+  const kinds = new Map<string, { count: number; estimates: Record<string, Estimate> }>()
+  return {
+    observe: (kind, job) => {
+      const known = kinds.get(kind) ?? { count: 0, estimates: {} }
+      kinds.set(kind, known)
+      known.count += 1
+      for (const name of quantities) {
+        const before = known.estimates[name]
+        known.estimates[name] =
+          before === undefined ? { mean: job[name], variance: 0 } : moved(before, job[name])
+      }
+    },
+    estimate: (kind, declared) => {
+      const known = kinds.get(kind)
+      if (known === undefined || known.count < minObservations) return declared
+      const learned = (name: (typeof quantities)[number]) => {
+        const { mean, variance } = known.estimates[name] ?? { mean: declared[name], variance: 0 }
+        return mean + Math.max(marginDeviations * Math.sqrt(variance), marginFraction * mean)
+      }
+      return {
+        cpus: learned('cpus'),
+        memoryMb: learned('memoryMb'),
+        accelerators: declared.accelerators,
+        runMs: learned('runMs'),
+      }
+    },
+  }
+}
+
+function moved({ mean, variance }: Estimate, value: number): Estimate {
+  const step = newestWeight * (value - mean)
+  return {
+    mean: mean + step,
+    variance: (1 - newestWeight) * (variance + step * (value - mean)),
+  }
+}
--- /dev/null
+++ b/packages/placement/src/task-rows.ts
@@ -0,0 +1,143 @@
+import { poolRange, taskKey, tasksTable, type TaskRow } from '@bulrushbridge/host'
+import { jobsTable, jobTransition, type Job } from '@bulrushbridge/jobs'
+import type { HeldDuty, Row, TableService, Transaction } from '@bulrushbridge/store'
+import type { TaskPermits } from '@bulrushbridge/team-limit'
+import { jobAfterTask, type JobAfterTask, type TaskEnd } from './task-end.js'
+
+/** Attempts of a transaction whose rows keep changing; the ledger row is shared with entry hosts. */
+const maxAttempts = 8
+
+/** Rows read by one scan. */
+const pageRows = 500
+
+/** What the transactions of one placement duty work on. */
+export interface TaskRowsOptions {
+  table: TableService
+  permits: TaskPermits
+  pool: string
+  held(): HeldDuty | undefined
+}
+
+/** The duty's lease has ended; its former holder changes nothing. */
+export class DutyLostError extends Error {
+  override readonly name = 'DutyLostError'
+}
+
+/** The transactions of a placement duty. Each checks the duty's fence. */
+export class TaskRows {
+  readonly #opts: TaskRowsOptions
+
+  constructor(opts: TaskRowsOptions) {
+    this.#opts = opts
+  }
+
+  /** All tasks of the pool. */
+  async load(): Promise<TaskRow[]> {
+    const tasks: TaskRow[] = []
+    const { to, ...start } = poolRange(this.#opts.pool)
+    for (let { from } = start; ;) {
+      const rows = await this.#opts.table.scan<TaskRow>(tasksTable, { from, to, limit: pageRows })
+      tasks.push(...rows.map(row => row.value))
+      const last = rows.at(-1)
+      if (rows.length < pageRows || last === undefined) return tasks
+      from = `${last.key}\0`
+    }
+  }
+
+  /**
+   * Claims queued jobs of one team in one transaction: the jobs, the tasks and the team's permits.
+   * Returns the tasks that were claimed; others have changed or exceed the team's limit.
+   */
+  async claim(team: string, tasks: readonly TaskRow[]): Promise<TaskRow[]> {
+    let left = [...tasks]
+    for (let attempt = 0; attempt < maxAttempts && left.length > 0; attempt++) {
+      const jobs = await Promise.all(left.map(task => this.#job(task.jobKey)))
+      left = left.filter((_, at) => jobs[at]?.value.state === 'queued')
+      const rows = jobs.filter(row => row?.value.state === 'queued')
+      if (left.length === 0) return []
+      const permits = await this.#opts.permits.reserveForTask(team, left.length)
+      if (permits === undefined) {
+        // The largest part that the limit admits is found by halving.
+        left = left.slice(0, Math.floor(left.length / 2))
+        continue
+      }
+      const tx: Transaction = { checks: [...permits.checks], writes: [...permits.writes] }
+      left.forEach((task, at) => {
+        const row = rows[at]
+        if (row === undefined) return
+        const { checks, writes } = jobTransition(row, 'starting')
+        const key = taskKey(task)
+        tx.checks.push(...checks, { table: tasksTable, key, version: 0 })
+        tx.writes.push(...writes, { table: tasksTable, key, value: task })
+      })
+      if (await this.#commit(tx)) return left
+    }
+    return []
+  }
+
+  /** Records that the worker has started the task. */
+  async markRunning(task: TaskRow): Promise<void> {
+    await this.#change(task, job => {
+      const value: TaskRow = { ...task, state: 'running' }
+      const write = { table: tasksTable, key: taskKey(task), value }
+      if (job?.value.state !== 'starting') return { checks: [], writes: [write] }
+      const { checks, writes } = jobTransition(job, 'running')
+      return { checks, writes: [...writes, write] }
+    })
+  }
+
+  /**
+   * Records the end of a task, what becomes of its job, and returns the team's permit. The result
+   * is undefined when the row was gone, because an earlier transaction with a lost answer did it.
+   */
+  async end(task: TaskRow, end: TaskEnd, checkpoint?: unknown): Promise<JobAfterTask | undefined> {
+    let after: JobAfterTask | undefined
+    const found = await this.#change(task, async job => {
+      const permits = await this.#opts.permits.releaseForTask(task.team, 1)
+      const tx: Transaction = { checks: [...permits.checks], writes: [...permits.writes] }
+      tx.writes.push({ table: tasksTable, key: taskKey(task), value: null })
+      if (job === undefined) return tx
+      after = jobAfterTask(job.value, end, { rack: task.rack, checkpoint })
+      const { checks, writes } = jobTransition(job, after.to, after.reason, after.changes)
+      return { checks: [...tx.checks, ...checks], writes: [...tx.writes, ...writes] }
+    })
+    return found ? after : undefined
+  }
+
+  /** Parks a queued job that cannot run. */
+  async park(jobKey: string, reason: string): Promise<void> {
+    const job = await this.#job(jobKey)
+    if (job?.value.state === 'queued') await this.#commit(jobTransition(job, 'parked', reason))
+  }
+
+  async #change(
+    task: TaskRow,
+    parts: (job: Row<Job> | undefined) => Transaction | Promise<Transaction>,
+  ): Promise<boolean> {
+    for (let attempt = 0; attempt < maxAttempts; attempt++) {
+      const key = taskKey(task)
+      const row = await this.#opts.table.read<TaskRow>(tasksTable, key)
+      if (row === undefined) return false
+      const { checks, writes } = await parts(await this.#job(task.jobKey))
+      const check = { table: tasksTable, key, version: row.version }
+      if (await this.#commit({ checks: [...checks, check], writes })) return true
+    }
+    throw new Error(`the rows of task ${task.taskId} changed ${maxAttempts} times`)
+  }
+
+  #job(key: string): Promise<Row<Job> | undefined> {
+    return this.#opts.table.read<Job>(jobsTable, key)
+  }
+
+  async #commit(tx: Transaction): Promise<boolean> {
+    const fence = this.#opts.held()?.check
+    if (fence === undefined) throw new DutyLostError('the placement duty is not held')
+    const result = await this.#opts.table.commit({ ...tx, checks: [...tx.checks, fence] })
+    if (result.committed) return true
+    const isFenced = result.failed.some(({ table, key }) => {
+      return table === fence.table && key === fence.key
+    })
+    if (isFenced) throw new DutyLostError('the placement duty was taken over')
+    return false
+  }
+}
--- /dev/null
+++ b/packages/placement/src/worker-visits.ts
@@ -0,0 +1,234 @@
+import type { Clock } from '@bulrushbridge/errors'
+import type { ReportedTask, TaskRow, WorkerClient } from '@bulrushbridge/host'
+import { WorkerError } from '@bulrushbridge/host'
+import type { HeldDuty } from '@bulrushbridge/store'
+import type { WorkerBlame } from './blame.js'
+import type { LearnedSizes } from './learned-sizes.js'
+import { taskLeaseMs, type PlacementConfiguration } from './placement-duty.js'
+import type { TaskEnd } from './task-end.js'
+import type { TaskRows } from './task-rows.js'
+import type { WorkerFleet } from './worker-fleet.js'
+
+/** Longest time of one call to a worker, in milliseconds. */
+const callMs = 1_000
+
+/** A lease is renewed when less than this is left, in milliseconds. */
+const renewBeforeMs = 7_000
+
+/** Time after the end of a lease by which the worker has stopped the task, in milliseconds. */
+const lapseMarginMs = 2_000
+
+/** Workers that are visited at the same time. */
+const parallelVisits = 16
+
+/** A task in the memory of the holder. */
+export interface KnownTask {
+  row: TaskRow
+  /** When the worker stops it without a renewal. */
+  leaseUntil: number
+  /** False while the worker is known not to have started it. */
+  mayRun: boolean
+  /** What the worker saved before the task was stopped. */
+  checkpoint?: unknown
+}
+
+/** A decision for the records. */
+export interface PlacementDecision {
+  subject: { kind: string; id: string }
+  rule: string
+  observed: Record<string, unknown>
+  action: string
+}
+
+/** What the visits work on. */
+export interface WorkerVisitsOptions {
+  clock: Clock
+  rows: TaskRows
+  fleet: WorkerFleet
+  tasks: Map<string, KnownTask>
+  sizes: LearnedSizes
+  blame: WorkerBlame
+  poolSize: () => number
+  held: () => HeldDuty | undefined
+  configuration: () => PlacementConfiguration
+  listed(): { gone: ReadonlySet<string> }
+  onDecision?(decision: PlacementDecision): void
+  onError?(err: unknown): void
+}
+
+/** Compares the tasks in the rows with what their workers report, and renews their leases. */
+export class WorkerVisits {
+  readonly #opts: WorkerVisitsOptions
+  readonly #unreachable = new Set<string>()
+
+  constructor(opts: WorkerVisitsOptions) {
+    this.#opts = opts
+  }
+
+  /** Workers that did not answer the last visit. */
+  unreachable(): ReadonlySet<string> {
+    return this.#unreachable
+  }
+
+  /** Visits every worker that has tasks. */
+  async run(cancelling: ReadonlySet<string>): Promise<void> {
+    const byWorker = new Map<string, KnownTask[]>()
+    for (const task of this.#opts.tasks.values()) {
+      byWorker.set(task.row.worker, [...(byWorker.get(task.row.worker) ?? []), task])
+    }
+    for (const worker of this.#unreachable) {
+      // Without tasks there the next start shows whether it answers again.
+      if (!byWorker.has(worker)) this.#unreachable.delete(worker)
+    }
+    const waiting = byWorker.entries()
+    const errors: unknown[] = []
+    const visitNext = async () => {
+      for (const [worker, tasks] of waiting) {
+        await this.#visit(worker, tasks, cancelling).catch((err: unknown) => errors.push(err))
+      }
+    }
+    await Promise.all(Array.from({ length: parallelVisits }, visitNext))
+    if (errors.length > 0) throw errors[0]
+  }
+
+  /** The worker said that it runs the task. */
+  async confirm(task: KnownTask): Promise<void> {
+    if (task.row.state !== 'starting') return
+    await this.#opts.rows.markRunning(task.row)
+    task.row = { ...task.row, state: 'running' }
+  }
+
+  async #visit(
+    worker: string,
+    tasks: readonly KnownTask[],
+    cancelling: ReadonlySet<string>,
+  ): Promise<void> {
+    const { clock, fleet } = this.#opts
+    const uncalled = tasks.filter(({ mayRun }) => !mayRun)
+    for (const task of uncalled) await this.#end(task, 'never-started')
+    const called = tasks.filter(({ mayRun }) => mayRun)
+    const address = called[0]?.row.address
+    if (address === undefined) return
+    const client = fleet.client(address)
+    let reports: Map<string, ReportedTask>
+    try {
+      const listed = await client.list(clock.now() + callMs)
+      reports = new Map(listed.map(report => [report.taskId, report]))
+      this.#unreachable.delete(worker)
+    } catch (err) {
+      if (!(err instanceof WorkerError)) throw err
+      this.#unreachable.add(worker)
+      for (const task of called) if (this.#hasLapsed(task)) await this.#end(task, 'stopped')
+      return
+    }
+    for (const task of called) {
+      try {
+        await this.#settle(client, task, reports.get(task.row.taskId), cancelling)
+      } catch (err) {
+        if (!(err instanceof WorkerError)) throw err
+        this.#opts.onError?.(err)
+      }
+    }
+  }
+
+  /**
+   * Whether the task of an unreachable worker has ended. A start without an answer may still be
+   * read by a worker that was paused, so it counts only once the host list no longer names it.
+   */
+  #hasLapsed({ row, leaseUntil }: KnownTask): boolean {
+    if (this.#opts.clock.now() < leaseUntil + lapseMarginMs) return false
+    return row.state !== 'starting' || this.#opts.listed().gone.has(row.worker)
+  }
+
+  async #settle(
+    client: WorkerClient,
+    task: KnownTask,
+    report: ReportedTask | undefined,
+    cancelling: ReadonlySet<string>,
+  ): Promise<void> {
+    if (report === undefined) {
+      await this.#settleUnlisted(client, task)
+      return
+    }
+    if (report.state === 'running') {
+      await this.confirm(task)
+      await this.#keepOrStop(client, task, cancelling)
+      return
+    }
+    await this.#endAs(task, report)
+  }
+
+  /** A worker that does not list a task fences its id, so that a late start is refused. */
+  async #settleUnlisted(client: WorkerClient, task: KnownTask): Promise<void> {
+    const token = this.#opts.held()?.token
+    if (token === undefined) return
+    const report = await client.stop(task.row.taskId, token, this.#opts.clock.now() + callMs)
+    // A task that was confirmed has run; the worker has lost its memory in a restart.
+    const hasRun = report.started || task.row.state !== 'starting'
+    await this.#end(task, hasRun ? 'stopped' : 'never-started')
+  }
+
+  async #keepOrStop(
+    client: WorkerClient,
+    task: KnownTask,
+    cancelling: ReadonlySet<string>,
+  ): Promise<void> {
+    const { clock, held, configuration } = this.#opts
+    const token = held()?.token
+    if (token === undefined) return
+    const { taskId, jobId, zone, idempotent } = task.row
+    if (cancelling.has(jobId)) {
+      await this.#endAs(task, await client.stop(taskId, token, clock.now() + callMs))
+      return
+    }
+    // A non-idempotent job cannot be started elsewhere, so it stays until it ends.
+    if (configuration().zonesOut.has(zone) && idempotent) {
+      await client.checkpoint(taskId, token, clock.now() + callMs)
+      await this.#endAs(task, await client.stop(taskId, token, clock.now() + callMs))
+      return
+    }
+    if (task.leaseUntil - clock.now() > renewBeforeMs) return
+    const lease = { fencingToken: token, leaseDeadlineMs: taskLeaseMs }
+    const isKnown = await client.renew(taskId, lease, clock.now() + callMs)
+    if (isKnown) task.leaseUntil = clock.now() + taskLeaseMs
+  }
+
+  async #endAs(task: KnownTask, report: ReportedTask): Promise<void> {
+    const { blame, sizes, poolSize } = this.#opts
+    const { worker, team, kind } = task.row
+    if (report.checkpoint !== undefined) task.checkpoint = report.checkpoint
+    if (report.state === 'finished') {
+      blame.finished(worker)
+      // The usage lags, so a short task may end before any was reported.
+      if (report.usage.cpus > 0) sizes.observe(kind, { ...report.usage, runMs: report.runMs })
+      await this.#end(task, 'finished')
+      return
+    }
+    if (report.state === 'failed') {
+      await this.#end(task, 'failed')
+      if (blame.failed(worker, team, poolSize())) {
+        this.#opts.onDecision?.({
+          subject: { kind: 'worker', id: worker },
+          rule: 'worker-failed-teams',
+          observed: { team, quarantined: blame.quarantined().length },
+          action: 'quarantine',
+        })
+      }
+      return
+    }
+    const hasRun = report.started || task.row.state !== 'starting'
+    await this.#end(task, hasRun ? 'stopped' : 'never-started')
+  }
+
+  async #end(task: KnownTask, end: TaskEnd): Promise<void> {
+    const after = await this.#opts.rows.end(task.row, end, task.checkpoint)
+    this.#opts.tasks.delete(task.row.taskId)
+    if (after?.to !== 'parked') return
+    this.#opts.onDecision?.({
+      subject: { kind: 'job', id: task.row.jobId },
+      rule: 'job-failed-racks',
+      observed: { failedRacks: after.changes?.failedRacks },
+      action: 'park',
+    })
+  }
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -17,3 +17,11 @@
   type RunnerStandin,
   type RunnerStats,
 } from './runner.js'
+export {
+  createWorkerStandin,
+  workerCommand,
+  type WorkerFaults,
+  type WorkerOptions,
+  type WorkerStandin,
+} from './worker.js'
+export type { TaskRequest, TaskState, WorkerResources, WorkerTask } from './worker-tasks.js'
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -2,7 +2,9 @@
 import { standinCommand } from './commands.js'
 import { createHostListStandin } from './host-list.js'
 import { createObjectStandin } from './object.js'
+import { runnerCommand } from './runner.js'
 import { createTableStandin } from './table.js'
+import { workerCommand } from './worker.js'
 
 const program = subcommands({
   name: 'bulrush-standin',
@@ -10,6 +12,8 @@
   cmds: {
     table: standinCommand('table', 'transactional table service', createTableStandin),
     object: standinCommand('object', 'object store', createObjectStandin),
+    runner: runnerCommand,
+    worker: workerCommand,
     hosts: standinCommand('hosts', 'list of live and leaving hosts', createHostListStandin),
   },
 })
--- /dev/null
+++ b/packages/standins/src/worker.ts
@@ -0,0 +1,190 @@
+import { defineSettings } from '@bulrushbridge/settings'
+import { command } from 'cmd-ts'
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { z } from 'zod'
+import { WorkerTasks, type WorkerTask } from './worker-tasks.js'
+
+/** Faults of a worker; each is one switch. */
+export interface WorkerFaults {
+  /** Every task fails as soon as it has started. */
+  failAll: boolean
+  /** Answers nothing until switched off; tasks go on and leases lapse. */
+  freeze: boolean
+  /** Milliseconds added before each request takes effect. */
+  slowMs: number
+  /** The next requests take effect and their connections are closed without an answer. */
+  loseAnswers: number
+  /** Age of the usage that is reported, in milliseconds. */
+  usageLagMs: number
+  /** Refuses to start tasks with 507. */
+  reject: boolean
+}
+
+/** Options of {@link createWorkerStandin}. */
+export interface WorkerOptions {
+  host?: string
+  port?: number
+  id: string
+  rack: string
+  zone: string
+  cpus?: number
+  memoryMb?: number
+  accelerators?: number
+}
+
+/** Body of `POST /tasks`. */
+const taskSchema = z.object({
+  taskId: z.string().min(1),
+  jobId: z.string().min(1),
+  team: z.string().min(1),
+  fencingToken: z.int().min(0),
+  leaseDeadlineMs: z.number().min(0),
+  cpus: z.number().min(0),
+  memoryMb: z.number().min(0),
+  accelerators: z.number().min(0),
+  payload: z.unknown(),
+  checkpoint: z.unknown().optional(),
+})
+
+/** Body of a renewal. */
+const leaseSchema = z.object({ fencingToken: z.int().min(0), leaseDeadlineMs: z.number().min(0) })
+
+/** Body of the other calls on a task. */
+const fencedSchema = z.object({ fencingToken: z.int().min(0) })
+
+interface Answer {
+  status: number
+  body: unknown
+}
+
+/**
+ * Starts a stand-in of a worker, which runs tasks under leases. A payload `{ runMs, fail }` sets
+ * the run time and the end of a task.
+ *
+ * @example
+ * const worker = await createWorkerStandin({ id: 'w1', rack: 'r1', zone: 'a' })
+ */
+export async function createWorkerStandin(opts: WorkerOptions) {
+  const { cpus = 16, memoryMb = 65_536, accelerators = 0 } = opts
+  const faults: WorkerFaults = {
+    failAll: false,
+    freeze: false,
+    slowMs: 0,
+    loseAnswers: 0,
+    usageLagMs: 0,
+    reject: false,
+  }
+  const tasks = new WorkerTasks({ cpus, memoryMb, accelerators }, faults)
+  const sockets = new Set<Socket>()
+
+  const setFaults = (changes: Record<string, unknown>) => {
+    const known = faults as unknown as Record<string, unknown>
+    const wrong = Object.keys(changes).filter(key => typeof changes[key] !== typeof known[key])
+    // A switch with a wrong name or type would leave a test without its fault.
+    if (wrong.length > 0) throw new Error(`not a switch: ${wrong.join(', ')}`)
+    return Object.assign(faults, changes)
+  }
+
+  const handle = (method: string, path: string[], body: string): Answer => {
+    const [root, id, action] = path
+    if (root === 'health') return { status: 200, body: { state: 'ok' } }
+    if (root === 'faults' && method === 'POST') {
+      return { status: 200, body: setFaults(JSON.parse(body) as Record<string, unknown>) }
+    }
+    if (root === 'counters') return { status: 200, body: tasks.counters() }
+    if (root !== 'tasks') return { status: 404, body: { error: 'not found' } }
+    if (id === undefined && method === 'GET') return { status: 200, body: { tasks: tasks.list() } }
+    if (id === undefined) return tasks.start(taskSchema.parse(JSON.parse(body)))
+    if (method === 'GET') return tasks.get(id)
+    if (action === 'lease') return tasks.renew(id, leaseSchema.parse(JSON.parse(body)))
+    const { fencingToken } = fencedSchema.parse(JSON.parse(body))
+    if (action === 'stop') return tasks.stop(id, fencingToken)
+    if (action === 'throttle') return tasks.throttle(id, fencingToken)
+    if (action === 'checkpoint') return tasks.checkpoint(id, fencingToken)
+    return { status: 404, body: { error: 'not found' } }
+  }
+
+  const serve = async (req: IncomingMessage, res: ServerResponse) => {
+    const chunks: Buffer[] = []
+    for await (const chunk of req) chunks.push(chunk as Buffer)
+    const path = (req.url ?? '').split('/').slice(1).map(decodeURIComponent)
+    const isControl = path[0] === 'faults' || path[0] === 'counters'
+    if (!isControl) {
+      while (faults.freeze) await sleep(10)
+      if (faults.slowMs > 0) await sleep(faults.slowMs)
+    }
+    let answer: Answer
+    try {
+      answer = handle(req.method ?? 'GET', path, Buffer.concat(chunks).toString())
+    } catch (err) {
+      answer = { status: 400, body: { error: String(err) } }
+    }
+    if (!isControl && faults.loseAnswers > 0) {
+      faults.loseAnswers -= 1
+      req.socket.destroy()
+      return
+    }
+    res.writeHead(answer.status, { 'content-type': 'application/json' })
+    res.end(JSON.stringify(answer.body))
+  }
+
+  const server = createServer((req, res) => {
+    serve(req, res).catch(() => req.socket.destroy())
+  })
+  server.on('connection', socket => {
+    sockets.add(socket)
+    socket.on('close', () => sockets.delete(socket))
+  })
+  await new Promise<void>(resolve =>
+    server.listen(opts.port ?? 0, opts.host ?? '127.0.0.1', resolve),
+  )
+  const { address, port } = server.address() as AddressInfo
+  const { id, rack, zone } = opts
+  return {
+    /** The worker as the host list describes it. */
+    listed: { id, rack, zone, address: `${address}:${port}`, cpus, memoryMb, accelerators },
+    address: `${address}:${port}`,
+    faults,
+    tasks: (): WorkerTask[] => tasks.list(),
+    counters: () => tasks.counters(),
+    /** Ends at once, as a killed worker does; its tasks end with it. */
+    close: async () => {
+      faults.freeze = false
+      tasks.close()
+      const closed = new Promise(resolve => server.close(resolve))
+      for (const socket of sockets) socket.destroy()
+      await closed
+    },
+  }
+}
+
+/** A running stand-in of a worker. */
+export type WorkerStandin = Awaited<ReturnType<typeof createWorkerStandin>>
+
+const natural = z.coerce.number().int().min(0)
+const settings = {
+  host: { schema: z.string(), description: 'address to listen on', default: '127.0.0.1' },
+  port: { schema: natural.max(65_535), description: 'port; 0 takes a free one', default: '0' },
+  id: { schema: z.string(), description: 'id of the worker', default: 'worker' },
+  rack: { schema: z.string(), description: 'its rack', default: 'r1' },
+  zone: { schema: z.string(), description: 'its availability zone', default: 'a' },
+  cpus: { schema: natural, description: 'processors', default: '16' },
+  'memory-mb': { schema: natural, description: 'memory in MiB', default: '65536' },
+  accelerators: { schema: natural, description: 'accelerators', default: '0' },
+}
+
+/** The command `bulrush-standin worker`. */
+export const workerCommand = command({
+  name: 'worker',
+  description: 'worker that runs tasks under leases',
+  args: defineSettings(settings),
+  handler: async ({ 'memory-mb': memoryMb, ...args }) => {
+    const worker = await createWorkerStandin({ ...args, memoryMb })
+    process.stdout.write(`${JSON.stringify({ standin: 'worker', address: worker.address })}\n`)
+    for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+      process.once(signal, () => void worker.close())
+    }
+  },
+})
