--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -18,3 +18,11 @@
   type RunnerStart,
   type RunnerStats,
 } from './runner.js'
+export {
+  createWorkerStandin,
+  workerCommand,
+  type WorkerFaults,
+  type WorkerOptions,
+  type WorkerStandin,
+} from './worker.js'
+export type { TaskRequest, TaskState, WorkerResources, WorkerTask } from './worker-tasks.js'
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -5,6 +5,7 @@
 import { createObjectStandin } from './object.js'
 import { runnerCommand } from './runner.js'
 import { createTableStandin } from './table.js'
+import { workerCommand } from './worker.js'
 
 const program = subcommands({
   name: 'bulrush-standin',
@@ -14,6 +15,7 @@
     table: standinCommand('table', 'transactional table service', createTableStandin),
     object: standinCommand('object', 'object store', createObjectStandin),
     runner: runnerCommand,
+    worker: workerCommand,
     hosts: standinCommand('hosts', 'list of live and leaving hosts', createHostListStandin),
   },
 })
