--- a/packages/maintenance/__tests__/waves.test.ts
+++ b/packages/maintenance/__tests__/waves.test.ts
@@ -1,7 +1,14 @@
 import { budgetMargin, withHosts, type Fleet, type FleetHost } from '@bulrushbridge/host-pools'
 import fc from 'fast-check'
 import t from 'tap'
-import { dayMs, drainDeadline, mayLeave, planWave, reviewWave } from '../src/index.js'
+import {
+  dayMs,
+  drainDeadline,
+  mayLeave,
+  planWave,
+  poolAfterMaintenance,
+  reviewWave,
+} from '../src/index.js'
 
 const capacity = { cores: 16, memoryGb: 64 }
 const states = ['serving', 'serving', 'serving', 'maintenance', 'failed'] as const
@@ -188,3 +195,18 @@
   t.equal(first(...large, { ...make('b', 'z1', 'r0', 20), state: 'failed' }), 'a2')
   t.end()
 })
+
+void t.test('guards against a returning host that joins where it frees no other host', t => {
+  const hosts = evenFleet().hosts.map(h => ({ ...h, maintainedAt: h.pool === 'p0' ? 5 : -1 }))
+  const fleet = leave({ ...evenFleet(), hosts }, ['h0'])
+  const host = fleet.hosts.find(({ id }) => id === 'h0')
+  const homes = new Map(hosts.map(({ id, pool }) => [id, pool]))
+  const choose = (from: Fleet) =>
+    host && poolAfterMaintenance({ fleet: from, host, homes, now: 9, roundStartedAt: 0 })
+  // Pool p0 is finished; one host each of p1 to p4 is away, so an additional one frees the next.
+  t.not(choose(leave(fleet, ['h1', 'h2', 'h3', 'h4'])), 'p0')
+  t.equal(choose(withHosts(fleet, h => ({ ...h, maintainedAt: 5 }))), 'p0', 'goes home')
+  t.equal(choose(leave(fleet, ['h5', 'h10'])), 'p0', 'its own pool is short')
+  t.equal(choose(leave(fleet, ['h1', 'h6'])), 'p1', 'another pool is short')
+  t.end()
+})
--- a/packages/maintenance/src/index.ts
+++ b/packages/maintenance/src/index.ts
@@ -9,4 +9,5 @@
   type Wave,
   type WaveOptions,
 } from './plan-wave.js'
+export { poolAfterMaintenance, type ReturnPoolOptions } from './pool-after-maintenance.js'
 export { reviewWave, type HaltReason, type WaveHost, type WaveReview } from './review-wave.js'
