fix(entry): give up callers that stop reading their answers

Cause: an answer was piped to the caller without a limit on the caller's progress, so a caller that went silent held a runner's slot, a connection and a permit of its team until TCP gave up. Ruled out: res.setTimeout(), whose timeout is renewed once while a write is pending and fired only after 20 s. Change: while the caller lags behind, a timer of 10 s runs, which a drain clears; TCP keepalive finds callers that vanish while their request waits.

--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -14,6 +14,9 @@
 /** Time after which an idle connection of a caller is closed, in milliseconds. */
 const idleTimeoutMs = 65_000
 
+/** Silence after which the kernel starts to probe a connection, in milliseconds. */
+const probeDelayMs = 10_000
+
 /** Interval of the check for connections whose headers are late, in milliseconds. */
 const timeoutCheckMs = 1_000
 
@@ -86,6 +89,9 @@
       // Bodies have a progress deadline of their own, which does not limit a long upload.
       requestTimeout: 0,
       keepAliveTimeout: idleTimeoutMs,
+      // TCP probes find callers whose host has gone while their request waits.
+      keepAlive: true,
+      keepAliveInitialDelay: probeDelayMs,
     },
     toNodeHandler(app) as (req: IncomingMessage, res: ServerResponse) => void,
   )
--- a/packages/entry/src/relay-answer.ts
+++ b/packages/entry/src/relay-answer.ts
@@ -1,9 +1,17 @@
 import type { ServerResponse } from 'node:http'
+import type { Readable } from 'node:stream'
 import { RequestError } from '@bulrushbridge/errors'
 import { maxBodyBytes, type Answer } from '@bulrushbridge/idempotency'
 import type { UpstreamAnswer } from '@bulrushbridge/upstream-link'
 import { isPassedToCaller } from './call-request.js'
 
+/**
+ * Time in which a caller must take some of its answer, in milliseconds. A caller that has gone silent
+ * would otherwise hold a runner's slot and a permit for good. An upstream that makes no progress is
+ * given up after 5 s, so the silence is the caller's.
+ */
+const callerProgressMs = 10_000
+
 /**
  * Passes an upstream's answer on. When it is cut, the caller's connection is destroyed, so that the
  * caller cannot take a part for the whole.
@@ -18,9 +26,18 @@
     throw new RequestError('caller-left', { outcome: 'unknown' })
   }
   writeHead(res, answer, requestId)
-  const { body } = answer
-  await new Promise<void>((resolve, reject) => {
-    const fail = (cause: unknown) => {
+  await pass(answer.body, res)
+}
+
+/** Pipes with a limit on each wait for the caller. */
+function pass(body: Readable, res: ServerResponse): Promise<void> {
+  return new Promise<void>((resolve, reject) => {
+    let timer: NodeJS.Timeout | undefined
+    const settle = () => {
+      clearTimeout(timer)
+    }
+    const fail = (cause?: unknown) => {
+      settle()
       res.destroy()
       body.destroy()
       reject(
@@ -29,13 +46,33 @@
           : new RequestError('caller-left', { outcome: 'unknown', cause }),
       )
     }
+    // A timer runs only while the caller lags behind, so that small answers need none.
+    const awaitCaller = () => {
+      clearTimeout(timer)
+      timer = setTimeout(fail, callerProgressMs)
+    }
+    body.on('data', (chunk: Buffer) => {
+      if (res.write(chunk)) return
+      body.pause()
+      awaitCaller()
+    })
+    res.on('drain', () => {
+      settle()
+      body.resume()
+    })
+    body.once('end', () => {
+      res.end()
+      if (res.writableLength > 0) awaitCaller()
+    })
     body.once('error', fail)
     res.once('error', fail)
-    res.once('finish', resolve)
+    res.once('finish', () => {
+      settle()
+      resolve()
+    })
     res.once('close', () => {
-      if (!res.writableFinished) fail(undefined)
+      if (!res.writableFinished) fail()
     })
-    body.pipe(res)
   })
 }
 
