feat(entry): serve jobs and write a heartbeat

Cause: the jobs paths answered with an error, and nothing in the store showed that an entry host is alive.

Change: `POST /queues/{queue}/jobs` answers 202 once the job is durable; jobs are listed, read and cancelled under the key and team rules of calls, with a limit of 64 KiB for a body. Refusals use the existing kinds. Each entry host writes `entry-heartbeats/<id>` every 3 s without reading, about three writes a second for nine hosts. The settlement check needs only the committed configuration, so the control program can use it; config-view exports its reader and its confirmation for the same reason.

Alternatives ruled out: a heartbeat in the head or in the ledger, because other transactions check these rows.

--- a/packages/config-view/src/index.ts
+++ b/packages/config-view/src/index.ts
@@ -4,6 +4,7 @@
   type ConfigView,
   type ConfigViewOptions,
 } from './config-view.js'
+export { Confirmation } from './confirmation.js'
 export type { Head } from './head.js'
 export type {
   Announcement,
@@ -18,3 +19,4 @@
 export type { RestrictOptions } from './restrict.js'
 export { isRestrictive, type PendingRestriction, type RestrictiveChange } from './restrictions.js'
 export { systemTimers, type Timers } from './timing.js'
+export { StoreReader } from './store-reader.js'
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -4,6 +4,7 @@
 import { createDecisionLog } from '@bulrushbridge/decision-log'
 import { normalizeError, systemClock } from '@bulrushbridge/errors'
 import { createIdempotencyRecords } from '@bulrushbridge/idempotency'
+import { createJobs } from '@bulrushbridge/jobs'
 import { createOperatorApi } from '@bulrushbridge/operator-api'
 import { createPeerLinks, createPeerServer } from '@bulrushbridge/peer-link'
 import {
@@ -13,11 +14,14 @@
 } from '@bulrushbridge/store'
 import { createKeyring } from '@bulrushbridge/team-keys'
 import { createTeamPermits } from '@bulrushbridge/team-limit'
-import { createLogger, createMetrics, createTracing, type Logger } from '@bulrushbridge/telemetry'
+import { createLogger, createMetrics, createTracing } from '@bulrushbridge/telemetry'
 import type { Report } from '@bulrushbridge/wire'
 import { createCallHandler } from './call-handler.js'
 import { createCallerServer } from './caller-server.js'
+import { createHeartbeat } from './heartbeat.js'
 import { createHostListReader } from './host-list.js'
+import { createJobsHandler } from './jobs-handler.js'
+import { logRequestError } from './log-request-error.js'
 import { createMembershipTask } from './membership-task.js'
 import { createOperatorServer } from './operator-server.js'
 import { createPeerCalls } from './peer-calls.js'
@@ -116,7 +120,7 @@
     incarnation,
     table,
     peers: calls.permits,
-    isSettled: createSettlementCheck({ view, table }),
+    isSettled: createSettlementCheck({ view }),
     clock,
     rng: Math.random,
     onFree: () => {
@@ -200,7 +204,15 @@
       service: name => services.get(name),
       isShuttingDown: () => shuttingDown,
     }),
-    jobs: () => Promise.reject(new Error('jobs are not served yet')),
+    jobs: createJobsHandler({
+      clock,
+      view,
+      jobs: createJobs({ table, committer, member: cfg.member }),
+      defaultDeadlineMs: cfg['default-deadline'],
+      maxDeadlineMs: cfg['max-deadline'],
+      keyring: () => keyring,
+      isShuttingDown: () => shuttingDown,
+    }),
     onError: (err, req, requestId) => {
       logRequestError(log, err, req.url, requestId)
     },
@@ -224,6 +236,13 @@
       return view.isConfirmed() ? undefined : 'configuration not confirmed'
     },
   })
+  const heartbeat = createHeartbeat({
+    table,
+    member: cfg.member,
+    incarnation,
+    operators: operators.address,
+    log,
+  })
   registerGauges(metrics, { view, permits, services, callers })
   log.info('entry host started', {
     zone: cfg.zone,
@@ -253,6 +272,7 @@
         membership,
       })
       clearInterval(ticker)
+      await heartbeat.close()
       hostList.close()
       stopListening()
       view.close()
@@ -276,14 +296,3 @@
 
 /** Interval at which waiting requests and the confirmation reach the permits, in milliseconds. */
 const tickMs = 50
-
-function logRequestError(
-  log: Logger,
-  err: { kind: string; outcome: string; cause?: unknown },
-  path: string | undefined,
-  requestId: string,
-): void {
-  const cause = err.cause === undefined ? undefined : normalizeError(err.cause).message
-  const level = err.kind === 'internal' ? 'error' : 'info'
-  log[level]('request failed', { requestId, path, kind: err.kind, outcome: err.outcome, cause })
-}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,2 +1,6 @@
 export { createEntryHost, type EntryHost } from './entry-host.js'
 export { entrySettings, type EntrySettings } from './settings.js'
+export { heartbeatsTable, type HeartbeatRow } from './heartbeat.js'
+export { createHostListReader, type ListedHosts } from './host-list.js'
+export { createPeerCalls, type PeerCalls, type PeerCallsOptions } from './peer-calls.js'
+export { createSettlementCheck } from './settlement-check.js'
--- /dev/null
+++ b/packages/entry/src/jobs-handler.ts
@@ -0,0 +1,228 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { Readable } from 'node:stream'
+import type { ConfigView } from '@bulrushbridge/config-view'
+import { RequestError, type Clock } from '@bulrushbridge/errors'
+import { jobStates, type Jobs } from '@bulrushbridge/jobs'
+import { StoreError } from '@bulrushbridge/store'
+import type { Keyring } from '@bulrushbridge/team-keys'
+import { z } from 'zod'
+import type { CallerHandler } from './caller-server.js'
+import { bufferedBodyBytes, readBody } from './request-body.js'
+
+/** Most ids in one cancellation; two rows change for each. */
+const maxCancelIds = 5_000
+
+/** Most jobs in one page of a list. */
+const maxPage = 500
+
+const jobsPathPattern = /^\/queues\/([a-z][a-z0-9-]{0,62})\/jobs(?:\/([A-Za-z0-9.%_-]{1,200}))?$/
+const idempotencyKeyPattern = /^[\x21-\x7e]{1,128}$/
+
+const acceptSchema = z.strictObject({
+  request: z.strictObject({
+    cpus: z.number().gt(0).max(4_096),
+    memoryMb: z.number().gt(0).max(16_777_216),
+    accelerators: z.int().min(0).max(64),
+    runMs: z.number().gt(0).max(604_800_000),
+  }),
+  idempotent: z.boolean(),
+  urgent: z.boolean().default(false),
+  kind: z
+    .string()
+    .regex(/^[a-z][a-z0-9-]{0,62}$/, 'use lower-case letters, digits and hyphens')
+    .optional(),
+  payload: z.unknown(),
+})
+
+const cancelSchema = z.union([
+  z.strictObject({ ids: z.array(z.string().max(200)).max(maxCancelIds) }),
+  z.strictObject({ all: z.literal(true), after: z.string().max(200).optional() }),
+])
+
+const listSchema = z.strictObject({
+  state: z.enum(jobStates).optional(),
+  after: z.string().max(200).optional(),
+  limit: z.coerce.number().int().min(1).max(maxPage).default(100),
+})
+
+/** What the handling of jobs needs of an entry host. */
+export interface JobsHandlerOptions {
+  clock: Clock
+  view: ConfigView
+  jobs: Jobs
+  /** Time for one call when the request gives no deadline, in milliseconds. */
+  defaultDeadlineMs: number
+  maxDeadlineMs: number
+  keyring(): Keyring
+  isShuttingDown(): boolean
+}
+
+/** A request about the jobs of a team in a queue. */
+interface JobsRequest {
+  team: string
+  queue: string
+  /** What follows `/jobs/`: an id or `cancel`. */
+  rest: string | undefined
+  deadline: number
+  req: IncomingMessage
+  res: ServerResponse
+  requestId: string
+}
+
+/**
+ * Creates the handler of `/queues/{queue}/jobs`: accepts, lists and cancels the team's jobs.
+ *
+ * @example
+ * const server = await createCallerServer({ jobs: createJobsHandler(opts), ... })
+ */
+export function createJobsHandler(opts: JobsHandlerOptions): CallerHandler {
+  return async (req, res, requestId) => {
+    const call = admit(opts, req, res, requestId)
+    try {
+      if (req.method === 'POST' && call.rest === undefined) await accept(opts, call)
+      else if (req.method === 'POST' && call.rest === 'cancel') await cancel(opts, call)
+      else if (req.method === 'GET' && call.rest === undefined) await list(opts, call)
+      else if (req.method === 'GET') await get(opts, call)
+      else throw new RequestError('unknown-path')
+    } catch (cause) {
+      if (!(cause instanceof StoreError)) throw cause
+      throw new RequestError('store-unavailable', {
+        outcome: cause.settled ? 'not-run' : 'unknown',
+        cause,
+      })
+    }
+  }
+}
+
+/** The checks of calls: view, queue, key and team. */
+function admit(
+  opts: JobsHandlerOptions,
+  req: IncomingMessage,
+  res: ServerResponse,
+  requestId: string,
+): JobsRequest {
+  const { pathname } = new URL(req.url ?? '', 'http://entry')
+  const [, queue = '', rest] = jobsPathPattern.exec(pathname) ?? []
+  if (queue === '') throw new RequestError('unknown-path')
+  if (opts.isShuttingDown()) throw new RequestError('shutting-down')
+  if (!opts.view.isConfirmed()) throw new RequestError('view-expired')
+  const row = opts.view.current().queues[queue]
+  if (row === undefined) throw new RequestError('unknown-queue')
+  const { team } = opts.keyring().parseAuthorization(req.headers.authorization)
+  if (row.team !== 'open' && row.team !== team) throw new RequestError('key-wrong-team')
+  if (row.pool === undefined) {
+    throw new RequestError('unknown-queue', { message: 'The queue takes no jobs.' })
+  }
+  const deadline = opts.clock.now() + deadlineMs(opts, req.headers['bulrush-deadline'])
+  return { team, queue, rest, deadline, req, res, requestId }
+}
+
+function deadlineMs(opts: JobsHandlerOptions, header: string | string[] | undefined): number {
+  if (header === undefined) return opts.defaultDeadlineMs
+  const ms = typeof header === 'string' && /^\d{1,9}$/.test(header) ? Number(header) : 0
+  if (ms < 1 || ms > opts.maxDeadlineMs) throw new RequestError('bad-deadline')
+  return ms
+}
+
+async function accept(opts: JobsHandlerOptions, call: JobsRequest): Promise<void> {
+  const { team, queue, deadline, req } = call
+  const { kind, payload, ...asked } = await readJson(opts, req, acceptSchema)
+  const header = req.headers['idempotency-key']
+  if (header !== undefined && !idempotencyKeyPattern.test(String(header))) {
+    throw new RequestError('bad-header', {
+      message: 'idempotency-key must be 1 to 128 visible ASCII characters.',
+    })
+  }
+  // The body may have taken long, and a key withdrawn meanwhile starts no new work.
+  admit(opts, req, call.res, call.requestId)
+  const id = await opts.jobs.accept({
+    team,
+    queue,
+    ...asked,
+    payload: payload ?? null,
+    deadline,
+    ...(kind === undefined ? {} : { kind }),
+    ...(header === undefined ? {} : { idempotencyKey: String(header) }),
+  })
+  answer(call, 202, { id })
+}
+
+async function cancel(opts: JobsHandlerOptions, call: JobsRequest): Promise<void> {
+  const { team, queue } = call
+  const body = await readJson(opts, call.req, cancelSchema)
+  if ('ids' in body) {
+    // Ids start with their queue; the key of a queue must not reach jobs of another one.
+    const own = body.ids.filter(id => id.startsWith(`${queue}.`))
+    const result = await opts.jobs.cancel({ team, ids: own })
+    result.unknown.push(...body.ids.filter(id => !id.startsWith(`${queue}.`)))
+    answer(call, 200, result)
+    return
+  }
+  const after = body.after === undefined ? {} : { after: body.after }
+  answer(call, 200, await opts.jobs.cancel({ team, queue, all: true, ...after }))
+}
+
+async function list(opts: JobsHandlerOptions, call: JobsRequest): Promise<void> {
+  const { searchParams } = new URL(call.req.url ?? '', 'http://entry')
+  const { state, after, limit } = parse(listSchema, Object.fromEntries(searchParams))
+  const page = await opts.jobs.list({
+    team: call.team,
+    queue: call.queue,
+    limit,
+    ...(state === undefined ? {} : { state }),
+    ...(after === undefined ? {} : { after }),
+  })
+  answer(call, 200, page)
+}
+
+async function get(opts: JobsHandlerOptions, call: JobsRequest): Promise<void> {
+  const { team, deadline, rest = '', queue } = call
+  const id = rest.startsWith(`${queue}.`) ? rest : undefined
+  const job = id === undefined ? undefined : await opts.jobs.get({ team, id, deadline })
+  if (job === undefined) throw new RequestError('job-unknown')
+  answer(call, 200, job)
+}
+
+async function readJson<T>(
+  opts: JobsHandlerOptions,
+  req: IncomingMessage,
+  schema: z.ZodType<T>,
+): Promise<T> {
+  const length = req.headers['content-length']
+  const contentLength = length === undefined ? undefined : Number(length)
+  const maxBytes = bufferedBodyBytes
+  if (contentLength !== undefined && contentLength > maxBytes) {
+    throw new RequestError('body-too-large', { message: 'A job may have at most 64 KiB.' })
+  }
+  const body = await readBody(req, { clock: opts.clock, maxBytes, contentLength })
+  if (body === undefined || body instanceof Readable) throw new RequestError('bad-request')
+  let data: unknown
+  try {
+    data = JSON.parse(body.toString())
+  } catch (cause) {
+    throw new RequestError('bad-request', { message: 'The body is not JSON.', cause })
+  }
+  return parse(schema, data)
+}
+
+function parse<T>(schema: z.ZodType<T>, data: unknown): T {
+  const parsed = schema.safeParse(data)
+  if (parsed.success) return parsed.data
+  const [issue] = parsed.error.issues
+  const path = issue?.path.join('.') ?? ''
+  throw new RequestError('bad-request', {
+    message: `The request is malformed${path === '' ? '' : ` at ${path}`}: ${issue?.message ?? ''}.`,
+  })
+}
+
+/** The outcome is that of the call itself; the state of a job is in its row. */
+function answer({ res, requestId }: JobsRequest, status: number, body: unknown): void {
+  const text = JSON.stringify(body)
+  res.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+    'bulrush-request-id': requestId,
+    'bulrush-outcome': 'finished',
+  })
+  res.end(text)
+}
--- /dev/null
+++ b/packages/entry/src/log-request-error.ts
@@ -0,0 +1,14 @@
+import { normalizeError } from '@bulrushbridge/errors'
+import type { Logger } from '@bulrushbridge/telemetry'
+
+/** Logs a failed request; only an unexpected failure is an error of this entry host. */
+export function logRequestError(
+  log: Logger,
+  err: { kind: string; outcome: string; cause?: unknown },
+  path: string | undefined,
+  requestId: string,
+): void {
+  const cause = err.cause === undefined ? undefined : normalizeError(err.cause).message
+  const level = err.kind === 'internal' ? 'error' : 'info'
+  log[level]('request failed', { requestId, path, kind: err.kind, outcome: err.outcome, cause })
+}
--- a/packages/entry/src/settlement-check.ts
+++ b/packages/entry/src/settlement-check.ts
@@ -1,5 +1,4 @@
 import type { ConfigView } from '@bulrushbridge/config-view'
-import type { TableService } from '@bulrushbridge/store'
 import { request } from 'undici'
 
 /** Time for one runner to list its requests in progress, in milliseconds. */
@@ -7,8 +6,8 @@
 
 /** Options of {@link createSettlementCheck}. */
 export interface SettlementCheckOptions {
-  view: ConfigView
-  table: TableService
+  /** Where the runners of the committed configuration are found. */
+  view: Pick<ConfigView, 'committed'>
 }
 
 /**
@@ -17,7 +16,7 @@
  * that does not answer may still work, so the check fails until it answers or leaves the document.
  *
  * @example
- * const isSettled = createSettlementCheck({ view, table })
+ * const isSettled = createSettlementCheck({ view })
  * await isSettled('e1', '5f0c')
  */
 export function createSettlementCheck(
