feat(control): add bulrush-control with four duties

Cause: nothing removed vanished entry hosts, returned their permits, removed old idempotency records or ran the placement of jobs.

Change: `membership` removes an entry host without a new heartbeat, an exchange or an answer on its operators' port for 10 s. Its holder runs a configuration view without registering, under an id with a dot, so that the settle rule is that of config-view; each of its transactions checks the fence. A gap of 3 s between rounds, as in a store outage, starts all waiting times anew. `permits` examines work 4 s after the removal. `placement/<pool>` has three candidates by rendezvous hashing. Without a duty a process reads one row per duty and the head every 2 s.

Alternatives ruled out: a view in every control program (an exchange with all entry hosts twice a second each); every program a candidate of every pool.

Conclusion: packages/control/package.json does not name its new dependencies, because package-lock.json is not changed here.

--- /dev/null
+++ b/packages/control/__tests__/removed-host.test.ts
@@ -0,0 +1,43 @@
+import t from 'tap'
+import type { ChangeRow } from '@bulrushbridge/contract'
+import { createHttpTableService } from '@bulrushbridge/store'
+import { ledgerTable, type LedgerRow } from '@bulrushbridge/team-limit'
+import { createTestbed, launch, until } from '@bulrushbridge/testbed'
+
+/** Longest wait for a removal: a lease, 10 s of silence and the settling of permits. */
+const removalMs = 60_000
+
+void t.test('a killed entry host is removed and its permits return', async t => {
+  const bed = await createTestbed({ entryHosts: 3, runners: 2 })
+  t.teardown(() => bed.close())
+  const table = createHttpTableService({ url: bed.table.url })
+  t.teardown(() => table.close())
+  const settings = { zone: 'a', host: '127.0.0.1', 'table-url': bed.table.url }
+  const programs = await Promise.all(
+    ['e1', 'e2'].map(member => {
+      const all = { ...settings, member, 'object-url': bed.objects.url }
+      const args = Object.entries(all).flatMap(([name, value]) => [`--${name}`, value])
+      return launch('bulrush-control', args, { BULRUSH_PEER_SECRET: 'testbed-peer-secret' })
+    }),
+  )
+  t.teardown(() => {
+    for (const program of programs) program.kill('SIGKILL')
+  })
+  const holders = async () => {
+    const row = await table.read<LedgerRow>(ledgerTable, 'lamps')
+    return Object.keys(row?.value.holders ?? {}).map(id => id.split('/')[0])
+  }
+  await until(async () => (await holders()).includes('e3'), removalMs)
+  bed.entries[2]?.program.kill('SIGKILL')
+  await until(async () => !(await holders()).includes('e3'), removalMs)
+  const changes = (await table.scan<ChangeRow>('changes')).map(row => row.value.change)
+  const leaves = changes.filter(change => change.kind === 'member-leave')
+  t.same(
+    leaves.map(({ id }) => id),
+    ['e3'],
+    'only the killed entry host is removed, once',
+  )
+  t.same((await holders()).sort(), ['e1', 'e2'], 'the others stay')
+  for (const program of programs) program.kill('SIGTERM')
+  t.same(await Promise.all(programs.map(program => program.ended())), [0, 0], 'graceful close')
+})
--- /dev/null
+++ b/packages/control/src/settings.ts
@@ -0,0 +1,17 @@
+import { entrySettings } from '@bulrushbridge/entry'
+import type { Settings } from '@bulrushbridge/settings'
+
+/** Settings of `bulrush-control`; names and meanings are those of `bulrush-entry`. */
+export const controlSettings = {
+  member: entrySettings.member,
+  zone: entrySettings.zone,
+  host: { ...entrySettings.host, description: 'address of this host' },
+  'table-url': entrySettings['table-url'],
+  'object-url': entrySettings['object-url'],
+  'hosts-url': entrySettings['hosts-url'],
+  'peer-secret': entrySettings['peer-secret'],
+  'log-level': entrySettings['log-level'],
+} as const
+
+/** Parsed settings of `bulrush-control`. */
+export type ControlSettings = Settings<typeof controlSettings>
