feat(peer-link,entry): optional mutual TLS between entry hosts; hide secrets in logs

Cause: peers proved themselves by a secret in clear text only, and a key that a caller put into a path was logged and repeated in answers to operators. Watching files was ruled out, as it misses replaced mounts. Changed files are used without a restart and broken ones are not. Logs and operators' answers hide the secrets of keys and credentials, and logs leave out the query. Conclusion: strangers, other authorities and clear text reach no handler, also of a real process; no secret is found in the debug log, metrics and answers of two entry hosts.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -5,7 +5,12 @@
 import { normalizeError, systemClock } from '@bulrushbridge/errors'
 import { createIdempotencyRecords } from '@bulrushbridge/idempotency'
 import { createOperatorApi } from '@bulrushbridge/operator-api'
-import { createPeerLinks, createPeerServer } from '@bulrushbridge/peer-link'
+import {
+  createPeerLinks,
+  createPeerServer,
+  createPeerTls,
+  type PeerTls,
+} from '@bulrushbridge/peer-link'
 import {
   createGroupCommitter,
   createHttpObjectStore,
@@ -68,7 +73,8 @@
     maxRows: maxGroupRows,
   })
   const decisions = createDecisionLog({ table, member: cfg.member, clock })
-  const links = createPeerLinks({ secret: cfg['peer-secret'] })
+  const peerTls = loadPeerTls(cfg, log)
+  const links = createPeerLinks({ secret: cfg['peer-secret'], tls: peerTls })
   const peerLoad = createPeerLoad({ clock })
 
   const calls = createPeerCalls({
@@ -86,6 +92,7 @@
     host: cfg.host,
     port: cfg['peer-port'],
     secret: cfg['peer-secret'],
+    tls: peerTls,
     handlers: createPeerHandlers({
       view: () => view,
       permits: () => permits,
@@ -259,6 +266,7 @@
       await decisions.close()
       await Promise.all([callers.close(), operators.close(), peers.close()])
       links.close()
+      peerTls?.close()
       await Promise.all([table.close(), objects.close(), tracing.close()])
       log.info('entry host stopped')
     },
@@ -277,13 +285,32 @@
 /** Interval at which waiting requests and the confirmation reach the permits, in milliseconds. */
 const tickMs = 50
 
+/** Mutual TLS between entry hosts, when its files are given. */
+function loadPeerTls(cfg: EntrySettings, log: Logger): PeerTls | undefined {
+  const files = { cert: cfg['peer-cert'], key: cfg['peer-key'], ca: cfg['peer-ca'] }
+  if (files.cert === '') return undefined
+  const settings = '--peer-cert, --peer-key and --peer-ca'
+  try {
+    return createPeerTls({
+      files,
+      onError: err => {
+        log.warn(`${settings}: changed files cannot be used`, { error: err.message })
+      },
+    })
+  } catch (cause) {
+    throw new Error(`${settings}: ${normalizeError(cause).message}`, { cause })
+  }
+}
+
 function logRequestError(
   log: Logger,
   err: { kind: string; outcome: string; cause?: unknown },
-  path: string | undefined,
+  url: string | undefined,
   requestId: string,
 ): void {
   const cause = err.cause === undefined ? undefined : normalizeError(err.cause).message
   const level = err.kind === 'internal' ? 'error' : 'info'
+  // The query belongs to the upstream and may hold credentials of the caller.
+  const path = url?.split('?', 1)[0]
   log[level]('request failed', { requestId, path, kind: err.kind, outcome: err.outcome, cause })
 }
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -40,6 +40,22 @@
     description: 'secret that the entry hosts of an environment share, at least 16 characters',
     secret: true,
   },
+  'peer-cert': {
+    schema: z.string(),
+    description:
+      'PEM file with the certificate of this entry host, naming its address; with --peer-key and --peer-ca, peers use mutual TLS',
+    default: '',
+  },
+  'peer-key': {
+    schema: z.string(),
+    description: 'PEM file with the private key of --peer-cert',
+    default: '',
+  },
+  'peer-ca': {
+    schema: z.string(),
+    description: "PEM file with the authorities that sign the peers' certificates",
+    default: '',
+  },
   peers: {
     schema: peerList,
     description: 'peers to ask at start while the store is down: ID=IPv4:PORT,...',
@@ -98,5 +114,9 @@
       `--default-deadline (${cfg['default-deadline']}) is above --max-deadline (${cfg['max-deadline']})`,
     )
   }
+  const files = [cfg['peer-cert'], cfg['peer-key'], cfg['peer-ca']]
+  if (files.includes('') && files.some(file => file !== '')) {
+    faults.push('--peer-cert, --peer-key and --peer-ca must be given together')
+  }
   return faults
 }
--- a/packages/operator-api/src/respond.ts
+++ b/packages/operator-api/src/respond.ts
@@ -1,9 +1,9 @@
 import { randomUUID } from 'node:crypto'
-import { toRequestError } from '@bulrushbridge/errors'
+import { hideSecrets, toRequestError } from '@bulrushbridge/errors'
 
 /** A JSON response. */
 export function respond(status: number, body: unknown): Response {
-  return new Response(JSON.stringify(body), {
+  return new Response(hideSecrets(JSON.stringify(body)), {
     status,
     headers: { 'content-type': 'application/json' },
   })
@@ -21,6 +21,8 @@
     'bulrush-request-id': requestId,
     ...(err.answer.retryable ? { 'retry-after': '1' } : {}),
   }
-  const body = JSON.stringify({ error: { kind, message, outcome, requestId, ...extra } })
+  const body = hideSecrets(
+    JSON.stringify({ error: { kind, message, outcome, requestId, ...extra } }),
+  )
   return new Response(body, { status: err.answer.status, headers })
 }
--- a/packages/peer-link/src/index.ts
+++ b/packages/peer-link/src/index.ts
@@ -6,3 +6,10 @@
   type PeerServer,
   type PeerServerOptions,
 } from './peer-server.js'
+export {
+  createPeerTls,
+  type CreatePeerTlsOptions,
+  type PeerTls,
+  type PeerTlsFiles,
+  type PeerTlsOptions,
+} from './peer-tls.js'
--- a/packages/peer-link/src/peer-client.ts
+++ b/packages/peer-link/src/peer-client.ts
@@ -8,6 +8,7 @@
 import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node'
 import { PeerService } from '@bulrushbridge/wire'
 import { peerAuthorization } from './peer-secret.js'
+import type { PeerTls } from './peer-tls.js'
 
 /** Idle links are kept, because the exchange uses them every 500 ms. */
 const idleConnectionTimeoutMs = 60_000
@@ -24,6 +25,8 @@
    * something between the hosts has lost track of never answers again.
    */
   isSuspect(): boolean
+  /** True after the certificates changed; calls in progress may finish on the link. */
+  isOutdated(): boolean
   close(): void
 }
 
@@ -33,6 +36,8 @@
   address: string
   /** Secret shared by all entry hosts of an environment. */
   secret: string
+  /** Certificates for mutual TLS; without them the link is in clear text. */
+  tls?: PeerTls | undefined
 }
 
 /**
@@ -43,12 +48,15 @@
  * const res = await link.calls.exchange({ report }, { timeoutMs: 2_000 })
  */
 export function createPeerLink(opts: PeerLinkOptions): PeerLink {
-  const baseUrl = `http://${opts.address}`
-  const sessionManager = new Http2SessionManager(baseUrl, {
-    idleConnectionTimeoutMs,
-  })
+  const tls = opts.tls?.current()
+  const baseUrl = `${tls === undefined ? 'http' : 'https'}://${opts.address}`
+  const sessionManager = new Http2SessionManager(baseUrl, { idleConnectionTimeoutMs }, tls)
   const authorization = peerAuthorization(opts.secret)
   let suspect = false
+  const stopListening = opts.tls?.onChange(() => {
+    outdated = true
+  })
+  let outdated = false
   const authenticate: Interceptor = next => async req => {
     req.header.set('authorization', authorization)
     try {
@@ -72,7 +80,9 @@
     address: opts.address,
     calls: createClient(PeerService, transport),
     isSuspect: () => suspect,
+    isOutdated: () => outdated,
     close: () => {
+      stopListening?.()
       sessionManager.abort()
     },
   }
--- a/packages/peer-link/src/peer-links.ts
+++ b/packages/peer-link/src/peer-links.ts
@@ -1,4 +1,8 @@
 import { createPeerLink, type PeerLink } from './peer-client.js'
+import type { PeerTls } from './peer-tls.js'
+
+/** Time for the calls in progress on a link with former certificates, in milliseconds. */
+const outdatedMs = 5_000
 
 /** The links of an entry host to all its peers, opened on first use. */
 export interface PeerLinks {
@@ -16,14 +20,19 @@
  * const links = createPeerLinks({ secret })
  * await links.to(member).calls.exchange({ report })
  */
-export function createPeerLinks(opts: { secret: string }): PeerLinks {
+export function createPeerLinks(opts: { secret: string; tls?: PeerTls | undefined }): PeerLinks {
   const links = new Map<string, PeerLink>()
   return {
     to: peer => {
       const known = links.get(peer.id)
-      if (known?.address === peer.peerAddress && !known.isSuspect()) return known
-      known?.close()
-      const link = createPeerLink({ address: peer.peerAddress, secret: opts.secret })
+      const isUsable = known?.address === peer.peerAddress && !known.isSuspect()
+      if (isUsable && !known.isOutdated()) return known
+      if (isUsable) {
+        setTimeout(() => {
+          known.close()
+        }, outdatedMs).unref()
+      } else known?.close()
+      const link = createPeerLink({ address: peer.peerAddress, ...opts })
       links.set(peer.id, link)
       return link
     },
--- a/packages/peer-link/src/peer-server.ts
+++ b/packages/peer-link/src/peer-server.ts
@@ -1,8 +1,15 @@
-import { createServer, type Http2Server, type ServerHttp2Session } from 'node:http2'
+import {
+  createSecureServer,
+  createServer,
+  type Http2SecureServer,
+  type Http2Server,
+  type ServerHttp2Session,
+} from 'node:http2'
 import { Code, ConnectError, type Interceptor, type ServiceImpl } from '@connectrpc/connect'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
 import { PeerService } from '@bulrushbridge/wire'
 import { isPeerAuthorized } from './peer-secret.js'
+import type { PeerTls } from './peer-tls.js'
 
 /** What the peers may call. */
 export type PeerHandlers = ServiceImpl<typeof PeerService>
@@ -12,6 +19,8 @@
   host: string
   port: number
   secret: string
+  /** Certificates for mutual TLS; without them the service is in clear text. */
+  tls?: PeerTls | undefined
   handlers: PeerHandlers
 }
 
@@ -23,7 +32,8 @@
 }
 
 /**
- * Serves the peers of this entry host. A call without the shared secret is answered with
+ * Serves the peers of this entry host. With `tls`, a connection without a certificate of the same
+ * authority ends in the handshake. A call without the shared secret is answered with
  * `unauthenticated` before any handler runs.
  *
  * @example
@@ -40,7 +50,11 @@
     interceptors: [authenticate],
     routes: router => router.service(PeerService, opts.handlers),
   })
-  const server = createServer({}, adapter)
+  const { tls } = opts
+  const secure =
+    tls &&
+    createSecureServer({ ...tls.current(), requestCert: true, rejectUnauthorized: true }, adapter)
+  const server = secure ?? createServer({}, adapter)
   const sessions = new Set<ServerHttp2Session>()
   server.on('session', session => {
     sessions.add(session)
@@ -48,10 +62,16 @@
     // A reset of the connection by the peer must not end the process.
     session.on('error', () => undefined)
   })
+  const stopFollowing = tls?.onChange(options => {
+    secure?.setSecureContext(options)
+    // Connections made with the former certificates end after their calls; peers reconnect.
+    for (const session of sessions) session.close()
+  })
   const port = await listen(server, opts)
   return {
     address: `${opts.host}:${port}`,
     close: () => {
+      stopFollowing?.()
       for (const session of sessions) session.destroy()
       return new Promise(resolve => {
         server.close(() => {
@@ -62,7 +82,10 @@
   }
 }
 
-async function listen(server: Http2Server, opts: PeerServerOptions): Promise<number> {
+async function listen(
+  server: Http2Server | Http2SecureServer,
+  opts: PeerServerOptions,
+): Promise<number> {
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(opts.port, opts.host, resolve)
--- a/packages/telemetry/src/logger.ts
+++ b/packages/telemetry/src/logger.ts
@@ -1,5 +1,6 @@
 // Must be loaded before roarr.
 import './log-environment.js'
+import { hideSecrets } from '@bulrushbridge/errors'
 import { Roarr, type Logger as RoarrLogger } from 'roarr'
 
 /** Fields of a log line; must never hold a key or credential. */
@@ -47,6 +48,10 @@
 function logAt(roarr: RoarrLogger, level: 'debug' | 'info' | 'warn' | 'error', minimum: number) {
   if (levels[level] < minimum) return () => undefined
   return (message: string, fields: LogFields = {}) => {
-    roarr[level](fields, message)
+    const safe: LogFields = {}
+    for (const [name, value] of Object.entries(fields)) {
+      safe[name] = typeof value === 'string' ? hideSecrets(value) : value
+    }
+    roarr[level](safe, hideSecrets(message))
   }
 }
