--- a/packages/control/src/main.ts
+++ b/packages/control/src/main.ts
@@ -7,7 +7,6 @@
 
 await runProgram({
   name: 'bulrush-control',
-  version: '0.1.0',
   description: 'Competes for the duties of the fleet on one entry host.',
   settings: controlSettings,
   main: cfg => {
