--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -19,7 +19,7 @@
 } from '@bulrushbridge/store'
 import { createKeyring } from '@bulrushbridge/team-keys'
 import { createTeamPermits } from '@bulrushbridge/team-limit'
-import { createLogger, createMetrics, createTracing } from '@bulrushbridge/telemetry'
+import { createLogger, createMetrics, createTracing, type Logger } from '@bulrushbridge/telemetry'
 import type { Report } from '@bulrushbridge/wire'
 import { createCallHandler } from './call-handler.js'
 import { createCallerServer } from './caller-server.js'
@@ -327,16 +327,3 @@
     throw new Error(`${settings}: ${normalizeError(cause).message}`, { cause })
   }
 }
-
-function logRequestError(
-  log: Logger,
-  err: { kind: string; outcome: string; cause?: unknown },
-  url: string | undefined,
-  requestId: string,
-): void {
-  const cause = err.cause === undefined ? undefined : normalizeError(err.cause).message
-  const level = err.kind === 'internal' ? 'error' : 'info'
-  // The query belongs to the upstream and may hold credentials of the caller.
-  const path = url?.split('?', 1)[0]
-  log[level]('request failed', { requestId, path, kind: err.kind, outcome: err.outcome, cause })
-}
--- a/packages/entry/src/log-request-error.ts
+++ b/packages/entry/src/log-request-error.ts
@@ -5,10 +5,12 @@
 export function logRequestError(
   log: Logger,
   err: { kind: string; outcome: string; cause?: unknown },
-  path: string | undefined,
+  url: string | undefined,
   requestId: string,
 ): void {
   const cause = err.cause === undefined ? undefined : normalizeError(err.cause).message
   const level = err.kind === 'internal' ? 'error' : 'info'
+  // The query belongs to the upstream and may hold credentials of the caller.
+  const path = url?.split('?', 1)[0]
   log[level]('request failed', { requestId, path, kind: err.kind, outcome: err.outcome, cause })
 }
