--- a/packages/maintenance/src/pool-after-maintenance.ts
+++ b/packages/maintenance/src/pool-after-maintenance.ts
@@ -15,7 +15,8 @@
   moveGain?: number
 }
 
-const defaultMoveGain = 1.25
+/** At 1.25 hosts change pools so often that zones become uneven; at 4 tight pools wait too long. */
+const defaultMoveGain = 2
 
 /**
  * Pool that a host joins when its maintenance is done. Its old pool has kept its budget without it,
--- a/packages/maintenance/src/review-wave.ts
+++ b/packages/maintenance/src/review-wave.ts
@@ -21,6 +21,8 @@
   missing: string[]
   /** Hosts that returned unhealthy. They are counted as failed. */
   unhealthy: string[]
+  /** Pools short of a budget; none of their hosts leaves, by the rule of `mayLeave`. */
+  lowPools: string[]
   /** The fleet with missing and unhealthy hosts counted as failed. */
   fleet: Fleet
 }
@@ -28,12 +30,19 @@
 /** Part of the returned hosts that may be unhealthy before the wave halts. */
 const toleratedUnhealthy = 0.1
 
+/**
+ * Pools short at once that halt the whole wave. One is mostly a single failure, which the next host
+ * to return makes good; two are a sign of a correlated failure that may go on.
+ */
+const lowPoolsToHalt = 2
+
 /** Part of the wave's hosts that may be missing before it halts. */
 const toleratedMissing = 0.1
 
 /**
  * Reviews a wave in progress. It halts when what returned is unhealthy, when hosts stay away, or
- * when a service would fall short of its budget should the worst zone go. A halted wave sends out
+ * when several pools would fall short of a budget should the worst zone go; for a single pool, only
+ * that pool's part of the wave halts. A halted wave sends out
  * no further host; hosts that are away still return.
  *
  * @example
@@ -56,6 +65,7 @@
   const halt: HaltReason[] = []
   if (unhealthy.length > toleratedUnhealthy * returned.length) halt.push('unhealthy-return')
   if (missing.length > toleratedMissing * opts.wave.length) halt.push('host-missing')
-  if ([...freeMargins(fleet).values()].some(margin => margin < 0)) halt.push('budget-low')
-  return { halt, missing, unhealthy, fleet }
+  const lowPools = [...freeMargins(fleet)].filter(([, margin]) => margin < 0).map(([pool]) => pool)
+  if (lowPools.length >= lowPoolsToHalt) halt.push('budget-low')
+  return { halt, missing, unhealthy, lowPools, fleet }
 }
