--- a/bench/policy-run.ts
+++ b/bench/policy-run.ts
@@ -20,45 +20,9 @@
   type ZoneReturn,
 } from '../packages/zone-withdrawal/src/index.js'
 import { arrivals, failures, random, stepMs, type Setting } from './policy-fleet.js'
-import { coverOf, createService, type Division } from './policy-service.js'
-import { createState, type Broken } from './policy-state.js'
-
-/** The ways compared. */
-export interface Policy {
-  /** Hosts that return from maintenance join the pool that waits most. */
-  join: boolean
-  /** Factor of `poolAfterMaintenance`; its default when absent. */
-  moveGain?: number
-  /** Moves for shortages, from the spare pool. */
-  lend: boolean
-  /** Most hosts away for maintenance. */
-  maxHosts?: number
-  /** Whether maintenance keeps the budget should the worst zone go. */
-  keepBudget: boolean
-  buffer: 'sized' | 'zone'
-  division: Division
-  /** Whether tasks are checkpointed at a withdrawal and the return is gradual. */
-  gradual: boolean
-  /** No failures; tells what part of a figure they cause. */
-  calm?: boolean
-}
-
-/** Sums of one run. Work is in host-hours. */
-export interface RunResult {
-  spareHostHoursPerDay: number
-  spareBound: number
-  rolloutMs: number
-  maintained: number
-  moves: number
-  shareDistance: number
-  shareBound: number
-  work: number
-  workBound: number
-  broken: Broken
-  overLimit: number
-  /** Steps in which failures alone left a budget short should the worst zone go. */
-  exposedSteps: number
-}
+import { coverOf, createService } from './policy-service.js'
+import { createState } from './policy-state.js'
+import type { Policy, RunResult } from './policy-types.js'
 
 const minuteMs = 60_000
 const moveCostMs = 4 * minuteMs
--- a/bench/policy.ts
+++ b/bench/policy.ts
@@ -1,6 +1,7 @@
 import { settingOf, type Setting, type User } from './policy-fleet.js'
 import { coverOf } from './policy-service.js'
-import { runPolicy, type Policy, type RunResult } from './policy-run.js'
+import { runPolicy } from './policy-run.js'
+import type { Policy, RunResult } from './policy-types.js'
 
 /** One measured figure. */
 export interface PolicyRecord {
