fix(entry): serve requests during the balancer's wait of a shutdown

Ruled out: a slow readiness check of the test's balancer (it checks every 100 ms; the answers were refusals of the stopping entry host itself, kind shutting-down). Conclusion: new requests are refused only after the balancer's wait; ready still fails at once.

--- a/packages/entry/src/call-handler.ts
+++ b/packages/entry/src/call-handler.ts
@@ -23,7 +23,8 @@
   tracing: Tracing
   keyring(): Keyring
   service(name: string): ServicePath | undefined
-  isShuttingDown(): boolean
+  /** Whether a shutdown has got past its wait for the balancer. */
+  isRefusing(): boolean
 }
 
 /** A request on its way through the handler. */
@@ -90,7 +91,7 @@
 
 /** Refuses while this entry host may not start work. */
 function assertServing(opts: CallHandlerOptions): void {
-  if (opts.isShuttingDown()) throw new RequestError('shutting-down')
+  if (opts.isRefusing()) throw new RequestError('shutting-down')
   if (!opts.view.isConfirmed()) throw new RequestError('view-expired')
 }
 
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -181,6 +181,7 @@
 
   const records = createIdempotencyRecords({ table, committer, member: cfg.member, clock })
   let shuttingDown = false
+  let refusing = false
   const callers = await createCallerServer({
     host: cfg.host,
     port: cfg['caller-port'],
@@ -198,7 +199,7 @@
       },
       keyring: () => keyring,
       service: name => services.get(name),
-      isShuttingDown: () => shuttingDown,
+      isRefusing: () => refusing,
     }),
     jobs: () => Promise.reject(new Error('jobs are not served yet')),
     onError: (err, req, requestId) => {
@@ -246,6 +247,9 @@
         log,
         balancerWaitMs: cfg['balancer-wait'],
         limitMs: cfg['shutdown-limit'],
+        refuseNew: () => {
+          refusing = true
+        },
         callers,
         services,
         records,
--- a/packages/entry/src/shutdown.ts
+++ b/packages/entry/src/shutdown.ts
@@ -20,6 +20,8 @@
   balancerWaitMs: number
   /** Longest time that requests are waited for. */
   limitMs: number
+  /** Called after the balancer's wait; new requests are refused from then on. */
+  refuseNew: () => void
   callers: CallerServer
   services: Services
   records: IdempotencyRecords
@@ -35,6 +37,7 @@
   const { clock, log, callers } = opts
   log.info('shutting down: waiting for the balancer', { ms: opts.balancerWaitMs })
   await pause(opts.balancerWaitMs)
+  opts.refuseNew()
   callers.drain()
   const deadline = clock.now() + opts.limitMs
   while (callers.active() > 0 && clock.now() < deadline) await pause(checkMs)
