--- a/packages/entry/src/call-handler.ts
+++ b/packages/entry/src/call-handler.ts
@@ -33,7 +33,8 @@
   tracing: Tracing
   keyring(): Keyring
   service(name: string): ServicePath | undefined
-  isShuttingDown(): boolean
+  /** Whether a shutdown has got past its wait for the balancer. */
+  isRefusing(): boolean
 }
 
 /** The team of a request that came without a key, on a queue that allows it. */
@@ -123,7 +124,7 @@
 
 /** Refuses while this entry host may not start work. */
 function assertServing(opts: CallHandlerOptions): void {
-  if (opts.isShuttingDown()) throw new RequestError('shutting-down')
+  if (opts.isRefusing()) throw new RequestError('shutting-down')
   if (!opts.view.isConfirmed()) throw new RequestError('view-expired')
 }
 
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -194,6 +194,7 @@
 
   const records = createIdempotencyRecords({ table, committer, member: cfg.member, clock })
   let shuttingDown = false
+  let refusing = false
   const callers = await createCallerServer({
     host: cfg.host,
     port: cfg['caller-port'],
@@ -211,7 +212,7 @@
       },
       keyring: () => keyring,
       service: name => services.get(name),
-      isShuttingDown: () => shuttingDown,
+      isRefusing: () => refusing,
     }),
     jobs: createJobsHandler({
       clock,
@@ -220,7 +221,7 @@
       defaultDeadlineMs: cfg['default-deadline'],
       maxDeadlineMs: cfg['max-deadline'],
       keyring: () => keyring,
-      isShuttingDown: () => shuttingDown,
+      isRefusing: () => refusing,
     }),
     onError: (err, req, requestId) => {
       logRequestError(log, err, req.url, requestId)
@@ -268,6 +269,9 @@
       log,
       balancerWaitMs: opts.balancerWaitMs ?? cfg['balancer-wait'],
       limitMs: cfg['shutdown-limit'],
+      refuseNew: () => {
+        refusing = true
+      },
       callers,
       services,
       records,
--- a/packages/entry/src/jobs-handler.ts
+++ b/packages/entry/src/jobs-handler.ts
@@ -54,7 +54,7 @@
   defaultDeadlineMs: number
   maxDeadlineMs: number
   keyring(): Keyring
-  isShuttingDown(): boolean
+  isRefusing(): boolean
 }
 
 /** A request about the jobs of a team in a queue. */
@@ -104,7 +104,7 @@
   const { pathname } = new URL(req.url ?? '', 'http://entry')
   const [, queue = '', rest] = jobsPathPattern.exec(pathname) ?? []
   if (queue === '') throw new RequestError('unknown-path')
-  if (opts.isShuttingDown()) throw new RequestError('shutting-down')
+  if (opts.isRefusing()) throw new RequestError('shutting-down')
   if (!opts.view.isConfirmed()) throw new RequestError('view-expired')
   const row = opts.view.current().queues[queue]
   if (row === undefined) throw new RequestError('unknown-queue')
