feat(team-limit,placement): leave room for tasks in the division of a limit

Cause: idle entry hosts keep their whole division of a team's limit, so that `reserveForTask` finds no permit although none is in use.

Change: the placement of a pool writes what a team's tasks use and want to `permit-wishes`. Entry hosts read that table once a second, divide the rest of the limit, and give idle permits beyond that back at once. A wish moves no permit, so the safety argument is unchanged; permits in use stay.

Alternatives ruled out: a wish in the ledger row, because entry hosts read it only when they have something to change, and reading all ledger rows each second takes teams times entry hosts reads; a lower division for all, because that strands permits of teams without jobs.

Conclusion: the time of moving demand between entry hosts is unchanged; loan requests still ask for one permit each.

--- a/packages/control/src/placement-duties.ts
+++ b/packages/control/src/placement-duties.ts
@@ -3,7 +3,7 @@
 import { normalizeError } from '@bulrushbridge/errors'
 import { createPlacementDuty } from '@bulrushbridge/placement'
 import type { HeldDuty } from '@bulrushbridge/store'
-import { createTaskPermits } from '@bulrushbridge/team-limit'
+import { createTaskPermits, createTaskWishes } from '@bulrushbridge/team-limit'
 import type { ControlContext } from './control-context.js'
 import { createDutyTask, type DutyTerm } from './duty-task.js'
 
@@ -90,6 +90,7 @@
   const placement = createPlacementDuty({
     table,
     permits,
+    wishes: createTaskWishes({ table, pool }),
     pool,
     clock,
     held,
--- a/packages/placement/__tests__/fixture.ts
+++ b/packages/placement/__tests__/fixture.ts
@@ -9,7 +9,12 @@
   type WorkerStandin,
 } from '@bulrushbridge/standins'
 import { createDuty, createHttpTableService } from '@bulrushbridge/store'
-import { createTaskPermits, ledgerTable, type LedgerRow } from '@bulrushbridge/team-limit'
+import {
+  createTaskPermits,
+  createTaskWishes,
+  ledgerTable,
+  type LedgerRow,
+} from '@bulrushbridge/team-limit'
 import { createPlacementDuty, type PlacementDecision } from '../src/index.js'
 
 export const pool = 'batch'
@@ -58,6 +63,7 @@
     const placement = createPlacementDuty({
       table: own,
       permits,
+      wishes: createTaskWishes({ table: own, pool }),
       pool,
       clock,
       held: () => duty.held(),
--- a/packages/placement/src/placement-duty.ts
+++ b/packages/placement/src/placement-duty.ts
@@ -12,7 +12,7 @@
   type QueuedJob,
 } from '@bulrushbridge/jobs'
 import type { HeldDuty, TableService } from '@bulrushbridge/store'
-import type { TaskPermits } from '@bulrushbridge/team-limit'
+import type { TaskPermits, TaskWishWriter } from '@bulrushbridge/team-limit'
 import { createWorkerBlame } from './blame.js'
 import { canNeverRun, choosePlacements, type Placement } from './choose.js'
 import { createLearnedSizes } from './learned-sizes.js'
@@ -46,6 +46,8 @@
 export interface PlacementDutyOptions {
   table: TableService
   permits: TaskPermits
+  /** Asks idle entry hosts for permits. */
+  wishes: TaskWishWriter
   pool: string
   clock: Clock
   /** The lease of the duty `placement/<pool>`. */
@@ -161,6 +163,7 @@
     if (clock.now() >= confirmedUntil()) return
     const { queues, shares, zonesOut } = configuration()
     const jobs = await this.#queuedJobs(queues)
+    await this.#wish(jobs)
     if (jobs.length === 0) return
     const { leaving, gone } = this.#opts.listed()
     const closedWorkers = new Set([
@@ -201,6 +204,16 @@
     return runnable
   }
 
+  /** Permits for what runs and what could run soon, for each team of the configuration. */
+  async #wish(jobs: readonly QueuedJob[]): Promise<void> {
+    const { shares } = this.#opts.configuration()
+    const totals = new Map([...shares.keys()].map(team => [team, 0]))
+    const add = ({ team }: { team: string }) => totals.set(team, (totals.get(team) ?? 0) + 1)
+    jobs.slice(0, startsPerRound).forEach(add)
+    for (const { row } of this.#tasks.values()) add(row)
+    for (const [team, total] of totals) await this.#opts.wishes.set(team, total)
+  }
+
   async #park(job: QueuedJob): Promise<void> {
     const reason = 'it is larger than any worker of the pool'
     await this.#rows.park(jobKey(job.team, job.id), reason)
--- a/packages/team-limit/src/ledger-sync.ts
+++ b/packages/team-limit/src/ledger-sync.ts
@@ -8,6 +8,7 @@
   type LedgerRow,
 } from './ledger.js'
 import type { TeamAccount } from './team-account.js'
+import { TaskWishes } from './task-wishes.js'
 import type { PermitContext } from './team-permits.js'
 
 /** Pause between two transactions of a team, doubled at random, in milliseconds. */
@@ -33,10 +34,14 @@
   readonly #ctx: PermitContext
   readonly #onReclaimed: () => void
   readonly #syncs = new Map<string, TeamSync>()
+  readonly #wishes: TaskWishes
 
   constructor(ctx: PermitContext, onReclaimed: () => void) {
     this.#ctx = ctx
     this.#onReclaimed = onReclaimed
+    this.#wishes = new TaskWishes(ctx.table, () => {
+      this.wake()
+    })
   }
 
   /** Makes all teams due. */
@@ -47,9 +52,10 @@
   tick(now: number): void {
     const { accounts, rng, log, closing } = this.#ctx
     if (!this.#ctx.isConfirmed() && !closing) return
+    this.#wishes.tick(now)
     for (const [team, account] of accounts) {
       const sync = this.#syncOf(team, now)
-      const target = this.#target(account, sync, now)
+      const target = this.#target(team, account, sync, now)
       if (sync.busy || now < sync.nextAt || !this.#isDue(account, sync, target)) continue
       sync.busy = true
       const isUrgent = account.demand(now) > 0 || target <= account.own
@@ -75,16 +81,20 @@
   }
 
   /** Number of own permits that this entry host should have. */
-  #target(account: TeamAccount, sync: TeamSync, now: number): number {
+  #target(team: string, account: TeamAccount, sync: TeamSync, now: number): number {
     const { members, member, closing } = this.#ctx
     const owed = account.owed()
     if (closing) return Math.min(account.own, owed)
     const ids = [...members.keys()].sort()
-    const extra = ids.indexOf(member) < account.limit % ids.length ? 1 : 0
-    const division = Math.floor(account.limit / ids.length) + extra
+    // What tasks use or want is left out of the division: idle permits here would starve them.
+    const wished = this.#wishes.total(team)
+    const divided = Math.max(0, account.limit - wished)
+    const extra = ids.indexOf(member) < divided % ids.length ? 1 : 0
+    const division = Math.floor(divided / ids.length) + extra
     const keep = Math.max(division, owed + account.demand(now))
     if (account.own <= keep) sync.surplusSince = now
-    return account.own > keep && now - sync.surplusSince < surplusMs ? account.own : keep
+    const keepsSurplus = wished === 0 && now - sync.surplusSince < surplusMs
+    return account.own > keep && keepsSurplus ? account.own : keep
   }
 
   async #sync(team: string, account: TeamAccount, sync: TeamSync, target: number): Promise<void> {
