test(placement): guard the choice of workers, learned sizes and quarantine

Cause: the decision functions were covered only through the loop.

Change: tests for shares, urgent jobs, spread, closed workers and zones, capacity, jobs that can never run, learned sizes and the bound of a fifth.

--- /dev/null
+++ b/packages/placement/__tests__/choose.test.ts
@@ -0,0 +1,141 @@
+import t from 'tap'
+import type { WorkerRow } from '@bulrushbridge/host'
+import type { QueuedJob } from '@bulrushbridge/jobs'
+import { seededRandom } from '@bulrushbridge/standins'
+import {
+  canNeverRun,
+  choosePlacements,
+  createLearnedSizes,
+  createWorkerBlame,
+  type PlacementState,
+} from '../src/index.js'
+
+function worker(id: string, rack: string, zone: string): WorkerRow {
+  const size = { cpus: 4, memoryMb: 4_096, accelerators: 0 }
+  return { id, pool: 'batch', rack, zone, address: '127.0.0.1:1', ...size }
+}
+
+function job(id: string, team: string, fields: Partial<QueuedJob> = {}): QueuedJob {
+  const request = { cpus: 1, memoryMb: 64, accelerators: 0, runMs: 50 }
+  const kind = 'plan'
+  const queue = 'q'
+  return {
+    id,
+    team,
+    queue,
+    idempotent: true,
+    urgent: false,
+    request,
+    kind,
+    acceptedAt: 0,
+    ...fields,
+  }
+}
+
+const workers = ['a', 'b'].flatMap(zone =>
+  ['1', '2'].map(rack => worker(`w${zone}${rack}`, `${zone}${rack}`, zone)),
+)
+
+function state(fields: Partial<PlacementState>): PlacementState {
+  return {
+    jobs: [],
+    workers,
+    tasks: [],
+    zonesOut: new Set(),
+    closedWorkers: new Set(),
+    shares: new Map([
+      ['lamps', 2],
+      ['mills', 1],
+    ]),
+    sizeOf: ({ request }) => request,
+    limit: 100,
+    ...fields,
+  }
+}
+
+function many(team: string, count: number): QueuedJob[] {
+  return Array.from({ length: count }, (_, n) => job(`${team}${n}`, team))
+}
+
+void t.test('a full pool is divided by share, whatever the order of the jobs', t => {
+  const rng = seededRandom(3)
+  const jobs = [...many('lamps', 30), ...many('mills', 30)].sort(() => rng() - 0.5)
+  const placed = choosePlacements(state({ jobs }))
+  const lamps = placed.filter(each => each.job.team === 'lamps').length
+  t.equal(placed.length, 16, 'no capacity is left over')
+  t.ok(lamps === 10 || lamps === 11, `${lamps} of 16 for two thirds of the shares`)
+  t.end()
+})
+
+void t.test('urgent jobs go first within a team and take no share of another', t => {
+  const urgent = Array.from({ length: 20 }, (_, n) => job(`u${n}`, 'mills', { urgent: true }))
+  const placed = choosePlacements(
+    state({ jobs: [...many('lamps', 20), ...many('mills', 5), ...urgent] }),
+  )
+  const mills = placed.filter(each => each.job.team === 'mills')
+  t.ok(mills.length <= 6)
+  t.ok(mills.every(each => each.job.urgent))
+  t.end()
+})
+
+void t.test('jobs spread over zones and racks, without zones out and closed workers', t => {
+  const spread = choosePlacements(state({ jobs: many('lamps', 4) }))
+  t.equal(new Set(spread.map(each => each.worker.rack)).size, 4, 'one job on each rack')
+  const left = choosePlacements(
+    state({ jobs: many('lamps', 9), zonesOut: new Set(['a']), closedWorkers: new Set(['wb1']) }),
+  )
+  t.same([...new Set(left.map(each => each.worker.id))], ['wb2'])
+  t.equal(left.length, 4)
+  t.end()
+})
+
+void t.test('no worker is given more than it has', t => {
+  const rng = seededRandom(11)
+  const jobs = Array.from({ length: 200 }, (_, n) => {
+    const request = { cpus: 0.5 + rng() * 3, memoryMb: rng() * 3_000, accelerators: 0, runMs: 1 }
+    return job(`j${n}`, rng() < 0.5 ? 'lamps' : 'mills', { request })
+  })
+  const placed = choosePlacements(state({ jobs }))
+  for (const { id } of workers) {
+    const own = placed.filter(each => each.worker.id === id)
+    t.ok(own.reduce((sum, { size }) => sum + size.cpus, 0) <= 4)
+    t.ok(own.reduce((sum, { size }) => sum + size.memoryMb, 0) <= 4_096)
+  }
+  t.end()
+})
+
+void t.test('only a job that no empty worker holds can never run', t => {
+  t.ok(canNeverRun({ cpus: 5, memoryMb: 1, accelerators: 0 }, workers))
+  t.ok(canNeverRun({ cpus: 1, memoryMb: 1, accelerators: 1 }, workers))
+  t.notOk(canNeverRun({ cpus: 4, memoryMb: 4_096, accelerators: 0 }, workers))
+  t.notOk(canNeverRun({ cpus: 5, memoryMb: 1, accelerators: 0 }, []), 'the workers are not known')
+  t.end()
+})
+
+void t.test('learned sizes replace wrong declarations, with a margin', t => {
+  const sizes = createLearnedSizes()
+  const rng = seededRandom(5)
+  const declared = { cpus: 16, memoryMb: 10, accelerators: 1, runMs: 10 }
+  t.same(sizes.estimate('plan', declared), declared, 'nothing is known yet')
+  for (let n = 0; n < 50; n++) {
+    const noise = 0.9 + rng() * 0.2
+    sizes.observe('plan', { cpus: 2 * noise, memoryMb: 500 * noise, accelerators: 0, runMs: 100 })
+  }
+  const { cpus, memoryMb, accelerators } = sizes.estimate('plan', declared)
+  t.ok(cpus > 2.1 && cpus < 3, `${cpus} processors`)
+  t.ok(memoryMb > 540 && memoryMb < 750, `${memoryMb} MiB`)
+  t.equal(accelerators, 1)
+  t.end()
+})
+
+void t.test('at most a fifth of a pool is in quarantine', t => {
+  const blame = createWorkerBlame()
+  for (let n = 0; n < 10; n++) {
+    for (const team of ['lamps', 'mills', 'stones']) blame.failed(`w${n}`, team, 10)
+  }
+  t.equal(blame.quarantined().length, 2)
+  const few = createWorkerBlame()
+  for (let n = 0; n < 9; n++) few.failed('w1', 'lamps', 10)
+  t.notOk(few.isQuarantined('w1'), 'one team alone may have faulty jobs')
+  t.end()
+})
