feat(bench): measure burst, shares, limits, changes in force, overhead and slopes

The new measurements run stand-in runners, entry hosts as processes and load from a process of its own. Running requests are followed at every start and end at the runners, because a sampling timer would miss a peak of a limit. Entry hosts count the bytes of their peer connections (bulrush_peer_bytes); /proc/<pid>/io was ruled out because it includes the store and the logs.

--- a/bench/allocate-cost.ts
+++ b/bench/allocate-cost.ts
@@ -1,12 +1,15 @@
 import { allocate, type Demand } from '../packages/team-share/src/index.js'
 
-/** Mean time of `allocate` for 9 entry hosts with 420 teams each, in milliseconds. */
-export function measureAllocate(rounds = 200): number {
+/** Mean time of `allocate` when every entry host reports every team, in milliseconds. */
+export function measureAllocate(
+  rounds = 200,
+  { hosts = 9, teams = 420 }: { hosts?: number; teams?: number } = {},
+): number {
   const demand: Demand[] = []
   const shares = new Map<string, number>()
   // Reports arrive one member at a time, with names made the same objects by createFleetShare.
-  const names = Array.from({ length: 420 }, (_, i) => `team-${i}`)
-  for (let host = 0; host < 9; host++) {
+  const names = Array.from({ length: teams }, (_, i) => `team-${i}`)
+  for (let host = 0; host < hosts; host++) {
     const member = `entry-${host}`
     for (const [team, name] of names.entries()) {
       shares.set(name, 1 + (team % 9))
--- a/bench/measurements.ts
+++ b/bench/measurements.ts
@@ -1,8 +1,13 @@
 import { measureAllocate } from './allocate-cost.js'
+import { measureBurst } from './burst.js'
+import { measureCapacity } from './capacity.js'
 import { measureDispatch } from './dispatch-overhead.js'
 import { measureEnter } from './enter-cost.js'
 import type { Measurement } from './figure.js'
+import { measureFleetShare } from './fleet-share.js'
 import { measureHop } from './hop.js'
+import { measureInForce } from './in-force.js'
+import { measureNodeOverhead } from './node-overhead.js'
 import { measurePermits } from './permits.js'
 import { measureShares } from './share-and-burst.js'
 
@@ -30,4 +35,9 @@
     run: ({ seed, quick }) => measureShares({ seeds: [seed], hosts: quick ? 3 : 9 }),
   },
   { name: 'hop', run: measureHop },
+  { name: 'burst', run: measureBurst },
+  { name: 'fleet', run: measureFleetShare },
+  { name: 'in-force', run: measureInForce },
+  { name: 'node', run: measureNodeOverhead },
+  { name: 'capacity', capacity: true, run: measureCapacity },
 ]
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -224,7 +224,7 @@
       return view.isConfirmed() ? undefined : 'configuration not confirmed'
     },
   })
-  registerGauges(metrics, { view, permits, services, callers })
+  registerGauges(metrics, { view, permits, services, callers, peers })
   log.info('entry host started', {
     zone: cfg.zone,
     callers: callers.address,
--- a/packages/entry/src/gauges.ts
+++ b/packages/entry/src/gauges.ts
@@ -1,4 +1,5 @@
 import type { ConfigView } from '@bulrushbridge/config-view'
+import type { PeerServer } from '@bulrushbridge/peer-link'
 import type { TeamPermits } from '@bulrushbridge/team-limit'
 import type { Metrics } from '@bulrushbridge/telemetry'
 import type { CallerServer } from './caller-server.js'
@@ -10,11 +11,12 @@
   permits: TeamPermits
   services: Services
   callers: CallerServer
+  peers: PeerServer
 }
 
 /** Registers the gauges of an entry host. */
 export function registerGauges(metrics: Metrics, sources: GaugeSources): void {
-  const { view, permits, services, callers } = sources
+  const { view, permits, services, callers, peers } = sources
   metrics.gauge('bulrush_config_version', 'Version of the configuration in force here', () => [
     { value: view.current().version },
   ])
@@ -24,6 +26,9 @@
   metrics.gauge('bulrush_caller_requests', 'Requests of callers in progress', () => [
     { value: callers.active() },
   ])
+  metrics.gauge('bulrush_peer_bytes', 'Bytes on connections that peers opened', () => [
+    { value: peers.bytes() },
+  ])
   metrics.gauge('bulrush_waiting', 'Requests waiting in queues', () =>
     services
       .demand()
--- a/packages/peer-link/src/peer-server.ts
+++ b/packages/peer-link/src/peer-server.ts
@@ -1,4 +1,5 @@
 import { createServer, type Http2Server, type ServerHttp2Session } from 'node:http2'
+import type { Socket } from 'node:net'
 import { Code, ConnectError, type Interceptor, type ServiceImpl } from '@connectrpc/connect'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
 import { PeerService } from '@bulrushbridge/wire'
@@ -19,6 +20,8 @@
 export interface PeerServer {
   /** `IP:port` that it listens on. */
   readonly address: string
+  /** Bytes received and sent since the start, on all connections. */
+  bytes(): number
   close(): Promise<void>
 }
 
@@ -48,9 +51,19 @@
     // A reset of the connection by the peer must not end the process.
     session.on('error', () => undefined)
   })
+  const sockets = new Set<Socket>()
+  let closedBytes = 0
+  server.on('connection', (socket: Socket) => {
+    sockets.add(socket)
+    socket.once('close', () => {
+      sockets.delete(socket)
+      closedBytes += bytesOf(socket)
+    })
+  })
   const port = await listen(server, opts)
   return {
     address: `${opts.host}:${port}`,
+    bytes: () => [...sockets].reduce((sum, socket) => sum + bytesOf(socket), closedBytes),
     close: () => {
       for (const session of sessions) session.destroy()
       return new Promise(resolve => {
@@ -62,6 +75,10 @@
   }
 }
 
+function bytesOf(socket: Socket): number {
+  return socket.bytesRead + socket.bytesWritten
+}
+
 async function listen(server: Http2Server, opts: PeerServerOptions): Promise<number> {
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
