--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -253,7 +253,7 @@
     operators: operators.address,
     log,
   })
-  registerGauges(metrics, { view, permits, services, callers })
+  registerGauges(metrics, { view, permits, services, callers, peers })
   log.info('entry host started', {
     zone: cfg.zone,
     callers: callers.address,
--- a/packages/peer-link/src/peer-server.ts
+++ b/packages/peer-link/src/peer-server.ts
@@ -5,6 +5,7 @@
   type Http2Server,
   type ServerHttp2Session,
 } from 'node:http2'
+import type { Socket } from 'node:net'
 import { Code, ConnectError, type Interceptor, type ServiceImpl } from '@connectrpc/connect'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
 import { PeerService } from '@bulrushbridge/wire'
@@ -28,6 +29,8 @@
 export interface PeerServer {
   /** `IP:port` that it listens on. */
   readonly address: string
+  /** Bytes received and sent since the start, on all connections. */
+  bytes(): number
   close(): Promise<void>
 }
 
@@ -67,9 +70,19 @@
     // Connections made with the former certificates end after their calls; peers reconnect.
     for (const session of sessions) session.close()
   })
+  const sockets = new Set<Socket>()
+  let closedBytes = 0
+  server.on('connection', (socket: Socket) => {
+    sockets.add(socket)
+    socket.once('close', () => {
+      sockets.delete(socket)
+      closedBytes += bytesOf(socket)
+    })
+  })
   const port = await listen(server, opts)
   return {
     address: `${opts.host}:${port}`,
+    bytes: () => [...sockets].reduce((sum, socket) => sum + bytesOf(socket), closedBytes),
     close: () => {
       stopFollowing?.()
       for (const session of sessions) session.destroy()
@@ -82,6 +95,10 @@
   }
 }
 
+function bytesOf(socket: Socket): number {
+  return socket.bytesRead + socket.bytesWritten
+}
+
 async function listen(
   server: Http2Server | Http2SecureServer,
   opts: PeerServerOptions,
