feat(telemetry,entry): export sampled spans of call, queue and upstream as OTLP JSON

Cause: spans were propagated and never exported, and the queue and the attempts had none. Alternatives: the OTLP exporter packages would be a new dependency for one encoding. Starting the queue span before the queue was ruled out: a span made at dispatch costs nothing when not sampled. Each attempt at a runner has a client span, whose context the runner gets. A request that is refused in the queue has no queue span; its call span carries the error kind.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -18,7 +18,13 @@
 } from '@bulrushbridge/store'
 import { createKeyring } from '@bulrushbridge/team-keys'
 import { createTeamPermits } from '@bulrushbridge/team-limit'
-import { createLogger, createMetrics, createTracing, type Logger } from '@bulrushbridge/telemetry'
+import {
+  createLogger,
+  createMetrics,
+  createTraceExporter,
+  createTracing,
+  type Logger,
+} from '@bulrushbridge/telemetry'
 import type { Report } from '@bulrushbridge/wire'
 import { createCallHandler } from './call-handler.js'
 import { createCallerServer } from './caller-server.js'
@@ -63,6 +69,15 @@
     program: 'bulrush-entry',
     member: cfg.member,
     ratio: cfg['trace-ratio'],
+    exporter:
+      cfg['trace-url'] === ''
+        ? undefined
+        : createTraceExporter({
+            url: cfg['trace-url'],
+            onDrop: (spans, err) => {
+              log.warn('spans were dropped', { spans, error: err.message })
+            },
+          }),
   })
   const table = createHttpTableService({ url: cfg['table-url'], clock })
   const objects = createHttpObjectStore({ url: cfg['object-url'], clock })
@@ -135,6 +150,7 @@
     clock,
     rng: Math.random,
     permits,
+    tracing,
     onDecision: (service, decision) => {
       log.info(`runner ${decision.kind}`, { service, runner: decision.runner })
       decisions.record({
--- a/packages/entry/src/service-path.ts
+++ b/packages/entry/src/service-path.ts
@@ -3,6 +3,7 @@
 import { RequestError, type Clock } from '@bulrushbridge/errors'
 import type { Permit, TeamPermits } from '@bulrushbridge/team-limit'
 import { createFairQueue, createFleetShare, type FleetShare } from '@bulrushbridge/team-share'
+import { failSpan, formatTraceparent, type Tracing } from '@bulrushbridge/telemetry'
 import {
   createRunnerLinks,
   type UpstreamAnswer,
@@ -12,6 +13,7 @@
   createRetryBudget,
   createRouter,
   dispatch,
+  type AttemptTrace,
   type Reservation,
   type Router,
   type RoutingDecision,
@@ -66,6 +68,7 @@
   clock: Clock
   rng: () => number
   permits: TeamPermits
+  tracing: Tracing
   /** Numbers the periods in which rounding favours one entry host; the same everywhere. */
   rotation?: () => number
   onDecision: (decision: RoutingDecision) => void
@@ -141,7 +144,10 @@
   }
 
   async enter(req: StartRequest): Promise<ServiceStart> {
+    const { clock, tracing } = this.#opts
+    const enteredAt = clock.now()
     const start = await this.#admission.enter(req)
+    const startedAt = clock.now()
     const { slot, permit } = start.reservation
     const giveBack = () => {
       this.#running -= 1
@@ -153,14 +159,19 @@
     return {
       cancel: giveBack,
       dispatch: ({ idempotent, ...sent }, beforeWrite) => {
+        const waitEndedAgoMs = clock.now() - startedAt
+        tracing
+          .startSampled('internal', 'queue', sent.traceparent, clock.now() - enteredAt)
+          ?.end(Date.now() - waitEndedAgoMs)
         const { answer, settled } = dispatch({
           router: this.#router,
           req: sent,
           idempotent,
           retryBudget: this.#retryBudget,
           beforeWrite,
-          clock: this.#opts.clock,
+          clock,
           reservation: slot,
+          startAttempt: runner => this.#startAttempt(runner, sent.traceparent),
         })
         void settled.then(giveBack)
         return answer
@@ -168,6 +179,19 @@
     }
   }
 
+  #startAttempt(runner: string, traceparent: string | undefined): AttemptTrace | undefined {
+    const span = this.#opts.tracing.startSampled('client', 'upstream', traceparent)
+    if (span === undefined) return undefined
+    span.setAttribute('bulrush.runner', runner)
+    return {
+      traceparent: formatTraceparent(span),
+      end: errorKind => {
+        if (errorKind === undefined) span.end()
+        else failSpan(span, errorKind)
+      },
+    }
+  }
+
   configure(cfg: Configuration): void {
     const service = cfg.services[this.#service.name]
     if (service === undefined) return
--- a/packages/entry/src/services.ts
+++ b/packages/entry/src/services.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '@bulrushbridge/errors'
 import type { Keyring } from '@bulrushbridge/team-keys'
 import type { TeamPermits } from '@bulrushbridge/team-limit'
+import type { Tracing } from '@bulrushbridge/telemetry'
 import type { RoutingDecision } from '@bulrushbridge/upstream-routing'
 import type { Report } from '@bulrushbridge/wire'
 import type { ListedHosts } from './host-list.js'
@@ -14,6 +15,7 @@
   clock: Clock
   rng: () => number
   permits: TeamPermits
+  tracing: Tracing
   onDecision: (service: string, decision: RoutingDecision) => void
 }
 
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -96,6 +96,12 @@
     description: 'lowest level of log lines',
     default: 'info',
   },
+  'trace-url': {
+    schema: z.union([z.literal(['', 'stderr']), z.url({ protocol: /^https?$/ })]),
+    description:
+      'URL of a collector that takes OTLP JSON, or stderr for JSON lines; empty exports no spans',
+    default: '',
+  },
   'trace-ratio': {
     schema: z.coerce.number().min(0).max(1),
     description: 'part of the traces to record when the caller has not decided',
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -13,3 +13,4 @@
   type Tracing,
   type TracingOptions,
 } from './tracing.js'
+export { createTraceExporter, type TraceExporterOptions } from './trace-exporter.js'
--- a/packages/telemetry/src/tracing.ts
+++ b/packages/telemetry/src/tracing.ts
@@ -18,14 +18,24 @@
 
 const traceparentPattern = /^00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})$/
 
+const spanKinds = { internal: SpanKind.INTERNAL, client: SpanKind.CLIENT } as const
+
+/** Bounds of the spans that wait for the exporter; more are dropped. Times in milliseconds. */
+const batchLimits = {
+  maxQueueSize: 2_048,
+  maxExportBatchSize: 256,
+  scheduledDelayMillis: 1_000,
+  exportTimeoutMillis: 5_000,
+}
+
 /** Options of {@link createTracing}. */
 export interface TracingOptions {
   program: string
   member?: string
   /** Part of the traces to record when the caller has not decided; 0 to 1. */
   ratio?: number
-  /** Receives ended spans; without it spans are propagated but not exported. */
-  exporter?: SpanExporter
+  /** Receives ended sampled spans; without it spans are propagated but not exported. */
+  exporter?: SpanExporter | undefined
 }
 
 /** Starts spans and carries the W3C trace context. */
@@ -34,6 +44,16 @@
   startServer(name: string, traceparent: string | undefined): Span
   /** Starts the span of an outgoing call below `parent`. */
   startClient(name: string, parent: Span): Span
+  /**
+   * Starts a span below a `traceparent`; undefined, without any cost, when that is not sampled.
+   * `startedAgoMs` sets an earlier start.
+   */
+  startSampled(
+    kind: 'internal' | 'client',
+    name: string,
+    traceparent: string | undefined,
+    startedAgoMs?: number,
+  ): Span | undefined
   close(): Promise<void>
 }
 
@@ -51,13 +71,22 @@
       ...(opts.member === undefined ? {} : { 'service.instance.id': opts.member }),
     }),
     sampler: new ParentBasedSampler({ root: new TraceIdRatioBasedSampler(opts.ratio ?? 0) }),
-    spanProcessors: opts.exporter === undefined ? [] : [new BatchSpanProcessor(opts.exporter)],
+    spanProcessors:
+      opts.exporter === undefined ? [] : [new BatchSpanProcessor(opts.exporter, batchLimits)],
   })
   const tracer = provider.getTracer('bulrushbridge')
   return {
     startServer: (name, traceparent) =>
       tracer.startSpan(name, { kind: SpanKind.SERVER }, parseTraceparent(traceparent)),
     startClient: (name, parent) => startClient(tracer, name, parent),
+    startSampled: (kind, name, traceparent, startedAgoMs = 0) =>
+      isSampled(traceparent)
+        ? tracer.startSpan(
+            name,
+            { kind: spanKinds[kind], startTime: Date.now() - startedAgoMs },
+            parseTraceparent(traceparent),
+          )
+        : undefined,
     close: () => provider.shutdown(),
   }
 }
@@ -66,6 +95,11 @@
   return tracer.startSpan(name, { kind: SpanKind.CLIENT }, trace.setSpan(ROOT_CONTEXT, parent))
 }
 
+/** The last digit of the flags is odd when the trace is sampled. */
+function isSampled(traceparent: string | undefined): traceparent is string {
+  return traceparent !== undefined && (Number.parseInt(traceparent.slice(-1), 16) & 1) === 1
+}
+
 function parseTraceparent(header: string | undefined): Context {
   const match = header === undefined ? null : traceparentPattern.exec(header)
   if (match === null) return ROOT_CONTEXT
--- a/packages/upstream-routing/src/dispatch.ts
+++ b/packages/upstream-routing/src/dispatch.ts
@@ -5,6 +5,14 @@
 import type { RetryBudget } from './retry-budget.js'
 import type { Reservation, Router } from './router.js'
 
+/** The trace of one attempt. */
+export interface AttemptTrace {
+  /** Header for the runner. */
+  traceparent: string
+  /** Called once when the attempt is over, with the kind of its error. */
+  end(errorKind?: string): void
+}
+
 /** Options of {@link dispatch}. */
 export interface DispatchOptions {
   router: Router
@@ -15,6 +23,8 @@
   /** See `SendHooks` of upstream-link; called before every attempt. */
   beforeWrite?: (() => void) | undefined
   clock: Clock
+  /** Called for each attempt, for traces; undefined leaves the request as it is. */
+  startAttempt?: ((runner: string) => AttemptTrace | undefined) | undefined
   /** A slot taken already; otherwise one is reserved synchronously. */
   reservation?: Reservation | undefined
 }
@@ -72,13 +82,18 @@
 }
 
 async function attempt(
-  { beforeWrite, clock }: DispatchOptions,
+  opts: DispatchOptions,
   req: UpstreamRequest,
   reservation: Reservation,
   onSettled: () => void,
 ): Promise<UpstreamAnswer> {
+  const { beforeWrite, clock } = opts
   const began = clock.now()
-  const answer = await reservation.links.send(req, { beforeWrite })
+  const traced = opts.startAttempt?.(reservation.runner.id)
+  const sent = traced ? { ...req, traceparent: traced.traceparent } : req
+  const sending = reservation.links.send(sent, { beforeWrite })
+  if (traced) endWith(traced, sending)
+  const answer = await sending
   const latencyMs = clock.now() - began
   const settle = (): void => {
     reservation.release()
@@ -96,6 +111,18 @@
   return answer
 }
 
+/** Ends the trace of an attempt with its complete answer or its error. */
+function endWith(traced: AttemptTrace, sending: Promise<UpstreamAnswer>): void {
+  const onError = (err: unknown): void => {
+    traced.end(toRequestError(err).kind)
+  }
+  sending
+    .then(answer => answer.ended)
+    .then(() => {
+      traced.end()
+    }, onError)
+}
+
 /** Kinds that say nothing about the runner. */
 const neutralKinds: ReadonlySet<string> = new Set(['caller-left', 'deadline-passed', 'bad-header'])
 
--- a/packages/upstream-routing/src/index.ts
+++ b/packages/upstream-routing/src/index.ts
@@ -1,4 +1,4 @@
-export { dispatch, type DispatchOptions, type Dispatched } from './dispatch.js'
+export { dispatch, type AttemptTrace, type DispatchOptions, type Dispatched } from './dispatch.js'
 export { bufferBody, REPLAY_BYTES } from './request-body.js'
 export { createRetryBudget, type RetryBudget, type RetryBudgetOptions } from './retry-budget.js'
 export {
