fix(placement,standins): park no job for the margin of a learned size

Cause: sizes learned with a margin were compared with the workers, so a job as large as a worker was parked once its kind was known. The worker's stand-in reported all that was reserved as usage, so learned sizes grew without end.

Change: only the declared size decides that a job can never run; a learned size that fits no worker is replaced by the declared one.

Conclusion: the new test runs eight jobs of a worker's size one after another. It was not run against the former code.

--- a/packages/placement/__tests__/placement-duty.test.ts
+++ b/packages/placement/__tests__/placement-duty.test.ts
@@ -178,3 +178,14 @@
   t.equal(await permitsInUse(), 0)
   t.equal(starts(once), 1)
 })
+
+void t.test('the margin of a learned size parks no job that fits its worker', async t => {
+  const { accept, holder, isIn } = await createFixture(t)
+  const request = { cpus: 16, memoryMb: 64, accelerators: 0, runMs: 50 }
+  const control = holder('c1')
+  await control.take()
+  for (let n = 0; n < 8; n++) {
+    const id = await accept({ request })
+    await control.rounds(() => isIn(id, 'finished'))
+  }
+})
--- a/packages/placement/src/placement-duty.ts
+++ b/packages/placement/src/placement-duty.ts
@@ -1,4 +1,3 @@
-import { randomUUID } from 'node:crypto'
 import type { Clock } from '@bulrushbridge/errors'
 import { hostsTable, poolRange, type TaskRow, type WorkerRow } from '@bulrushbridge/host'
 import {
@@ -16,6 +15,7 @@
 import { createWorkerBlame } from './blame.js'
 import { canNeverRun, choosePlacements, type Placement } from './choose.js'
 import { createLearnedSizes } from './learned-sizes.js'
+import { taskOf } from './task-of.js'
 import { TaskRows } from './task-rows.js'
 import { WorkerFleet } from './worker-fleet.js'
 import { WorkerVisits, type KnownTask, type PlacementDecision } from './worker-visits.js'
@@ -179,7 +179,10 @@
       zonesOut,
       closedWorkers,
       shares,
-      sizeOf: job => this.#sizes.estimate(job.kind, job.request),
+      sizeOf: job => {
+        const size = this.#sizes.estimate(job.kind, job.request)
+        return canNeverRun(size, this.#workers) ? job.request : size
+      },
       limit: startsPerRound,
     })
     const teams = new Map<string, Placement[]>()
@@ -196,8 +199,8 @@
       const range = { ...queuedRange(queue), limit: jobsPerQueue }
       const rows = await this.#opts.table.scan<QueuedJob>(queuedTable, range)
       for (const { value: job } of rows) {
-        const size = this.#sizes.estimate(job.kind, job.request)
-        if (canNeverRun(size, this.#workers)) await this.#park(job)
+        // Learned sizes carry a margin, so they alone must not park a job.
+        if (canNeverRun(job.request, this.#workers)) await this.#park(job)
         else runnable.push(job)
       }
     }
@@ -274,26 +277,3 @@
     }
   }
 }
-
-function taskOf({ job, worker, size }: Placement, pool: string, token: number): TaskRow {
-  return {
-    taskId: randomUUID(),
-    jobId: job.id,
-    jobKey: jobKey(job.team, job.id),
-    team: job.team,
-    queue: job.queue,
-    pool,
-    worker: worker.id,
-    address: worker.address,
-    rack: worker.rack,
-    zone: worker.zone,
-    state: 'starting',
-    idempotent: job.idempotent,
-    urgent: job.urgent,
-    kind: job.kind,
-    token,
-    cpus: size.cpus,
-    memoryMb: size.memoryMb,
-    accelerators: size.accelerators,
-  }
-}
--- /dev/null
+++ b/packages/placement/src/task-of.ts
@@ -0,0 +1,28 @@
+import { randomUUID } from 'node:crypto'
+import type { TaskRow } from '@bulrushbridge/host'
+import { jobKey } from '@bulrushbridge/jobs'
+import type { Placement } from './choose.js'
+
+/** The row of a task that is about to be claimed. */
+export function taskOf({ job, worker, size }: Placement, pool: string, token: number): TaskRow {
+  return {
+    taskId: randomUUID(),
+    jobId: job.id,
+    jobKey: jobKey(job.team, job.id),
+    team: job.team,
+    queue: job.queue,
+    pool,
+    worker: worker.id,
+    address: worker.address,
+    rack: worker.rack,
+    zone: worker.zone,
+    state: 'starting',
+    idempotent: job.idempotent,
+    urgent: job.urgent,
+    kind: job.kind,
+    token,
+    cpus: size.cpus,
+    memoryMb: size.memoryMb,
+    accelerators: size.accelerators,
+  }
+}
--- a/packages/standins/src/worker-tasks.ts
+++ b/packages/standins/src/worker-tasks.ts
@@ -47,6 +47,11 @@
 
 const noResources: WorkerResources = { cpus: 0, memoryMb: 0, accelerators: 0 }
 
+/** Tasks use less than is reserved; otherwise sizes learned with a margin would grow without end. */
+function usageOf({ cpus, memoryMb, accelerators }: WorkerResources): WorkerResources {
+  return { cpus: cpus * 0.9, memoryMb: memoryMb * 0.9, accelerators }
+}
+
 /** The tasks of a worker's stand-in. */
 export class WorkerTasks {
   readonly #capacity: WorkerResources
@@ -221,7 +226,7 @@
       started,
       throttled,
       runMs: ranMs,
-      usage: isReported ? resources : noResources,
+      usage: isReported ? usageOf(resources) : noResources,
       ...(checkpoint === undefined ? {} : { checkpoint }),
     }
   }
