--- a/bench/hop.ts
+++ b/bench/hop.ts
@@ -17,6 +17,9 @@
 /** Slots of the one runner, more than the concurrency so that nothing queues. */
 const slots = 64
 
+/** Bytes of the entry host's log that explain a failed measurement. */
+const logTailBytes = 1_000
+
 const deadlineMs = 5_000
 
 /** One round of one target. */
@@ -67,6 +70,9 @@
       }
     }
     return toFigures(samples)
+  } catch (err) {
+    const log = bed.entries[0]?.program.log().slice(-logTailBytes)
+    throw new Error(`the hop could not be measured: ${log ?? ''}`, { cause: err })
   } finally {
     await bed.close()
     await relay.end()
