--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,23 +1,44 @@
-// Runs all tests under tap and prints their count. Exits with 1 when one failed or none ran.
+// Runs all tests under tap and prints their count. Exits with 1 when one failed that is not listed
+// in KNOWN-RED.txt, or when none ran.
 import { spawnSync } from 'node:child_process'
-import { mkdtempSync, readFileSync, rmSync } from 'node:fs'
+import { existsSync, mkdtempSync, readFileSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 
 const dir = mkdtempSync(join(tmpdir(), 'bulrush-test-'))
 const report = join(dir, 'report.tap')
 const args = ['run', '--disable-coverage', '--reporter=terse', `--output-file=${report}`]
-const run = spawnSync('node_modules/.bin/tap', [...args, ...process.argv.slice(2)], {
-  stdio: 'inherit',
-})
+spawnSync('node_modules/.bin/tap', [...args, ...process.argv.slice(2)], { stdio: 'inherit' })
 
-// Top-level points of the report are test files; the points one level below are the tests.
-const lines = readFileSync(report, 'utf8').split('\n')
-const passed = lines.filter(line => /^ {4}ok \d/.test(line)).length
-const failed = lines.filter(line => /^ {4}not ok \d/.test(line)).length
-const failedFiles = lines.filter(line => /^not ok \d/.test(line)).length
+// Entries of KNOWN-RED.txt begin with `test: FILE, "NAME"`.
+const listed = existsSync('KNOWN-RED.txt') ? readFileSync('KNOWN-RED.txt', 'utf8') : ''
+const known = [...listed.matchAll(/^test: (\S+), "(.+)"/gm)].map(([, file, name]) => ({
+  file,
+  name,
+}))
+
+let passed = 0
+let failed = 0
+const passedOver = []
+let failuresOfFile = []
+// Top-level points of the report are test files; the points one level below are their tests.
+for (const line of readFileSync(report, 'utf8').split('\n')) {
+  if (/^ {4}ok \d/.test(line)) passed += 1
+  const failure = /^ {4}not ok \d+ - (.*)/.exec(line)
+  if (failure) failuresOfFile.push(failure[1])
+  const file = /^(ok|not ok) \d+ - (\S+)/.exec(line)
+  if (!file) continue
+  const isKnown = test => known.some(entry => entry.file === file[2] && test.startsWith(entry.name))
+  for (const test of failuresOfFile) {
+    if (isKnown(test)) passedOver.push(`${file[2]}: ${test}`)
+    else failed += 1
+  }
+  // A file that ended badly without a failed test was cut off, for example by its time limit.
+  if (file[1] === 'not ok' && failuresOfFile.length === 0) failed += 1
+  failuresOfFile = []
+}
 rmSync(dir, { recursive: true })
 
-const failures = Math.max(failed, failedFiles)
-console.log(`${passed} passed, ${failures} failed`)
-process.exit(run.status !== 0 || failures > 0 || passed === 0 ? 1 : 0)
+for (const test of passedOver) console.log(`passed over, listed in KNOWN-RED.txt: ${test}`)
+console.log(`${passed} passed, ${failed} failed`)
+process.exit(failed > 0 || passed === 0 ? 1 : 0)
