refactor(entry,upstream-link,upstream-routing,admission,team-share): split the entry host, unify names

Constants follow one case (camelCase). Refused and failed requests leave decision records, so that 'bulrush explain request ID' can read them back. Behaviour is otherwise unchanged.

--- a/bench/share-and-burst.ts
+++ b/bench/share-and-burst.ts
@@ -24,13 +24,13 @@
 /** How a run is served: this project's admission, or a baseline. */
 type Policy = 'random' | 'fifo' | 'charge' | 'quota' | 'quota-deadline'
 
-const SLOTS = 64
-const RUNNERS = 8
-const EXCHANGE_MS = 500
-const RETRY_MS = 20
+const poolSlots = 64
+const runnerCount = 8
+const exchangeMs = 500
+const retryMs = 20
 
 /** Shares, request lengths, part of the offered load, and how it leans towards some entry hosts. */
-const TEAMS = [
+const teamList = [
   { name: 'a', share: 8, meanMs: 40, load: 0.3, lean: 0 },
   { name: 'b', share: 4, meanMs: 200, load: 0.25, lean: 1 },
   { name: 'c', share: 2, meanMs: 20, load: 0.1, lean: 2 },
@@ -96,7 +96,7 @@
   const after = (ms: number, act: () => void) => {
     events.push(heapHandle({ at: now + ms, seq: seq++, act }))
   }
-  const used: Record<string, number> = Object.fromEntries(TEAMS.map(team => [team.name, 0]))
+  const used: Record<string, number> = Object.fromEntries(teamList.map(team => [team.name, 0]))
   const waits: number[] = []
   const out: Outcome = { used, goodSlotMs: 0, accepted: 0, late: 0, p99Ms: 0 }
   const overlap = (from: number, to: number) =>
@@ -126,8 +126,8 @@
       pump: () => undefined,
       exchange: () => undefined,
       enter(req) {
-        const runner = Math.floor(rng() * RUNNERS)
-        if ((runners[runner] ?? 0) >= SLOTS / RUNNERS) return
+        const runner = Math.floor(rng() * runnerCount)
+        if ((runners[runner] ?? 0) >= poolSlots / runnerCount) return
         runners[runner] = (runners[runner] ?? 0) + 1
         work(req, () => {
           runners[runner] = (runners[runner] ?? 0) - 1
@@ -135,7 +135,7 @@
       },
     }
   }
-  const randomRunners = Array.from({ length: RUNNERS }, () => 0)
+  const randomRunners = Array.from({ length: runnerCount }, () => 0)
 
   function fifoHost(): Host {
     const line: Request[] = []
@@ -148,7 +148,7 @@
         host.pump()
       },
       pump() {
-        while (busy < SLOTS) {
+        while (busy < poolSlots) {
           const next = line.shift()
           if (!next) return
           busy++
@@ -163,17 +163,17 @@
   }
 
   function fairHost(id: number): Host {
-    const shares = new Map(TEAMS.map(team => [team.name as string, team.share as number]))
+    const shares = new Map(teamList.map(team => [team.name as string, team.share as number]))
     const clock = { now: () => now }
     const queue: FairQueue = createFairQueue({ shares, clock })
     const admission: Admission<object> = createAdmission({
       pool: 'p',
       clock,
       rng,
-      slots: () => SLOTS,
-      free: () => Math.min(SLOTS - busy, fleet.slots() - host.running),
+      slots: () => poolSlots,
+      free: () => Math.min(poolSlots - busy, fleet.slots() - host.running),
       tryStart(): object | StartRefusal {
-        if (busy >= SLOTS) return 'no-slot'
+        if (busy >= poolSlots) return 'no-slot'
         busy++
         host.running++
         return {}
@@ -188,7 +188,7 @@
       // Charging remote usage keeps the shares as weights, so the allocation sets none.
       queue: opts.policy === 'charge' ? { ...queue, setWeights: () => undefined } : queue,
       clock,
-      slots: () => SLOTS,
+      slots: () => poolSlots,
       shares: () => shares,
       demand: () => admission.demand(),
       rotation: () => Math.floor(now / 1000),
@@ -223,7 +223,7 @@
       report(member, demand) {
         fleet.report(member, demand)
         if (opts.policy !== 'charge') return
-        for (const entry of demand) queue.charge(entry.team, entry.running * EXCHANGE_MS)
+        for (const entry of demand) queue.charge(entry.team, entry.running * exchangeMs)
       },
     })
     return host
@@ -236,18 +236,18 @@
     hosts.push(host)
     const exchange = () => {
       host.exchange()
-      after(EXCHANGE_MS, exchange)
+      after(exchangeMs, exchange)
     }
-    after((EXCHANGE_MS * id) / opts.hosts, exchange)
+    after((exchangeMs * id) / opts.hosts, exchange)
     const retry = () => {
       host.pump()
-      after(RETRY_MS, retry)
+      after(retryMs, retry)
     }
-    after((RETRY_MS * id) / opts.hosts, retry)
+    after((retryMs * id) / opts.hosts, retry)
   }
-  for (const team of TEAMS) {
+  for (const team of teamList) {
     const arrive = () => {
-      const load = opts.loadAt(now) * team.load * SLOTS
+      const load = opts.loadAt(now) * team.load * poolSlots
       after((-Math.log(1 - rng()) * team.meanMs) / load, arrive)
       // A leaning team sends half of its requests to one entry host.
       const id = team.lean > 0 && rng() < 0.5 ? team.lean : Math.floor(rng() * opts.hosts)
@@ -284,8 +284,8 @@
       const full = { ...common, loadAt: () => 4, endMs: 15_000, fromMs: 5000, toMs: 15_000 }
       const { used } = await run(full)
       const total = Object.values(used).reduce((sum, ms) => sum + ms, 0)
-      const shareSum = TEAMS.reduce((sum, team) => sum + team.share, 0)
-      for (const { name, share } of TEAMS) {
+      const shareSum = teamList.reduce((sum, team) => sum + team.share, 0)
+      for (const { name, share } of teamList) {
         const error = ((used[name] ?? 0) / total / (share / shareSum) - 1) * 100
         records.push({
           name: `${policy}/share-error/${name}`,
@@ -295,7 +295,7 @@
           target: 2,
         })
       }
-      const usage = (total / (SLOTS * 10_000)) * 100
+      const usage = (total / (poolSlots * 10_000)) * 100
       records.push({ name: `${policy}/full-pool-use`, unit: '%', seed, value: usage })
       const burst = await run({
         ...common,
@@ -304,7 +304,7 @@
         fromMs: 3000,
         toMs: 8000,
       })
-      const goodput = (burst.goodSlotMs / (SLOTS * 5000)) * 100
+      const goodput = (burst.goodSlotMs / (poolSlots * 5000)) * 100
       records.push(
         { name: `${policy}/burst-goodput`, unit: '%', seed, value: goodput, target: 95 },
         { name: `${policy}/burst-late`, unit: 'requests', seed, value: burst.late, target: 0 },
--- a/packages/admission/src/bounds.ts
+++ b/packages/admission/src/bounds.ts
@@ -1,8 +1,8 @@
 /** Requests that one entry host queues per slot of the pool. */
-export const QUEUED_PER_SLOT = 4
+export const queuedPerSlot = 4
 
 /** Part of the queue that teams above their own part may fill; the rest is kept for the others. */
-export const LENDING_LIMIT = 7 / 8
+export const lendingLimit = 7 / 8
 
 const totals = new WeakMap<ReadonlyMap<string, number>, number>()
 
--- a/packages/admission/src/create-admission.ts
+++ b/packages/admission/src/create-admission.ts
@@ -1,11 +1,11 @@
 import { RequestError, type ErrorKind } from '@bulrushbridge/errors'
 import { IndexedHeap, type Charge } from '@bulrushbridge/team-share'
-import { guaranteedPart, LENDING_LIMIT, QUEUED_PER_SLOT } from './bounds.js'
+import { guaranteedPart, lendingLimit, queuedPerSlot } from './bounds.js'
 import { createWaiter, TeamLine, type Waiter } from './team-line.js'
 import type { Admission, AdmissionOptions, EntryRequest, Start, Timers } from './types.js'
 
 /** Shortest retry hint, so that refused callers do not return at once. */
-const MIN_RETRY_MS = 100
+const minRetryMs = 100
 
 const systemTimers: Timers = {
   set: (fn, delayMs) => setTimeout(fn, delayMs).unref(),
@@ -127,9 +127,9 @@
       return limited ? 'team-limit-reached' : 'deadline-too-short'
     }
     const full = limited ? 'team-limit-reached' : 'queue-full'
-    const capacity = QUEUED_PER_SLOT * this.#opts.slots()
+    const capacity = queuedPerSlot * this.#opts.slots()
     if (line.waiting >= guaranteedPart(this.#opts.shares(), req.team, capacity)) {
-      return this.#expiry.size < capacity * LENDING_LIMIT ? undefined : full
+      return this.#expiry.size < capacity * lendingLimit ? undefined : full
     }
     return this.#expiry.size < capacity || this.#displace(capacity) ? undefined : full
   }
@@ -269,7 +269,7 @@
 
   /** Between one and two estimated waits, so that refused callers do not return together. */
   #spread(waitMs: number): number {
-    return Math.ceil(Math.max(waitMs, MIN_RETRY_MS) * (1 + this.#opts.rng()))
+    return Math.ceil(Math.max(waitMs, minRetryMs) * (1 + this.#opts.rng()))
   }
 
   *#waiters(): Generator<Waiter<R>> {
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,4 +1,4 @@
-export { LENDING_LIMIT, QUEUED_PER_SLOT } from './bounds.js'
+export { lendingLimit, queuedPerSlot } from './bounds.js'
 export { createAdmission } from './create-admission.js'
 export type {
   Admission,
--- a/packages/admission/src/team-line.ts
+++ b/packages/admission/src/team-line.ts
@@ -56,7 +56,7 @@
   noteStart(now: number): void {
     if (this.#lastStart !== undefined) {
       const gap = now - this.#lastStart
-      this.#gapMs = this.#gapMs === undefined ? gap : this.#gapMs + GAP_GAIN * (gap - this.#gapMs)
+      this.#gapMs = this.#gapMs === undefined ? gap : this.#gapMs + gapGain * (gap - this.#gapMs)
     }
     this.#lastStart = this.waiting > 0 ? now : undefined
     if (this.waiting === 0) this.#gapMs = undefined
@@ -66,13 +66,13 @@
   waitMs(now: number): number {
     if (this.#gapMs === undefined || this.#lastStart === undefined) return 0
     // A stalled team's estimate grows with the time since its last start.
-    const gap = Math.max(this.#gapMs, (now - this.#lastStart) / STALL_FACTOR)
+    const gap = Math.max(this.#gapMs, (now - this.#lastStart) / stallFactor)
     return (this.waiting + 1) * gap
   }
 }
 
 /** Part of a new gap in the average. */
-const GAP_GAIN = 1 / 16
+const gapGain = 1 / 16
 
 /** Gaps vary; only a pause of several mean gaps shows that starts have slowed down. */
-const STALL_FACTOR = 4
+const stallFactor = 4
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -1,30 +1,18 @@
 import { randomBytes } from 'node:crypto'
 import { createConfigView, type ConfigView } from '@bulrushbridge/config-view'
 import type { Configuration, Member } from '@bulrushbridge/contract'
-import { createDecisionLog } from '@bulrushbridge/decision-log'
 import { normalizeError, systemClock } from '@bulrushbridge/errors'
 import { createIdempotencyRecords } from '@bulrushbridge/idempotency'
 import { createJobs } from '@bulrushbridge/jobs'
 import { createOperatorApi } from '@bulrushbridge/operator-api'
-import {
-  createPeerLinks,
-  createPeerServer,
-  createPeerTls,
-  type PeerTls,
-} from '@bulrushbridge/peer-link'
-import {
-  createGroupCommitter,
-  createHttpObjectStore,
-  createHttpTableService,
-} from '@bulrushbridge/store'
+import { createPeerLinks, createPeerServer } from '@bulrushbridge/peer-link'
 import { createKeyring } from '@bulrushbridge/team-keys'
-import { createTeamPermits, type TeamPermits } from '@bulrushbridge/team-limit'
+import { createTeamPermits } from '@bulrushbridge/team-limit'
 import {
   createLogger,
   createMetrics,
   createTraceExporter,
   createTracing,
-  type Logger,
 } from '@bulrushbridge/telemetry'
 import type { Report } from '@bulrushbridge/wire'
 import { createCallHandler } from './call-handler.js'
@@ -42,6 +30,9 @@
 import { createRequestIds } from './request-id.js'
 import { createServices } from './services.js'
 import { createSettlementCheck } from './settlement-check.js'
+import { loadPeerTls } from './load-peer-tls.js'
+import { notReadyReason } from './readiness.js'
+import { createStorage } from './storage.js'
 import type { EntrySettings } from './settings.js'
 import { drainEntryHost } from './shutdown.js'
 
@@ -85,15 +76,8 @@
             },
           }),
   })
-  const table = createHttpTableService({ url: cfg['table-url'], clock })
-  const objects = createHttpObjectStore({ url: cfg['object-url'], clock })
-  const committer = createGroupCommitter({
-    table,
-    clock,
-    windowMs: groupWindowMs,
-    maxRows: maxGroupRows,
-  })
-  const decisions = createDecisionLog({ table, member: cfg.member, clock })
+  const storage = createStorage(cfg, clock)
+  const { table, objects, committer, decisions } = storage
   const peerTls = loadPeerTls(cfg, log)
   const links = createPeerLinks({ secret: cfg['peer-secret'], tls: peerTls })
   const peerLoad = createPeerLoad({ clock })
@@ -241,6 +225,12 @@
     }),
     onError: (err, req, requestId) => {
       logRequestError(log, err, req.url, requestId)
+      decisions.record({
+        subject: { kind: 'request', id: requestId },
+        rule: err.kind,
+        observed: { outcome: err.outcome },
+        action: 'refused or failed',
+      })
     },
   })
   const membership = createMembershipTask({ view, log, clock })
@@ -256,13 +246,8 @@
       decisions: { explain: (kind, id) => decisions.read({ kind, id, limit: maxDecisions }) },
       ...(cfg['bootstrap-digest'] === '' ? {} : { bootstrapDigest: cfg['bootstrap-digest'] }),
     }),
-    notReady: () => {
-      if (shuttingDown) return 'shutting down'
-      if (!membership.isRegistered()) return 'not registered'
-      if (!view.isConfirmed()) return 'configuration not confirmed'
-      const isNew = membership.registeredForMs() < permitWaitMs
-      return isNew && !hasPermits(view, permits) ? 'no permits yet' : undefined
-    },
+    notReady: () =>
+      notReadyReason({ view, permits, membership, isShuttingDown: () => shuttingDown }),
   })
   const heartbeat = createHeartbeat({
     table,
@@ -301,11 +286,10 @@
     hostList.close()
     stopListening()
     view.close()
-    await decisions.close()
     await Promise.all([callers.close(), operators.close(), peers.close()])
     links.close()
     peerTls?.close()
-    await Promise.all([table.close(), objects.close(), tracing.close()])
+    await Promise.all([storage.close(), tracing.close()])
     log.info('entry host stopped')
   }
 
@@ -321,45 +305,8 @@
   }
 }
 
-/** Time for which records wait to be written together, in milliseconds. */
-const groupWindowMs = 5
-
-/** Most rows in one transaction of records. */
-const maxGroupRows = 100
-
 /** Most decision records in one answer to an operator. */
 const maxDecisions = 100
 
 /** Interval at which waiting requests and the confirmation reach the permits, in milliseconds. */
 const tickMs = 50
-
-/**
- * Longest time that a new entry host stays out of the balancer while it waits for its part of the
- * teams' permits, in milliseconds. Without permits it would refuse its first burst.
- */
-const permitWaitMs = 10_000
-
-/** Whether this entry host holds permits of every team whose limit leaves it some. */
-function hasPermits(view: ConfigView, permits: TeamPermits): boolean {
-  const { teams, members } = view.current()
-  const held = permits.held()
-  const count = Object.keys(members).length
-  return Object.values(teams).every(({ name, limit }) => limit < count || (held.get(name) ?? 0) > 0)
-}
-
-/** Mutual TLS between entry hosts, when its files are given. */
-function loadPeerTls(cfg: EntrySettings, log: Logger): PeerTls | undefined {
-  const files = { cert: cfg['peer-cert'], key: cfg['peer-key'], ca: cfg['peer-ca'] }
-  if (files.cert === '') return undefined
-  const settings = '--peer-cert, --peer-key and --peer-ca'
-  try {
-    return createPeerTls({
-      files,
-      onError: err => {
-        log.warn(`${settings}: changed files cannot be used`, { error: err.message })
-      },
-    })
-  } catch (cause) {
-    throw new Error(`${settings}: ${normalizeError(cause).message}`, { cause })
-  }
-}
--- a/packages/standins/src/runner.ts
+++ b/packages/standins/src/runner.ts
@@ -71,7 +71,7 @@
   connections: number
 }
 
-const MAX_STARTS = 100_000
+const maxStarts = 100_000
 
 function count(counts: Record<string, number>, name: string, by = 1): number {
   return (counts[name] = (counts[name] ?? 0) + by)
@@ -134,7 +134,7 @@
     count(stats.startsById, id)
     if (typeof key === 'string') count(stats.startsByKey, key)
     stats.startedAt.push(Date.now())
-    if (stats.startedAt.length > MAX_STARTS) stats.startedAt.shift()
+    if (stats.startedAt.length > maxStarts) stats.startedAt.shift()
     const ended = opts.onStart?.({
       runner: opts.id,
       zone: opts.zone,
--- a/packages/team-share/src/allocate.ts
+++ b/packages/team-share/src/allocate.ts
@@ -40,13 +40,13 @@
 }
 
 /** Weight of a team without a share: it is served from what the others leave. */
-export const NO_SHARE = 1e-9
+export const noShare = 1e-9
 
 /** Step of the rounding offset per period; the golden ratio spreads successive offsets evenly. */
-const ROTATION_STEP = 0.618_033_988_749_894_9
+const rotationStep = 0.618_033_988_749_894_9
 
 /** Absorbs floating-point error in sums that are whole numbers by construction. */
-const EPSILON = 1e-9
+const epsilon = 1e-9
 
 interface Table {
   teams: string[]
@@ -78,7 +78,7 @@
   const { teams, members, cells, totals } = table
   const { granted, level } = fillLevels(opts.slots, opts.shares, table)
   const width = members.length
-  const offset = fraction((opts.rotation ?? 0) * ROTATION_STEP)
+  const offset = fraction((opts.rotation ?? 0) * rotationStep)
   const exact = new Float64Array(cells.length)
   const memberSums = new Float64Array(width)
   const quotas = new Map(members.map(member => [member, new Map<string, number>()]))
@@ -95,7 +95,7 @@
       exact[row * width + col] = value
       memberSums[col] = at(memberSums, col) + value
       rowSum += value
-      const next = Math.floor(sum + rowSum + EPSILON)
+      const next = Math.floor(sum + rowSum + epsilon)
       if (next > rounded) quotas.get(members[col] ?? '')?.set(teams[row] ?? '', next - rounded)
       rounded = next
     }
@@ -159,7 +159,7 @@
   shares: ReadonlyMap<string, number>,
   { teams, wanted }: Table,
 ): { granted: Float64Array; level: number } {
-  const weights = wanted.map((_, row) => Math.max(shares.get(teams[row] ?? '') ?? 0, NO_SHARE))
+  const weights = wanted.map((_, row) => Math.max(shares.get(teams[row] ?? '') ?? 0, noShare))
   const need = wanted.map((want, row) => want / at(weights, row))
   const order = [...teams.keys()].sort((a, b) => at(need, a) - at(need, b) || a - b)
   const weightFrom = new Float64Array(order.length + 1)
@@ -187,7 +187,7 @@
     members.map((member, col) => {
       sum += at(sums, col)
       const before = rounded
-      rounded = Math.floor(sum + EPSILON)
+      rounded = Math.floor(sum + epsilon)
       return [member, rounded - before]
     }),
   )
--- a/packages/team-share/src/fair-queue.ts
+++ b/packages/team-share/src/fair-queue.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@bulrushbridge/errors'
-import { NO_SHARE } from './allocate.js'
+import { noShare } from './allocate.js'
 import { IndexedHeap, heapHandle, type HeapHandle } from './indexed-heap.js'
 
 /** Options of {@link createFairQueue}. */
@@ -46,9 +46,9 @@
 }
 
 /** Part of a new sample in the average; about the last 16 requests count. */
-const COST_GAIN = 1 / 16
+const costGain = 1 / 16
 
-const INITIAL_COST_MS = 100
+const defaultCostMs = 100
 
 interface TeamState {
   readonly team: string
@@ -75,7 +75,7 @@
  * queue.ended(charge)
  */
 export function createFairQueue(opts: FairQueueOptions): FairQueue {
-  const initialMs = opts.initialCostMs ?? INITIAL_COST_MS
+  const initialMs = opts.initialCostMs ?? defaultCostMs
   const states = new Map<string, TeamState>()
   const heap = new IndexedHeap<TeamState>(
     (a, b) => a.tag < b.tag || (a.tag === b.tag && a.team < b.team),
@@ -85,7 +85,7 @@
   function stateOf(team: string): TeamState {
     const known = states.get(team)
     if (known) return known
-    const created = createState(team, opts.shares.get(team) ?? NO_SHARE, initialMs)
+    const created = createState(team, opts.shares.get(team) ?? noShare, initialMs)
     states.set(team, created)
     return created
   }
@@ -96,7 +96,7 @@
   }
 
   function reweight(state: TeamState, weight: number): void {
-    const next = Math.max(weight, NO_SHARE)
+    const next = Math.max(weight, noShare)
     // The lead is a debt in slot-milliseconds; unscaled, one request charged at a small weight
     // would keep the team waiting long after its weight rose.
     state.tag = virtualTime + ((state.tag - virtualTime) * state.weight) / next
@@ -164,7 +164,7 @@
 function createState(team: string, weight: number, meanMs: number): TeamState {
   const state: Omit<TeamState, 'handle'> = {
     team,
-    weight: Math.max(weight, NO_SHARE),
+    weight: Math.max(weight, noShare),
     tag: 0,
     meanMs,
     deviationMs: 0,
@@ -179,7 +179,7 @@
 /** Exponentially weighted mean and mean deviation; the first samples are averaged evenly. */
 function learn(state: TeamState, tookMs: number): void {
   state.samples++
-  const gain = Math.max(COST_GAIN, 1 / state.samples)
+  const gain = Math.max(costGain, 1 / state.samples)
   const error = tookMs - state.meanMs
   state.meanMs += gain * error
   if (state.samples > 1) state.deviationMs += gain * (Math.abs(error) - state.deviationMs)
--- a/packages/team-share/src/fleet-share.ts
+++ b/packages/team-share/src/fleet-share.ts
@@ -35,10 +35,10 @@
 }
 
 /** A report older than this is not counted: the peer is gone or cut off. */
-const REPORT_LIFETIME_MS = 3000
+const reportLifetimeMs = 3000
 
 /** Length of a rounding period. */
-const ROTATION_PERIOD_MS = 1000
+const rotationPeriodMs = 1000
 
 /**
  * Fairness over the whole fleet: every entry host computes the same allocation from the exchanged
@@ -52,11 +52,11 @@
  */
 export function createFleetShare(opts: FleetShareOptions): FleetShare {
   const reports = new Map<string, { at: number; demand: readonly TeamDemand[] }>()
-  const rotation = opts.rotation ?? (() => Math.floor(Date.now() / ROTATION_PERIOD_MS))
+  const rotation = opts.rotation ?? (() => Math.floor(Date.now() / rotationPeriodMs))
   let slots = opts.slots()
 
   function collect(): Demand[] {
-    const oldest = opts.clock.now() - REPORT_LIFETIME_MS
+    const oldest = opts.clock.now() - reportLifetimeMs
     const all: Demand[] = []
     for (const [member, report] of reports) {
       if (report.at < oldest) reports.delete(member)
--- a/packages/team-share/src/index.ts
+++ b/packages/team-share/src/index.ts
@@ -1,6 +1,6 @@
 export {
   allocate,
-  NO_SHARE,
+  noShare,
   type AllocateOptions,
   type Allocation,
   type Demand,
--- a/packages/upstream-link/src/connection.ts
+++ b/packages/upstream-link/src/connection.ts
@@ -2,11 +2,11 @@
 import { buildConnector, Client } from 'undici'
 
 /** Limit of a TCP connect, in milliseconds. */
-const CONNECT_MS = 2_000
+const connectMs = 2_000
 /** undici closes connections that idle for longer than this, in milliseconds. */
-const KEEP_ALIVE_MS = 30_000
+const keepAliveMs = 30_000
 
-const connector = buildConnector({ timeout: CONNECT_MS })
+const connector = buildConnector({ timeout: connectMs })
 let opened = 0
 
 /** Options of {@link Connection}. */
@@ -32,7 +32,7 @@
     this.#onClosed = onClosed
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
-      keepAliveTimeout: KEEP_ALIVE_MS,
+      keepAliveTimeout: keepAliveMs,
       // The link checks progress itself; undici's timers know no deadlines.
       headersTimeout: 0,
       bodyTimeout: 0,
--- a/packages/upstream-link/src/exchange.ts
+++ b/packages/upstream-link/src/exchange.ts
@@ -5,15 +5,15 @@
 import type { AnswerSink, SendHooks, UpstreamRequest } from './upstream-request.js'
 
 /** Longest wait for the answer's headers after the last progress of the request. */
-export const HEADERS_MS = 10_000
+export const headersMs = 10_000
 /** Longest wait between two chunks of the answer's body. */
-export const CHUNK_MS = 5_000
+export const chunkMs = 5_000
 
 /** What an exchange tells its links. */
 export interface ExchangeEvents {
   /** The exchange is over; the connection is usable unless it is closed. */
   onDone: (exchange: Exchange) => void
-  /** The runner sent no headers in time; `full` when all of {@link HEADERS_MS} passed. */
+  /** The runner sent no headers in time; `full` when all of {@link headersMs} passed. */
   onLate: (exchange: Exchange, full: boolean) => void
 }
 
@@ -93,13 +93,13 @@
   sweep(now: number): void {
     if (this.#state === 'waiting' && now >= this.req.deadline) this.fail('deadline-passed')
     else if (this.#state === 'headers') this.#sweepHeaders(now)
-    else if (this.#state === 'body' && !this.#paused && now - this.#progressAt >= CHUNK_MS) {
-      this.fail('answer-cut', new Error(`no chunk for ${CHUNK_MS} ms`))
+    else if (this.#state === 'body' && !this.#paused && now - this.#progressAt >= chunkMs) {
+      this.fail('answer-cut', new Error(`no chunk for ${chunkMs} ms`))
     }
   }
 
   #sweepHeaders(now: number): void {
-    const full = now - this.#progressAt >= HEADERS_MS
+    const full = now - this.#progressAt >= headersMs
     if (!full && now < this.req.deadline) return
     this.fail(full ? 'upstream-timeout' : 'deadline-passed')
     this.events.onLate(this, full)
--- a/packages/upstream-link/src/index.ts
+++ b/packages/upstream-link/src/index.ts
@@ -4,5 +4,5 @@
   type RunnerLinks,
   type RunnerLinksOptions,
 } from './runner-links.js'
-export { SWEEP_MS } from './sweeper.js'
+export { sweepMs } from './sweeper.js'
 export type { SendHooks, UpstreamAnswer, UpstreamRequest } from './upstream-request.js'
--- a/packages/upstream-link/src/runner-links.ts
+++ b/packages/upstream-link/src/runner-links.ts
@@ -7,11 +7,11 @@
 import type { AnswerSink, SendHooks, UpstreamAnswer, UpstreamRequest } from './upstream-request.js'
 
 /** Interval of health checks, in milliseconds. */
-const HEALTH_MS = 1_000
+const healthMs = 1_000
 /** Limit of a health check or a reading of `/running`, in milliseconds. */
-const PROBE_MS = 1_000
+const probeMs = 1_000
 /** Connections idle for longer are closed, but for one that serves the health checks. */
-const IDLE_MS = 10_000
+const idleMs = 10_000
 
 /** What the last health check found. */
 export type RunnerHealth = 'ok' | 'shutting-down' | 'unreachable'
@@ -68,7 +68,7 @@
 
   constructor(private readonly opts: RunnerLinksOptions) {
     this.runner = opts.runner
-    this.#healthAt = opts.clock.now() + HEALTH_MS * Math.random()
+    this.#healthAt = opts.clock.now() + healthMs * Math.random()
     this.#removeSweep = addSweep(() => {
       this.#sweep()
     })
@@ -146,8 +146,8 @@
     const now = this.opts.clock.now()
     for (const exchange of this.#exchanges) exchange.sweep(now)
     if (now < this.#healthAt) return
-    this.#healthAt = now + HEALTH_MS
-    for (const conn of this.#idle.slice(0, -1)) if (now - conn.usedAt > IDLE_MS) conn.destroy()
+    this.#healthAt = now + healthMs
+    for (const conn of this.#idle.slice(0, -1)) if (now - conn.usedAt > idleMs) conn.destroy()
     void this.#probe()
   }
 
@@ -185,7 +185,7 @@
   async #check(conn: Connection): Promise<RunnerHealth | 'silent'> {
     conn.busy = true
     try {
-      const { status } = await conn.get('/health', PROBE_MS)
+      const { status } = await conn.get('/health', probeMs)
       this.#putBack(conn)
       return status === 200 ? 'ok' : 'shutting-down'
     } catch (err) {
@@ -210,7 +210,7 @@
     const conn = given ?? this.#idle.pop() ?? this.#open()
     conn.busy = true
     try {
-      const { status, body } = await conn.get('/running', PROBE_MS)
+      const { status, body } = await conn.get('/running', probeMs)
       if (status !== 200 || !Array.isArray(body)) throw new TypeError('no list of running requests')
       this.#putBack(conn)
       return new Set(body as string[])
--- a/packages/upstream-link/src/settlement.ts
+++ b/packages/upstream-link/src/settlement.ts
@@ -1,5 +1,5 @@
 /** Pause between two readings of the runner's list, in milliseconds. */
-export const POLL_MS = 100
+export const pollMs = 100
 
 /** Options of {@link createSettlement}. */
 export interface SettlementOptions {
@@ -45,7 +45,7 @@
     timer = setTimeout(() => {
       timer = undefined
       void poll()
-    }, POLL_MS)
+    }, pollMs)
   }
 
   return {
--- a/packages/upstream-link/src/sweeper.ts
+++ b/packages/upstream-link/src/sweeper.ts
@@ -1,11 +1,11 @@
 /** Granularity of progress deadlines, in milliseconds. */
-export const SWEEP_MS = 20
+export const sweepMs = 20
 
 const sweeps = new Set<() => void>()
 let timer: NodeJS.Timeout | undefined
 
 /**
- * Calls `sweep` every {@link SWEEP_MS}. All links of the process share one timer, because a timer
+ * Calls `sweep` every {@link sweepMs}. All links of the process share one timer, because a timer
  * per request costs more than the request's other bookkeeping. Returns the removal.
  *
  * @example
@@ -15,7 +15,7 @@
   sweeps.add(sweep)
   timer ??= setInterval(() => {
     for (const each of sweeps) each()
-  }, SWEEP_MS).unref()
+  }, sweepMs).unref()
   return () => {
     sweeps.delete(sweep)
     if (sweeps.size > 0) return
--- a/packages/upstream-routing/src/index.ts
+++ b/packages/upstream-routing/src/index.ts
@@ -1,5 +1,5 @@
 export { dispatch, type AttemptTrace, type DispatchOptions, type Dispatched } from './dispatch.js'
-export { bufferBody, REPLAY_BYTES } from './request-body.js'
+export { bufferBody, replayBytes } from './request-body.js'
 export { createRetryBudget, type RetryBudget, type RetryBudgetOptions } from './retry-budget.js'
 export {
   createRouter,
--- a/packages/upstream-routing/src/latency-window.ts
+++ b/packages/upstream-routing/src/latency-window.ts
@@ -1,7 +1,7 @@
 /** Latest latencies kept per runner. */
-const SIZE = 32
+const windowSize = 32
 /** Fewer samples than this give no median. */
-const MIN_SAMPLES = 8
+const minSamples = 8
 
 /** The latest latencies of one runner, in milliseconds. */
 export class LatencyWindow {
@@ -10,7 +10,7 @@
 
   add(ms: number): void {
     this.#samples[this.#next] = ms
-    this.#next = (this.#next + 1) % SIZE
+    this.#next = (this.#next + 1) % windowSize
   }
 
   clear(): void {
@@ -20,7 +20,7 @@
 
   /** The median, or undefined with too few samples. */
   median(): number | undefined {
-    return this.#samples.length < MIN_SAMPLES ? undefined : median(this.#samples)
+    return this.#samples.length < minSamples ? undefined : median(this.#samples)
   }
 }
 
--- a/packages/upstream-routing/src/request-body.ts
+++ b/packages/upstream-routing/src/request-body.ts
@@ -2,7 +2,7 @@
 import type { Readable } from 'node:stream'
 
 /** Largest body that is kept for a retry, in bytes. */
-export const REPLAY_BYTES = 64 * 1024
+export const replayBytes = 64 * 1024
 
 /** Limits of {@link bufferBody}. */
 export interface BodyLimits {
@@ -12,7 +12,7 @@
 }
 
 /**
- * Reads a body of up to {@link REPLAY_BYTES} into a buffer; a larger one is returned as the same
+ * Reads a body of up to {@link replayBytes} into a buffer; a larger one is returned as the same
  * stream with nothing lost.
  *
  * @throws RequestError `caller-left` (not run) when the body breaks off, `sender-too-slow`
@@ -28,7 +28,7 @@
     if (chunk !== null) {
       chunks.push(chunk)
       length += chunk.length
-      if (length <= REPLAY_BYTES) continue
+      if (length <= replayBytes) continue
       body.unshift(Buffer.concat(chunks))
       return body
     }
--- a/packages/upstream-routing/src/retry-budget.ts
+++ b/packages/upstream-routing/src/retry-budget.ts
@@ -1,8 +1,8 @@
 import type { Clock } from '@bulrushbridge/errors'
 
 /** Period over which requests and retries are counted, in buckets of a second. */
-const BUCKETS = 10
-const BUCKET_MS = 1_000
+const bucketCount = 10
+const bucketMs = 1_000
 
 /** Options of {@link createRetryBudget}. */
 export interface RetryBudgetOptions {
@@ -25,17 +25,17 @@
  * const retryBudget = createRetryBudget({ clock: systemClock })
  */
 export function createRetryBudget({ clock, ratio = 0.1 }: RetryBudgetOptions): RetryBudget {
-  const requests = new Array<number>(BUCKETS).fill(0)
-  const retries = new Array<number>(BUCKETS).fill(0)
-  let newest = Math.floor(clock.now() / BUCKET_MS)
+  const requests = new Array<number>(bucketCount).fill(0)
+  const retries = new Array<number>(bucketCount).fill(0)
+  let newest = Math.floor(clock.now() / bucketMs)
 
   function advance(): number {
-    const now = Math.floor(clock.now() / BUCKET_MS)
-    for (let i = Math.max(newest + 1, now - BUCKETS + 1); i <= now; i++) {
-      requests[i % BUCKETS] = retries[i % BUCKETS] = 0
+    const now = Math.floor(clock.now() / bucketMs)
+    for (let i = Math.max(newest + 1, now - bucketCount + 1); i <= now; i++) {
+      requests[i % bucketCount] = retries[i % bucketCount] = 0
     }
     newest = Math.max(newest, now)
-    return newest % BUCKETS
+    return newest % bucketCount
   }
   const sum = (counts: number[]): number => counts.reduce((total, each) => total + each, 0)
 
--- a/packages/upstream-routing/src/routed-runner.ts
+++ b/packages/upstream-routing/src/routed-runner.ts
@@ -3,7 +3,7 @@
 import { LatencyWindow } from './latency-window.js'
 
 /** Time of the slow start after a reinstatement, in milliseconds. */
-const SLOW_START_MS = 10_000
+const slowStartMs = 10_000
 
 /** State of one runner in the router. */
 export class RoutedRunner {
@@ -30,7 +30,7 @@
   /** Slots this entry host may use at `now`. */
   allowed(slots: number, now: number): number {
     const age = now - this.reinstatedAt
-    const own = age < SLOW_START_MS ? Math.max(1, Math.floor((slots * age) / SLOW_START_MS)) : slots
+    const own = age < slowStartMs ? Math.max(1, Math.floor((slots * age) / slowStartMs)) : slots
     return Math.max(0, Math.min(own, slots - this.peerLoad))
   }
 
--- a/packages/upstream-routing/src/router.ts
+++ b/packages/upstream-routing/src/router.ts
@@ -5,15 +5,15 @@
 import { RoutedRunner } from './routed-runner.js'
 
 /** Failures in a row that eject a runner. */
-const EJECT_FAILURES = 5
+const ejectFailures = 5
 /** A runner is ejected when its median latency is over this many times that of the pool. */
-const EJECT_LATENCY = 3
+const ejectLatency = 3
 /** Latency medians closer than this are not compared, in milliseconds. */
-const MIN_LATENCY_GAP_MS = 10
+const minLatencyGapMs = 10
 /** Pause before each trial request, in milliseconds. */
-const TRIAL_PAUSE_MS = 1_000
+const trialPauseMs = 1_000
 /** Interval at which medians are compared, in milliseconds. */
-const LATENCY_CHECK_MS = 1_000
+const latencyCheckMs = 1_000
 
 /** A decision of the router with what it rests on. */
 export interface RoutingDecision {
@@ -152,10 +152,10 @@
     if (result === 'neutral') return
     routed.failures = result === 'ok' ? 0 : routed.failures + 1
     if (result === 'ok') routed.latencies.add(latencyMs)
-    if (routed.failures >= EJECT_FAILURES) this.#eject(routed, { failures: routed.failures })
+    if (routed.failures >= ejectFailures) this.#eject(routed, { failures: routed.failures })
     const now = this.opts.clock.now()
     if (now < this.#latencyCheckAt) return
-    this.#latencyCheckAt = now + LATENCY_CHECK_MS
+    this.#latencyCheckAt = now + latencyCheckMs
     this.#checkLatencies()
   }
 
@@ -185,7 +185,7 @@
       return
     }
     routed.isEjected = true
-    routed.trialAt = this.opts.clock.now() + TRIAL_PAUSE_MS
+    routed.trialAt = this.opts.clock.now() + trialPauseMs
     this.#decide('ejected', routed, seen)
   }
 
@@ -194,7 +194,7 @@
     routed.hasTrial = false
     const pool = this.#poolMedian()
     if (result !== 'ok' || (pool !== undefined && isSlow(latencyMs, pool))) {
-      routed.trialAt = now + TRIAL_PAUSE_MS
+      routed.trialAt = now + trialPauseMs
       return
     }
     routed.isEjected = false
@@ -311,7 +311,7 @@
 }
 
 function isSlow(ms: number, poolMs: number): boolean {
-  return ms > poolMs * EJECT_LATENCY && ms - poolMs >= MIN_LATENCY_GAP_MS
+  return ms > poolMs * ejectLatency && ms - poolMs >= minLatencyGapMs
 }
 
 function sameRunner(a: Runner, b: Runner): boolean {
