refactor(standins,testbed): name the runner's faults once when all are switched off

Cause: the list of a runner's switches stood in the stand-in and again in healSystem(), which had missed overrunDeadline. Ruled out: sharing it with the step 'runner answers correctly again', which must leave freeze and silent as they are. Change: noRunnerFaults() serves both. Checked: lint; the tests of standins and upstream-link and the whole-answer scenarios (43 assertions, 0 failed). The whole suite was not run again after this commit.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -11,6 +11,7 @@
 export { createTableStandin } from './table.js'
 export {
   createRunnerStandin,
+  noRunnerFaults,
   runnerCommand,
   type RunnerFaults,
   type RunnerOptions,
--- a/packages/standins/src/runner.ts
+++ b/packages/standins/src/runner.ts
@@ -31,6 +31,22 @@
   overrunDeadline: boolean
 }
 
+/** All switches of a runner off. */
+export function noRunnerFaults(): RunnerFaults {
+  return {
+    silent: false,
+    lateMs: 0,
+    crossed: false,
+    cut: false,
+    cutBefore: false,
+    refuse: false,
+    failAll: false,
+    slowFactor: 1,
+    freeze: false,
+    overrunDeadline: false,
+  }
+}
+
 /** Options of {@link createRunnerStandin}. */
 export interface RunnerOptions {
   host: string
@@ -86,18 +102,7 @@
 export async function createRunnerStandin(opts: RunnerOptions) {
   const { slots = 8, connections = 64, workMs = 5 } = opts
   const rng = seededRandom(opts.seed ?? 1)
-  const faults: RunnerFaults = {
-    silent: false,
-    lateMs: 0,
-    crossed: false,
-    cut: false,
-    cutBefore: false,
-    refuse: false,
-    failAll: false,
-    slowFactor: 1,
-    freeze: false,
-    overrunDeadline: false,
-  }
+  const faults = noRunnerFaults()
   const stats: RunnerStats = {
     id: opts.id,
     zone: opts.zone,
--- a/packages/testbed/src/scenario-system.ts
+++ b/packages/testbed/src/scenario-system.ts
@@ -1,3 +1,4 @@
+import { noRunnerFaults } from '@bulrushbridge/standins'
 import { generateKey } from '@bulrushbridge/team-keys'
 import { createRunRecorder, type RunRecorder } from './run-recorder.js'
 import {
@@ -102,17 +103,7 @@
   }
   for (const link of bed.runnerLinks) link.heal()
   for (const runner of bed.runners) {
-    runner.switchFaults({
-      silent: false,
-      lateMs: 0,
-      crossed: false,
-      cut: false,
-      cutBefore: false,
-      refuse: false,
-      failAll: false,
-      slowFactor: 1,
-      freeze: false,
-    })
+    runner.switchFaults(noRunnerFaults())
   }
   if (system.isSpent) return
   await bed.ready()
