fix(entry,testbed): end callers' connections from the start of a shutdown

Read, not observed: answers asked callers to close only after the wait for the balancer, a request in progress at that moment kept its connection, and idle connections were closed at the same instant, which meets a request that the process has not read yet. The scenario's balancer let an older check overwrite a newer one and sent to hosts in shutdown when none was ready. Ruled out: misrouting alone. Change: connection: close from the start of the wait, for requests in progress as well; idle connections are closed after it.

--- a/packages/control/__tests__/removed-host.test.ts
+++ b/packages/control/__tests__/removed-host.test.ts
@@ -15,13 +15,16 @@
   const settings = { zone: 'a', host: '127.0.0.1', 'table-url': bed.table.url }
   const programs = await Promise.all(
     ['e1', 'e2'].map(member => {
-      const all = { ...settings, member, 'object-url': bed.objects.url }
+      const all = { ...settings, member, 'object-url': bed.objects.url, 'log-level': 'debug' }
       const args = Object.entries(all).flatMap(([name, value]) => [`--${name}`, value])
       return launch('bulrush-control', args, { BULRUSH_PEER_SECRET: 'testbed-peer-secret' })
     }),
   )
   t.teardown(() => {
-    for (const program of programs) program.kill('SIGKILL')
+    for (const program of programs) {
+      if (!t.passing()) t.comment(program.log())
+      program.kill('SIGKILL')
+    }
   })
   const holders = async () => {
     const row = await table.read<LedgerRow>(ledgerTable, 'lamps')
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -45,8 +45,10 @@
   readonly address: string
   /** Number of requests in progress. */
   active(): number
-  /** Asks callers to close their connections after the answer in progress. */
+  /** Answers from now on ask callers to close their connections; requests are still taken. */
   drain(): void
+  /** Closes the connections on which no request is in progress. */
+  closeIdle(): void
   close(): Promise<void>
 }
 
@@ -57,13 +59,13 @@
  * const server = await createCallerServer({ host, port, nextRequestId, call, jobs, onError })
  */
 export async function createCallerServer(opts: CallerServerOptions): Promise<CallerServer> {
-  let active = 0
+  const inProgress = new Set<ServerResponse>()
   let draining = false
   const route = (handler: CallerHandler) =>
     // The server speaks HTTP/1.1 only, so the wider request type of h3 does not occur.
     fromNodeHandler((async (req: IncomingMessage, res: ServerResponse) => {
       const requestId = opts.nextRequestId()
-      active += 1
+      inProgress.add(res)
       if (draining) res.setHeader('connection', 'close')
       try {
         await handler(req, res, requestId)
@@ -72,7 +74,7 @@
         opts.onError(err, req, requestId)
         answerError(res, err, requestId)
       } finally {
-        active -= 1
+        inProgress.delete(res)
       }
     }) as NodeHandler)
   const app = new H3()
@@ -99,9 +101,12 @@
   const port = await listen(server, opts.host, opts.port)
   return {
     address: `${opts.host}:${port}`,
-    active: () => active,
+    active: () => inProgress.size,
     drain: () => {
       draining = true
+      for (const res of inProgress) if (!res.headersSent) res.setHeader('connection', 'close')
+    },
+    closeIdle: () => {
       server.closeIdleConnections()
     },
     close: () =>
--- a/packages/entry/src/shutdown.ts
+++ b/packages/entry/src/shutdown.ts
@@ -36,9 +36,12 @@
 export async function drainEntryHost(opts: DrainOptions): Promise<void> {
   const { clock, log, callers } = opts
   log.info('shutting down: waiting for the balancer', { ms: opts.balancerWaitMs })
+  // Connections in use end with their next answer during the wait. One that is closed after the
+  // wait has been idle throughout it, so a caller is unlikely to send on it at that moment.
+  callers.drain()
   await pause(opts.balancerWaitMs)
   opts.refuseNew()
-  callers.drain()
+  callers.closeIdle()
   const deadline = clock.now() + opts.limitMs
   while (callers.active() > 0 && clock.now() < deadline) await pause(checkMs)
   if (callers.active() > 0) {
--- a/packages/testbed/src/scenario-system.ts
+++ b/packages/testbed/src/scenario-system.ts
@@ -1,13 +1,7 @@
 import { noRunnerFaults } from '@bulrushbridge/standins'
 import { generateKey } from '@bulrushbridge/team-keys'
 import { createRunRecorder, type RunRecorder } from './run-recorder.js'
-import {
-  createTestbed,
-  until,
-  type Testbed,
-  type TestEntry,
-  type TestbedOptions,
-} from './testbed.js'
+import { createTestbed, until, type Testbed, type TestbedOptions } from './testbed.js'
 
 /** What the `Given` steps of a scenario ask for. */
 export interface SystemSpec {
@@ -76,22 +70,6 @@
   }
 }
 
-/** Entry hosts that answer as ready now. */
-export async function readyEntries(bed: Testbed): Promise<TestEntry[]> {
-  const ready = await Promise.all(
-    bed.entries.map(async entry => {
-      const res = await fetch(`http://${entry.operators}/health/ready`, {
-        signal: AbortSignal.timeout(readyCheckMs),
-      }).catch(() => undefined)
-      return res?.status === 200
-    }),
-  )
-  return bed.entries.filter((_, n) => ready[n] === true)
-}
-
-/** Time for one readiness check, in milliseconds. */
-const readyCheckMs = 500
-
 /** Switches every fault off and waits until all entry hosts are ready and nothing runs. */
 export async function healSystem(system: ScenarioSystem): Promise<void> {
   const { bed, recorder } = system
--- a/packages/testbed/src/scenario-world.ts
+++ b/packages/testbed/src/scenario-world.ts
@@ -1,7 +1,8 @@
 import { seededRandom } from '@bulrushbridge/standins'
-import { healSystem, readyEntries, startSystem } from './scenario-system.js'
+import { createBalancer, type Balancer } from './balancer.js'
+import { healSystem, startSystem } from './scenario-system.js'
 import type { ScenarioSystem, SystemSpec } from './scenario-system.js'
-import type { TestEntry } from './testbed.js'
+import { until, type TestEntry } from './testbed.js'
 import { sendTraffic, type RecordedCall, type WorkKind } from './traffic.js'
 
 /** How callers choose an entry host. */
@@ -25,8 +26,8 @@
 /** Bytes that runners add to each answer, so that a cut answer is cut inside its body. */
 const fillerBytes = 2_000
 
-/** Interval of the balancer's readiness checks, in milliseconds. */
-const balancerCheckMs = 100
+/** Longest wait of a request for an entry host that is ready, in milliseconds. */
+const balancerHoldMs = 5_000
 
 /** Longest wait at the end of a scenario for faults that heal by themselves, in milliseconds. */
 const settleMs = 15_000
@@ -55,7 +56,7 @@
   #system: ScenarioSystem | undefined
   #traffic: Promise<RecordedCall[]>[] = []
   #rng: () => number = () => 0
-  #balancer: { timer: NodeJS.Timeout; ready: TestEntry[] } | undefined
+  #balancer: Balancer | undefined
 
   constructor(private readonly feature: { system: ScenarioSystem | undefined }) {}
 
@@ -77,7 +78,7 @@
   /** Sends requests in the background. */
   async startTraffic(spec: TrafficSpec): Promise<void> {
     const system = await this.system()
-    if (spec.route === 'balancer') await this.#startBalancer(system)
+    if (spec.route === 'balancer') this.#balancer ??= createBalancer(() => system.bed.entries)
     const { team, route } = spec
     this.#traffic.push(
       sendTraffic({
@@ -113,10 +114,8 @@
     })
   }
 
-  #chooseEntries({ bed }: ScenarioSystem, route: Route, copies: number): string[] {
-    const listed = route === 'balancer' ? (this.#balancer?.ready ?? []) : bed.entries
-    const from = typeof route === 'number' ? [entryOf(bed.entries, route)] : listed
-    const hosts = from.length > 0 ? from : bed.entries
+  async #chooseEntries({ bed }: ScenarioSystem, route: Route, copies: number): Promise<string[]> {
+    const hosts = await this.#routable(bed.entries, route)
     const first = Math.floor(this.#rng() * hosts.length)
     return Array.from(
       { length: copies },
@@ -124,22 +123,19 @@
     )
   }
 
-  /** Keeps the list of ready entry hosts, as a load balancer does. */
-  async #startBalancer({ bed }: ScenarioSystem): Promise<void> {
-    if (this.#balancer !== undefined) return
-    const check = async () => {
-      const ready = await readyEntries(bed)
-      if (this.#balancer !== undefined) this.#balancer.ready = ready
-    }
-    const timer = setInterval(() => void check(), balancerCheckMs)
-    this.#balancer = { timer, ready: bed.entries }
-    await check()
+  async #routable(entries: readonly TestEntry[], route: Route): Promise<readonly TestEntry[]> {
+    if (typeof route === 'number') return [entryOf(entries, route)]
+    if (route === 'all') return entries
+    // A balancer holds a request rather than send it to a host that is not ready.
+    const ready = () => this.#balancer?.ready() ?? []
+    await until(() => ready().length > 0, balancerHoldMs)
+    return ready()
   }
 
   /** Ends what is left of the scenario and makes the system usable for the next one. */
   async close(): Promise<void> {
     await Promise.all(this.#traffic)
-    clearInterval(this.#balancer?.timer)
+    this.#balancer?.close()
     this.#balancer = undefined
     await Promise.allSettled(this.pending)
     if (this.#system === undefined) return
--- a/packages/testbed/src/traffic.ts
+++ b/packages/testbed/src/traffic.ts
@@ -48,7 +48,7 @@
   isWrongKey: boolean
   rng: () => number
   /** Entry hosts of one request, one for each copy. */
-  chooseEntries(copies: number): string[]
+  chooseEntries(copies: number): Promise<string[]>
   key(): string
   send(req: CallerRequest): Promise<CallerAnswer>
 }
@@ -76,7 +76,9 @@
   const { method, keyed, copies } = workKinds[opts.kind]
   const body = method === 'GET' ? undefined : `body of ${token}`
   const idempotencyKey = keyed ? token : undefined
-  return opts.chooseEntries(copies).map(async entry => {
+  const chosen = opts.chooseEntries(copies)
+  return Array.from({ length: copies }, async (_, n) => {
+    const entry = (await chosen)[n] ?? ''
     const sentAt = performance.now()
     const answer = await opts.send({
       entry,
