refactor(config-view): move the exchanges and the interface out of config-view.ts

Ruled out: splitting the class by operations, which would have needed more access to its state. Change: PeerExchanges has the rounds of exchanges and the answers to peers; types.ts has the public interface and its options.

--- a/packages/config-view/src/config-view.ts
+++ b/packages/config-view/src/config-view.ts
@@ -13,7 +13,7 @@
 import { ChangeHistory, fromChangeMessages, toChangeMessage } from './change-history.js'
 import { Confirmation } from './confirmation.js'
 import { parseSnapshot } from './head.js'
-import { isMajority, peersOf, voteOf, votesOf } from './membership.js'
+import { voteOf, votesOf } from './membership.js'
 import type {
   Announcement,
   ConfigReport,
@@ -23,73 +23,12 @@
 } from './peer-config.js'
 import { awaitVersion, proposeChange, type ProposeOptions } from './propose.js'
 import { restrict, type RestrictOptions } from './restrict.js'
+import { PeerExchanges } from './peer-exchanges.js'
 import { RestrictionCommitter } from './restriction-committer.js'
 import { RestrictionSet, type PendingRestriction, type RestrictiveChange } from './restrictions.js'
 import { StoreReader } from './store-reader.js'
 import { acknowledgeMs, callMs, pollIntervalMs, systemTimers, type Timers } from './timing.js'
-
-/** Options of {@link createConfigView}. */
-export interface ConfigViewOptions {
-  /** This entry host; the incarnation differs for each start of the process. */
-  member: Member
-  table: TableService
-  objects: ObjectStore
-  peers: PeerConfig
-  clock: Clock
-  timers?: Timers
-  /** Wall-clock time written into change rows, for people only. */
-  wallClock?: () => string
-  /** Told of failures in the background, for the log. */
-  onError?: (err: unknown) => void
-}
-
-/** What became of a change. */
-export interface ChangeResult {
-  /** Version that contains the change; 0 for a provisional restriction. */
-  version: number
-  /** Ids of the registered entry hosts that act on the change. */
-  acknowledged: string[]
-  /** Ids of the registered entry hosts that are not known to act on it. */
-  missing: string[]
-  /** True when no entry host serves without the change 3 s from now. */
-  accepted: boolean
-}
-
-/** An entry host's view of the configuration. */
-export interface ConfigView {
-  readonly member: Member
-  /** The configuration in force here, with provisional restrictions applied. */
-  current(): Configuration
-  /** The configuration without provisional restrictions. */
-  committed(): Configuration
-  /** Until when the view is confirmed, on the view's clock. */
-  confirmedUntil(): number
-  isConfirmed(): boolean
-  /** Restrictions that are not committed yet. */
-  provisional(): PendingRestriction[]
-  /** The most recent change row that this entry host has seen. */
-  lastChange(): ChangeRow | undefined
-  /** What is known of each registered entry host: the version it acts on. */
-  memberVersions(): Record<string, number>
-  /** Calls `cb` after each change of {@link ConfigView.current}; the result ends it. */
-  onChange(cb: (cfg: Configuration) => void): () => void
-  /** Commits a change. Throws `version-conflict`, `store-unavailable` or `unknown-object`. */
-  propose(change: Change, opts: ProposeOptions): Promise<ChangeResult>
-  /** Orders a zone out or a key withdrawn while the store is down. */
-  restrict(change: RestrictiveChange, opts: RestrictOptions): Promise<ChangeResult>
-  /** Announces the held version again and waits for the acknowledgements, without a change. */
-  reannounce(): Promise<ChangeResult>
-  /** Registers this entry host. Needs a confirmed view. */
-  join(): Promise<ChangeResult>
-  /** Removes this entry host's registration. */
-  leave(): Promise<ChangeResult>
-  /** Removes an entry host that has vanished. */
-  removeMember(id: string, incarnation: string): Promise<ChangeResult>
-  handleExchange(report: ConfigReport): ConfigReport
-  handleFetchChanges(after: number, snapshot: boolean): FetchedChanges
-  handleAnnounce(message: Announcement): { version: number }
-  close(): void
-}
+import type { ChangeResult, ConfigView, ConfigViewOptions } from './types.js'
 
 /**
  * Starts an entry host's view. It polls the store and exchanges with peers until closed.
@@ -117,6 +56,7 @@
   readonly restrictions = new RestrictionSet()
   readonly acknowledgements = new Acknowledgements()
   readonly #committer: RestrictionCommitter
+  readonly #exchanges: PeerExchanges
   readonly #confirmation = new Confirmation()
   readonly #history = new ChangeHistory()
   readonly #listeners = new Set<(cfg: Configuration) => void>()
@@ -137,6 +77,7 @@
     this.#onError = opts.onError ?? (() => undefined)
     this.reader = new StoreReader(opts.table, opts.objects)
     this.#committer = new RestrictionCommitter(this)
+    this.#exchanges = new PeerExchanges(this, this.#confirmation)
   }
 
   start(): void {
@@ -146,7 +87,7 @@
     }, pollIntervalMs)
     // Neither call is awaited: a slow one must not delay the next poll.
     this.#background(this.pollStore())
-    this.#background(this.exchangeRound())
+    this.#background(this.#exchanges.round())
   }
 
   close(): void {
@@ -231,40 +172,9 @@
     this.#confirmation.readCaughtUp(read, isRegistered)
   }
 
-  /** Exchanges with every registered peer and confirms the view when a majority agrees. */
-  async exchangeRound(): Promise<void> {
-    const startedAt = this.clock.now()
-    const reported = new Map<string, number>()
-    const registered = peersOf(this.#committed, this.member.id)
-    const asked = registered.length > 0 || this.#committed.version > 0 ? registered : this.#seeds()
-    const evaluate = () => {
-      this.#evaluateRound(startedAt, reported)
-    }
-    evaluate()
-    await Promise.allSettled(
-      asked.map(async peer => {
-        const report = await this.exchangeWith(peer, startedAt + callMs)
-        reported.set(voteOf({ id: report.member, incarnation: report.incarnation }), report.version)
-        evaluate()
-        if (report.version <= this.#committed.version) return
-        await this.fetchFrom(peer, startedAt + callMs)
-        evaluate()
-      }),
-    )
-  }
-
-  #evaluateRound(startedAt: number, reported: Map<string, number>): void {
-    const held = this.#committed.version
-    if ([...reported.values()].some(version => version > held)) return
-    const votes = new Set([...reported.keys(), voteOf(this.member)])
-    if (isMajority(votes, votesOf(this.#committed))) this.#confirmation.confirmByMajority(startedAt)
-  }
-
   /** One exchange; merges the peer's restrictions. */
-  async exchangeWith(peer: PeerAddress, deadline: number): Promise<ConfigReport> {
-    const report = await this.peers.exchange(peer, this.report(), { deadline })
-    this.#learn(report)
-    return report
+  exchangeWith(peer: PeerAddress, deadline: number): Promise<ConfigReport> {
+    return this.#exchanges.exchangeWith(peer, deadline)
   }
 
   /** Fetches missing changes from a peer. */
@@ -276,7 +186,7 @@
     this.apply(fromChangeMessages(fetched.changes))
   }
 
-  /** Brings the view to `version` from the store; peers supply it in {@link exchangeRound}. */
+  /** Brings the view to `version` from the store; peers supply it in {@link PeerExchanges.round}. */
   async catchUp(version: number, deadline: number): Promise<void> {
     if (this.#committed.version >= version) return
     if (this.#committed.version === 0) this.adopt(await this.reader.snapshot(version, { deadline }))
@@ -323,8 +233,7 @@
   }
 
   handleExchange(report: ConfigReport): ConfigReport {
-    this.#learn(report)
-    return this.report()
+    return this.#exchanges.answer(report)
   }
 
   handleFetchChanges(after: number, snapshot: boolean): FetchedChanges {
@@ -340,21 +249,10 @@
     return { version: this.#committed.version }
   }
 
-  #learn(report: ConfigReport): void {
-    const vote = voteOf({ id: report.member, incarnation: report.incarnation })
-    const ids = report.restrictions.map(({ id }) => id)
-    this.acknowledgements.report(vote, report.version, ids)
-    if (this.restrictions.merge(report.restrictions)) this.refresh()
-  }
-
   #heldIds(): string[] {
     return this.restrictions.pending.map(({ id }) => id)
   }
 
-  #seeds(): PeerAddress[] {
-    return this.peers.seeds().filter(peer => peer.id !== this.member.id)
-  }
-
   #background(task: Promise<void>): void {
     task.catch((err: unknown) => {
       this.#onError(err)
--- a/packages/config-view/src/index.ts
+++ b/packages/config-view/src/index.ts
@@ -1,9 +1,4 @@
-export {
-  createConfigView,
-  type ChangeResult,
-  type ConfigView,
-  type ConfigViewOptions,
-} from './config-view.js'
+export { createConfigView } from './config-view.js'
 export { Confirmation } from './confirmation.js'
 export type { Head } from './head.js'
 export type {
@@ -20,3 +15,4 @@
 export { isRestrictive, type PendingRestriction, type RestrictiveChange } from './restrictions.js'
 export { systemTimers, type Timers } from './timing.js'
 export { StoreReader } from './store-reader.js'
+export type { ChangeResult, ConfigView, ConfigViewOptions } from './types.js'
--- a/packages/config-view/src/propose.ts
+++ b/packages/config-view/src/propose.ts
@@ -4,11 +4,12 @@
 import { RequestError } from '@bulrushbridge/errors'
 import { StoreError } from '@bulrushbridge/store'
 import { awaitAcknowledgement, meet } from './await-acknowledgement.js'
-import type { ChangeResult, View } from './config-view.js'
+import type { View } from './config-view.js'
 import { changeKey, snapshotName, type Head, type HeadRow } from './head.js'
 import { isMembershipChange, votesOf } from './membership.js'
 import { isRestrictive } from './restrictions.js'
 import { acknowledgeMs, callMs, snapshotInterval } from './timing.js'
+import type { ChangeResult } from './types.js'
 
 /** Options of {@link proposeChange}. */
 export interface ProposeOptions {
--- a/packages/config-view/src/restrict.ts
+++ b/packages/config-view/src/restrict.ts
@@ -1,10 +1,11 @@
 import { randomUUID } from 'node:crypto'
 import type { Acknowledged } from './acknowledgements.js'
 import { awaitAcknowledgement } from './await-acknowledgement.js'
-import type { ChangeResult, View } from './config-view.js'
+import type { View } from './config-view.js'
 import { votesOf } from './membership.js'
 import { toMessage, type RestrictiveChange } from './restrictions.js'
 import { acknowledgeMs } from './timing.js'
+import type { ChangeResult } from './types.js'
 
 /** Options of {@link restrict}. */
 export interface RestrictOptions {
