perf(team-share): recompute an allocation only after its input has changed

Cause: every pool's allocation was computed ten times a second, also while nothing had changed. Ruled out: an event for each change from the queue, which would compute on every request; the interval of 100 ms stays the upper bound of the rate. Change: PoolDemand keeps the demand of all entry hosts with a revision that rises only when an entry differs, a report became too old or a member left. FleetShare.update compares revision, slots, shares, limits and rounding period with those of the last computation. The rounding period does not count while the pool has no demand. A pool whose demand changes in every interval costs as much as before.

--- a/packages/team-share/__tests__/fleet-share.test.ts
+++ b/packages/team-share/__tests__/fleet-share.test.ts
@@ -1,5 +1,5 @@
 import t from 'tap'
-import { createFairQueue, createFleetShare } from '../src/index.js'
+import { createFairQueue, createFleetShare, type TeamDemand } from '../src/index.js'
 
 void t.test('guards against reports of a lost peer that hold slots for ever', t => {
   const now = { ms: 0 }
@@ -25,3 +25,72 @@
   t.equal(fleet.slots(), 8)
   t.end()
 })
+
+void t.test('guards against computations without a change, and changes without one', t => {
+  const now = { ms: 0 }
+  const clock = { now: () => now.ms }
+  let shares = new Map([
+    ['a', 1],
+    ['b', 1],
+  ])
+  let [slots, rotation, computed] = [8, 0, 0]
+  let own: TeamDemand[] = []
+  const queue = createFairQueue({ shares, clock })
+  const fleet = createFleetShare({
+    member: 'e1',
+    queue: {
+      ...queue,
+      setWeights: weights => {
+        computed += 1
+        queue.setWeights(weights)
+      },
+    },
+    clock,
+    slots: () => slots,
+    shares: () => shares,
+    demand: () => own.map(entry => ({ ...entry })),
+    rotation: () => rotation,
+  })
+  const expectComputed = (expected: number, what: string) => {
+    const before = computed
+    fleet.update()
+    fleet.update()
+    t.equal(computed - before, expected, what)
+  }
+  expectComputed(1, 'the first update')
+  rotation += 1
+  expectComputed(0, 'an empty pool in the next rounding period')
+  fleet.report('e2', [])
+  expectComputed(0, 'a first report without demand')
+  own = [{ team: 'a', running: 0, waiting: 9 }]
+  expectComputed(1, 'demand here')
+  expectComputed(0, 'the same demand in new objects')
+  own = [{ team: 'a', running: 1, waiting: 8 }]
+  expectComputed(1, 'a request that started')
+  fleet.report('e2', [{ team: 'b', running: 0, waiting: 9 }])
+  expectComputed(1, 'demand of a peer')
+  fleet.report('e2', [{ team: 'b', running: 0, waiting: 9 }])
+  expectComputed(0, 'a repeated report')
+  rotation += 1
+  expectComputed(1, 'the next rounding period')
+  slots = 16
+  expectComputed(1, 'slots')
+  t.equal(fleet.slots(), 8)
+  shares = new Map([
+    ['a', 3],
+    ['b', 1],
+  ])
+  expectComputed(1, 'shares')
+  now.ms = 2_000
+  fleet.report('e2', [{ team: 'b', running: 0, waiting: 9 }])
+  now.ms = 4_000
+  expectComputed(0, 'a repeated report keeps the peer')
+  now.ms = 5_001
+  expectComputed(1, 'a report that became too old')
+  t.equal(fleet.slots(), 16)
+  fleet.report('e2', [{ team: 'b', running: 0, waiting: 9 }])
+  expectComputed(1, 'a peer that came back')
+  fleet.forget('e2')
+  expectComputed(1, 'a peer that left')
+  t.end()
+})
--- a/packages/team-share/src/fleet-share.ts
+++ b/packages/team-share/src/fleet-share.ts
@@ -1,9 +1,7 @@
 import type { Clock } from '@bulrushbridge/errors'
-import { allocate, type Allocation, type Demand } from './allocate.js'
+import { allocate, type Allocation } from './allocate.js'
 import type { FairQueue } from './fair-queue.js'
-
-/** Running and waiting requests of one team at one entry host. */
-export type TeamDemand = Omit<Demand, 'member'>
+import { PoolDemand, type TeamDemand } from './pool-demand.js'
 
 /** Options of {@link createFleetShare}. */
 export interface FleetShareOptions {
@@ -14,6 +12,7 @@
   clock: Clock
   /** Slots of the pool's runners in service. */
   slots: () => number
+  /** A map that is replaced, never changed, when the shares change; so are the limits. */
   shares: () => ReadonlyMap<string, number>
   limits?: () => ReadonlyMap<string, number>
   /** Demand of this entry host, read at each update. */
@@ -28,18 +27,30 @@
   report(member: string, demand: readonly TeamDemand[]): void
   /** Drops a member that left. */
   forget(member: string): void
-  /** Computes the allocation anew and sets the queue's weights; call after reports and often. */
+  /**
+   * Computes the allocation and sets the queue's weights; call after reports and often. While
+   * neither the demand, the configuration nor the rounding period has changed, it only returns the
+   * last result.
+   */
   update(): Allocation
   /** Requests that this entry host may have running now, over all teams. */
   slots(): number
 }
 
-/** A report older than this is not counted: the peer is gone or cut off. */
-const reportLifetimeMs = 3000
-
 /** Length of a rounding period. */
 const rotationPeriodMs = 1000
 
+/** Everything that an allocation depends on. */
+interface Input {
+  slots: number
+  shares: ReadonlyMap<string, number>
+  limits: ReadonlyMap<string, number> | undefined
+  /** Undefined when the allocation does not depend on it. */
+  rotation: number | undefined
+  /** Revision of the demand. */
+  revision: number
+}
+
 /**
  * Fairness over the whole fleet: every entry host computes the same allocation from the exchanged
  * demand, takes its part of the slots, and orders its teams by their exact parts of it. A team's
@@ -51,46 +62,59 @@
  * fleet.update()
  */
 export function createFleetShare(opts: FleetShareOptions): FleetShare {
-  const reports = new Map<string, { at: number; demand: readonly TeamDemand[] }>()
+  const demand = new PoolDemand(opts.member, opts.clock)
   const rotation = opts.rotation ?? (() => Math.floor(Date.now() / rotationPeriodMs))
   let slots = opts.slots()
+  let last: { input: Input; result: Allocation } | undefined
 
-  function collect(): Demand[] {
-    const oldest = opts.clock.now() - reportLifetimeMs
-    const all: Demand[] = []
-    for (const [member, report] of reports) {
-      if (report.at < oldest) reports.delete(member)
-      else for (const entry of report.demand) all.push({ member, ...entry })
-    }
-    for (const entry of opts.demand()) all.push({ member: opts.member, ...entry })
-    return all
-  }
+  const readInput = (): Input => ({
+    slots: opts.slots(),
+    shares: opts.shares(),
+    limits: opts.limits?.(),
+    rotation: rotation(),
+    revision: demand.refresh(opts.demand()),
+  })
 
   return {
-    report(member, demand) {
-      if (member !== opts.member) reports.set(member, { at: opts.clock.now(), demand })
+    report(member, reported) {
+      demand.report(member, reported)
     },
     forget(member) {
-      reports.delete(member)
+      demand.forget(member)
     },
     update() {
-      const shares = opts.shares()
-      const limits = opts.limits?.()
+      const input = readInput()
+      if (last !== undefined && isSameInput(last.input, input)) return last.result
+      const { shares, limits } = input
+      const all = demand.all()
+      // Without demand there is nothing to round, so the rounding period does not matter.
+      if (all.length === 0) input.rotation = undefined
       const result = allocate({
-        slots: opts.slots(),
+        slots: input.slots,
         shares,
-        demand: collect(),
-        rotation: rotation(),
+        demand: all,
+        ...(input.rotation === undefined ? {} : { rotation: input.rotation }),
         ...(limits && { limits }),
       })
       slots = (result.members.get(opts.member) ?? 0) + Math.floor(result.spare)
       opts.queue.setWeights(weightsOf(result, opts.member, shares))
+      last = { input, result }
       return result
     },
     slots: () => slots,
   }
 }
 
+function isSameInput(a: Input, b: Input): boolean {
+  return (
+    a.slots === b.slots &&
+    a.shares === b.shares &&
+    a.limits === b.limits &&
+    a.revision === b.revision &&
+    (a.rotation === undefined || a.rotation === b.rotation)
+  )
+}
+
 /** A team with no demand here is weighted as if it had one request. */
 function* weightsOf(
   result: Allocation,
--- a/packages/team-share/src/index.ts
+++ b/packages/team-share/src/index.ts
@@ -12,10 +12,6 @@
   type FairQueue,
   type FairQueueOptions,
 } from './fair-queue.js'
-export {
-  createFleetShare,
-  type FleetShare,
-  type FleetShareOptions,
-  type TeamDemand,
-} from './fleet-share.js'
+export { createFleetShare, type FleetShare, type FleetShareOptions } from './fleet-share.js'
 export { heapHandle, IndexedHeap, type HeapHandle } from './indexed-heap.js'
+export type { TeamDemand } from './pool-demand.js'
