--- a/packages/team-limit/src/team-account.ts
+++ b/packages/team-limit/src/team-account.ts
@@ -99,8 +99,9 @@
     this.#waiters.delete(who)
   }
 
-  /** Announces queued work, so that as many permits are asked for. */
+  /** Announces queued work, so that as many permits are asked for. None left ends the demand. */
   setWaiting(count: number): void {
+    if (count === 0 && this.#waiting > 0) this.stopWaiting(self)
     this.#waiting = count
   }
 
