fix(upstream-routing,entry): divide the slots of a full pool over entry hosts exactly

Cause: in a full pool an entry host used a runner's slots less the peers' last reports, which are up to 500 ms old. Traces of a burst through processes (trial, load 4 to 5) showed 22 of 23 slots of an entry host in use, but 58.5 of 64 slots busy at the runners, 1.3 requests queued there behind others, and starts stopped by the router for 14 to 33% of the time although the share allowed more. About 7 requests were in transit between entry host and runner at any time, so their slots idled.

Ruled out: too few queued requests (190 waited per entry host), refusals by permits, and a share smaller than the pool.

Change: each entry host lays out the allocation that it computes anyway and deals it to the runners in turn, which gives every runner the same number of requests without messages. While the pool has spare slots the peers' reports still apply.

--- a/packages/entry/src/service-path.ts
+++ b/packages/entry/src/service-path.ts
@@ -13,6 +13,8 @@
   createRetryBudget,
   createRouter,
   dispatch,
+  divideRunners,
+  requestsPerRunner,
   type AttemptTrace,
   type Reservation,
   type Router,
@@ -121,7 +123,7 @@
       member: opts.member.id,
       queue,
       clock,
-      slots: () => this.#slots(),
+      slots: () => this.#inService().length * requestsPerRunner(this.#service.slots),
       shares: () => this.#shares,
       demand: () => this.#admission.demand(),
       ...(opts.rotation === undefined ? {} : { rotation: opts.rotation }),
@@ -251,13 +253,21 @@
     clearInterval(this.#timer)
   }
 
+  #inService(): Service['runners'] {
+    return this.#service.runners.filter(({ zone }) => !this.#zonesOut.includes(zone))
+  }
+
   #slots(): number {
-    const inService = this.#service.runners.filter(({ zone }) => !this.#zonesOut.includes(zone))
-    return inService.length * this.#service.slots
+    return this.#inService().length * this.#service.slots
   }
 
   #update(): void {
-    this.#share.update()
+    const { members, spare } = this.#share.update()
+    const runners = this.#inService().map(({ id }) => id)
+    const isFull = spare < 1
+    this.#router.setParts(
+      isFull ? divideRunners({ members, member: this.#opts.member.id, runners }) : undefined,
+    )
     this.#admission.pump()
   }
 
--- a/packages/upstream-routing/__tests__/router.test.ts
+++ b/packages/upstream-routing/__tests__/router.test.ts
@@ -57,6 +57,23 @@
   t.end()
 })
 
+void t.test('guards against old reports of peers that idle or overfill slots of a full pool', t => {
+  const { router } = setUp(3)
+  router.setPeerLoad(
+    new Map([
+      ['r0', 8],
+      ['r1', 0],
+    ]),
+  )
+  router.setParts(new Map([['r0', 2]]))
+  t.equal(router.free(), 2, 'its own part, whatever the peers reported')
+  const taken = Array.from({ length: 3 }, () => router.reserve({ idempotent: false })?.runner.id)
+  t.same(taken, ['r0', 'r0', undefined])
+  router.setParts(undefined)
+  t.equal(router.free(), 16, 'what the peers leave, once the pool has free slots')
+  t.end()
+})
+
 void t.test('ejection stops at a third; trials run one at a time, then slow start', t => {
   const { router, clock, decisions, use, others } = setUp(6)
   for (const id of ['r0', 'r1', 'r2']) for (let i = 0; i < 5; i++) use(id, 'failed')
--- a/packages/upstream-routing/src/routed-runner.ts
+++ b/packages/upstream-routing/src/routed-runner.ts
@@ -11,6 +11,8 @@
   inFlight = 0
   /** In flight from the peers' last reports. */
   peerLoad = 0
+  /** Slots of this entry host's own in a full pool; undefined while the pool has free slots. */
+  part: number | undefined
   failures = 0
   isLeaving = false
   isRemoved = false
@@ -31,7 +33,7 @@
   allowed(slots: number, now: number): number {
     const age = now - this.reinstatedAt
     const own = age < slowStartMs ? Math.max(1, Math.floor((slots * age) / slowStartMs)) : slots
-    return Math.max(0, Math.min(own, slots - this.peerLoad))
+    return Math.max(0, Math.min(own, this.part ?? slots - this.peerLoad))
   }
 
   /** Free slots for ordinary requests; 0 for a runner that takes none. */
--- a/packages/upstream-routing/src/router.ts
+++ b/packages/upstream-routing/src/router.ts
@@ -61,6 +61,11 @@
   setZonesOut(zones: readonly string[]): void
   /** Sum of the peers' last reports, by runner id. */
   setPeerLoad(load: ReadonlyMap<string, number>): void
+  /**
+   * This entry host's part of each runner by runner id, which then replaces the slots that the
+   * peers' last reports leave; undefined while the pool has slots that no entry host claims.
+   */
+  setParts(parts: ReadonlyMap<string, number> | undefined): void
   /** Hosts that the host list says are leaving. */
   setLeaving(hosts: readonly string[]): void
   /** Hosts that the host list says have gone; what ran there is over. */
@@ -284,6 +289,10 @@
     this.#notifyFree()
   }
 
+  setParts(parts: ReadonlyMap<string, number> | undefined): void {
+    for (const [id, routed] of this.#runners) routed.part = parts && (parts.get(id) ?? 0)
+  }
+
   setLeaving(hosts: readonly string[]): void {
     this.#leaving = new Set(hosts)
     for (const routed of this.#runners.values()) {
