fix(admission,team-share): keep time in hand for the wait and the work of a request

Cause: a trace of a burst (trial, load 4 to 5) showed that every late answer with equal runners had waited until just the learned bound was left: the queue grows until its wait fills the deadline, the wait was estimated from gaps between starts, and one request in 20 takes longer than the mean and two mean deviations. Starts come in groups, so the gaps also made a pause of 20 ms look like a stalled team, and newcomers were refused although slots idled.

Ruled out: a check at the start alone, because requests that are started with the bound left are late whenever the bound is too low; earliest deadline first, which only reorders equal deadlines.

Change: the wait is estimated from the running requests and the mean time; wait and work may take three quarters of the time to the deadline; the bound is the mean and four mean deviations.

--- a/packages/admission/__tests__/admission.test.ts
+++ b/packages/admission/__tests__/admission.test.ts
@@ -159,6 +159,20 @@
   },
 )
 
+void t.test('guards against newcomers accepted with hardly more time than they need', async t => {
+  const { state, results, enter } = setup(2, { a: 1 })
+  for (let i = 0; i < 3; i++) void enter('a', `a${i}`)
+  // Two of 10 ms run and one waits: 10 ms of wait and 10 ms of work, in three quarters of the time.
+  void enter('a', 'short', 26)
+  void enter('a', 'long', 27)
+  await settle()
+  t.same(results, ['a0:start', 'a1:start', 'short:deadline-too-short'])
+  state.now = 5
+  void enter('a', 'later', 45)
+  await settle()
+  t.equal(results.length, 3, 'a pause between two starts does not lengthen the estimate')
+})
+
 void t.test('guards against requests that settle twice or never', async t => {
   const step = fc.record({
     team: fc.constantFrom('a', 'b', 'c'),
--- a/packages/admission/src/create-admission.ts
+++ b/packages/admission/src/create-admission.ts
@@ -1,18 +1,19 @@
 import { RequestError, type ErrorKind } from '@bulrushbridge/errors'
-import { IndexedHeap, type Charge } from '@bulrushbridge/team-share'
+import type { Charge } from '@bulrushbridge/team-share'
 import { guaranteedPart, lendingLimit, queuedPerSlot } from './bounds.js'
+import { Expiry } from './expiry.js'
 import { createWaiter, TeamLine, type Waiter } from './team-line.js'
-import type { Admission, AdmissionOptions, EntryRequest, Start, Timers } from './types.js'
+import type { Admission, AdmissionOptions, EntryRequest, Start } from './types.js'
 
 /** Shortest retry hint, so that refused callers do not return at once. */
 const minRetryMs = 100
 
-const systemTimers: Timers = {
-  set: (fn, delayMs) => setTimeout(fn, delayMs).unref(),
-  clear: timer => {
-    clearTimeout(timer as NodeJS.Timeout)
-  },
-}
+/**
+ * Part of the time to its deadline that a newcomer's estimated wait and work may take. The estimate
+ * follows changes of the allocation and of the work with a delay; without a reserve a long queue
+ * starts every request with hardly more time left than its work takes.
+ */
+const plannedPart = 3 / 4
 
 /**
  * Creates the bounded queue in front of a pool's runners. Nothing that it refuses has run.
@@ -28,19 +29,22 @@
 
 class PoolAdmission<R extends object> implements Admission<R> {
   readonly #opts: AdmissionOptions<R>
-  readonly #timers: Timers
   readonly #lines = new Map<string, TeamLine<R>>()
-  readonly #expiry = new IndexedHeap<Waiter<R>>((a, b) => a.req.deadline < b.req.deadline)
+  readonly #expiry: Expiry<R>
   #seq = 0
   #closing = false
   #pumping = false
-  #timer: unknown
-  #timerAt = Number.POSITIVE_INFINITY
   readonly #onEmpty: (() => void)[] = []
 
   constructor(opts: AdmissionOptions<R>) {
     this.#opts = opts
-    this.#timers = opts.timers ?? systemTimers
+    this.#expiry = new Expiry({
+      clock: opts.clock,
+      timers: opts.timers,
+      onDue: () => {
+        this.pump('slot')
+      },
+    })
   }
 
   enter(req: EntryRequest): Promise<Start<R>> {
@@ -122,8 +126,8 @@
   #overload(req: EntryRequest, line: TeamLine<R>): ErrorKind | undefined {
     const limited = line.refusal === 'no-permit'
     const now = this.#opts.clock.now()
-    const ready = now + line.waitMs(now) + this.#opts.queue.expectedMs(req.team)
-    if (line.waiting > 0 && ready > req.deadline) {
+    const neededMs = line.waitMs(this.#meanMs(line)) + this.#meanMs(line)
+    if (line.waiting > 0 && neededMs > (req.deadline - now) * plannedPart) {
       return limited ? 'team-limit-reached' : 'deadline-too-short'
     }
     const full = limited ? 'team-limit-reached' : 'queue-full'
@@ -169,7 +173,6 @@
       }
       const start = this.#begin(line, got)
       this.#remove(waiter)
-      line.noteStart(this.#opts.clock.now())
       waiter.resolve(start)
     }
   }
@@ -210,9 +213,9 @@
   #add(line: TeamLine<R>, waiter: Waiter<R>): void {
     line.first.push(waiter.first)
     line.newest.push(waiter.newest)
-    this.#expiry.push(waiter.expiry)
+    this.#expiry.push(waiter)
     this.#opts.queue.activate(line.team)
-    const { signal, deadline } = waiter.req
+    const { signal } = waiter.req
     if (signal) {
       waiter.onAbort = () => {
         this.#remove(waiter)
@@ -220,53 +223,39 @@
       }
       signal.addEventListener('abort', waiter.onAbort, { once: true })
     }
-    if (deadline < this.#timerAt) this.#arm()
   }
 
   #remove(waiter: Waiter<R>): void {
     const line = this.#lineOf(waiter.req.team)
     line.first.remove(waiter.first)
     line.newest.remove(waiter.newest)
-    this.#expiry.remove(waiter.expiry)
+    this.#expiry.remove(waiter)
     if (waiter.onAbort) waiter.req.signal?.removeEventListener('abort', waiter.onAbort)
     if (line.waiting === 0) this.#opts.queue.deactivate(line.team)
     if (this.#expiry.size === 0) {
-      this.#arm()
       for (const resolve of this.#onEmpty.splice(0)) resolve()
     }
   }
 
   #expire(): void {
-    const now = this.#opts.clock.now()
     for (;;) {
-      const waiter = this.#expiry.peek()
-      if (!waiter || waiter.req.deadline > now) return
+      const waiter = this.#expiry.due()
+      if (!waiter) return
       this.#remove(waiter)
       waiter.reject(this.#refuse('deadline-passed', this.#lineOf(waiter.req.team)))
     }
   }
 
-  /** Sets the one timer to the earliest deadline. */
-  #arm(): void {
-    if (this.#timer !== undefined) this.#timers.clear(this.#timer)
-    this.#timer = undefined
-    this.#timerAt = this.#expiry.peek()?.req.deadline ?? Number.POSITIVE_INFINITY
-    if (this.#timerAt === Number.POSITIVE_INFINITY) return
-    this.#timer = this.#timers.set(
-      () => {
-        this.pump('slot')
-        this.#arm()
-      },
-      Math.max(1, Math.ceil(this.#timerAt - this.#opts.clock.now())),
-    )
-  }
-
   #refuse(kind: ErrorKind, line: TeamLine<R>): RequestError {
     return new RequestError(kind, {
-      retryAfterMs: this.#spread(line.waitMs(this.#opts.clock.now())),
+      retryAfterMs: this.#spread(line.waitMs(this.#meanMs(line))),
     })
   }
 
+  #meanMs(line: TeamLine<R>): number {
+    return this.#opts.queue.expectedMs(line.team)
+  }
+
   /** Between one and two estimated waits, so that refused callers do not return together. */
   #spread(waitMs: number): number {
     return Math.ceil(Math.max(waitMs, minRetryMs) * (1 + this.#opts.rng()))
--- a/packages/admission/src/team-line.ts
+++ b/packages/admission/src/team-line.ts
@@ -28,15 +28,13 @@
   })
 }
 
-/** The waiting requests of one team, its running count and its measured rate of starts. */
+/** The waiting requests of one team and its running count. */
 export class TeamLine<R> {
   running = 0
   refusal: StartRefusal | undefined
   readonly first: IndexedHeap<Waiter<R>>
   readonly newest = new IndexedHeap<Waiter<R>>((a, b) => a.seq > b.seq)
   readonly team: string
-  #gapMs: number | undefined
-  #lastStart: number | undefined
 
   constructor(team: string, order: 'deadline' | 'arrival') {
     this.team = team
@@ -52,27 +50,12 @@
     return this.first.size
   }
 
-  /** Notes a start out of the queue; gaps are measured only while requests wait. */
-  noteStart(now: number): void {
-    if (this.#lastStart !== undefined) {
-      const gap = now - this.#lastStart
-      this.#gapMs = this.#gapMs === undefined ? gap : this.#gapMs + gapGain * (gap - this.#gapMs)
-    }
-    this.#lastStart = this.waiting > 0 ? now : undefined
-    if (this.waiting === 0) this.#gapMs = undefined
-  }
-
-  /** Estimated wait of a newcomer, in milliseconds; 0 while nothing has been measured. */
-  waitMs(now: number): number {
-    if (this.#gapMs === undefined || this.#lastStart === undefined) return 0
-    // A stalled team's estimate grows with the time since its last start.
-    const gap = Math.max(this.#gapMs, (now - this.#lastStart) / stallFactor)
-    return (this.waiting + 1) * gap
+  /**
+   * Estimated wait of a newcomer when requests take `meanMs` on average, in milliseconds: as many
+   * start in that time as are running now. Gaps between starts are not measured, because starts
+   * come in groups and a pause between two groups looked like a stalled team.
+   */
+  waitMs(meanMs: number): number {
+    return ((this.waiting + 1) * meanMs) / Math.max(1, this.running)
   }
 }
-
-/** Part of a new gap in the average. */
-const gapGain = 1 / 16
-
-/** Gaps vary; only a pause of several mean gaps shows that starts have slowed down. */
-const stallFactor = 4
--- /dev/null
+++ b/packages/entry/__tests__/burst.test.ts
@@ -0,0 +1,15 @@
+import t from 'tap'
+import { simulatePool } from './simulated-pool.js'
+
+/** Offered load of a burst in requests a second; the pool completes 640 of them. */
+const perSecond = 1_600
+
+void t.test('guards against idle slots and late answers in a burst', async t => {
+  for (const seed of [1, 2, 3]) {
+    const burst = { seed, perSecond, slowFactor: 1, warmUpMs: 2_000, measuredMs: 3_000 }
+    const { goodput, late, ejected } = await simulatePool(burst)
+    t.ok(goodput >= 95, `goodput ${goodput}%`)
+    t.equal(late, 0)
+    t.equal(ejected, 0)
+  }
+})
--- a/packages/team-share/__tests__/fair-queue.test.ts
+++ b/packages/team-share/__tests__/fair-queue.test.ts
@@ -83,3 +83,17 @@
   t.equal(serve(queue, now, 3000).a, 0)
   t.end()
 })
+
+void t.test('guards against a bound that ordinary requests exceed', t => {
+  const now = { ms: 0 }
+  const queue = createFairQueue({ shares, clock: { now: () => now.ms } })
+  // Lengths spread evenly over 90 to 110 ms, as in a burst of equal requests.
+  for (let i = 0; i < 200; i++) {
+    const charge = queue.started('a')
+    now.ms += 90 + ((i * 7) % 21)
+    queue.ended(charge)
+  }
+  t.ok(queue.boundMs('a') > 110)
+  t.ok(queue.boundMs('a') < 150)
+  t.end()
+})
--- a/packages/team-share/src/fair-queue.ts
+++ b/packages/team-share/src/fair-queue.ts
@@ -39,7 +39,7 @@
   setWeights(weights: Iterable<readonly [string, number]>): void
   /** Expected time of a request, in milliseconds. */
   expectedMs(team: string): number
-  /** Time that few requests exceed: mean and twice the mean deviation, in milliseconds. */
+  /** Time that few requests exceed: mean and four times the mean deviation, in milliseconds. */
   boundMs(team: string): number
   /** Number of teams that {@link next} chooses from. */
   readonly ready: number
@@ -50,6 +50,12 @@
 
 const defaultCostMs = 100
 
+/**
+ * Mean deviations between the mean and the bound. About one request in 20 exceeded two of them,
+ * and each one that is started with only the bound left is late.
+ */
+const boundDeviations = 4
+
 interface TeamState {
   readonly team: string
   weight: number
@@ -153,7 +159,7 @@
     expectedMs: team => states.get(team)?.meanMs ?? initialMs,
     boundMs(team) {
       const state = states.get(team)
-      return state ? state.meanMs + 2 * state.deviationMs : initialMs
+      return state ? state.meanMs + boundDeviations * state.deviationMs : initialMs
     },
     get ready() {
       return heap.size
