--- a/packages/team-share/src/fair-queue.ts
+++ b/packages/team-share/src/fair-queue.ts
@@ -39,7 +39,7 @@
   setWeights(weights: Iterable<readonly [string, number]>): void
   /** Expected time of a request, in milliseconds. */
   expectedMs(team: string): number
-  /** Time that few requests exceed: mean and twice the mean deviation, in milliseconds. */
+  /** Time that few requests exceed: mean and four times the mean deviation, in milliseconds. */
   boundMs(team: string): number
   /** Number of teams that {@link next} chooses from. */
   readonly ready: number
@@ -50,6 +50,18 @@
 
 const defaultCostMs = 100
 
+/**
+ * Mean deviations between the mean and the bound. About one request in 20 exceeded two of them,
+ * and each one that is started with only the bound left is late.
+ */
+const boundDeviations = 4
+
+/**
+ * A sample counts as at most this many times the bound. One request of 1 s among others of 100 ms
+ * raised the bound to 400 ms, at which every queued request was refused for lack of time.
+ */
+const outlierFactor = 2
+
 interface TeamState {
   readonly team: string
   weight: number
@@ -153,7 +165,7 @@
     expectedMs: team => states.get(team)?.meanMs ?? initialMs,
     boundMs(team) {
       const state = states.get(team)
-      return state ? state.meanMs + 2 * state.deviationMs : initialMs
+      return state ? boundOf(state) : initialMs
     },
     get ready() {
       return heap.size
@@ -176,8 +188,14 @@
   return Object.assign(full, { handle: heapHandle(full) })
 }
 
+function boundOf(state: TeamState): number {
+  return state.meanMs + boundDeviations * state.deviationMs
+}
+
 /** Exponentially weighted mean and mean deviation; the first samples are averaged evenly. */
-function learn(state: TeamState, tookMs: number): void {
+function learn(state: TeamState, measuredMs: number): void {
+  const limitMs = state.samples === 0 ? Number.POSITIVE_INFINITY : outlierFactor * boundOf(state)
+  const tookMs = Math.min(measuredMs, limitMs)
   state.samples++
   const gain = Math.max(costGain, 1 / state.samples)
   const error = tookMs - state.meanMs
--- a/packages/upstream-routing/src/routed-runner.ts
+++ b/packages/upstream-routing/src/routed-runner.ts
@@ -11,6 +11,14 @@
   inFlight = 0
   /** In flight from the peers' last reports. */
   peerLoad = 0
+  /** Slots of this entry host's own in a full pool; undefined while the pool has free slots. */
+  part: number | undefined
+  /** Requests in flight whose answer has not begun. */
+  unanswered = 0
+  /** When an answer last began, or when the first of the unanswered requests was sent. */
+  progressAt = 0
+  /** When an answer last began. */
+  answeredAt = -Infinity
   failures = 0
   isLeaving = false
   isRemoved = false
@@ -19,6 +27,10 @@
   hasTrial = false
   /** No trial starts before. */
   trialAt = 0
+  /** Trials in a row that failed. */
+  failedTrials = 0
+  /** Called when it is ejected, for the requests in flight. */
+  readonly ejectionCallbacks = new Set<() => void>()
   reinstatedAt = -Infinity
   readonly latencies = new LatencyWindow()
 
@@ -31,7 +43,7 @@
   allowed(slots: number, now: number): number {
     const age = now - this.reinstatedAt
     const own = age < slowStartMs ? Math.max(1, Math.floor((slots * age) / slowStartMs)) : slots
-    return Math.max(0, Math.min(own, slots - this.peerLoad))
+    return Math.max(0, Math.min(own, this.part ?? slots - this.peerLoad))
   }
 
   /** Free slots for ordinary requests; 0 for a runner that takes none. */
