fix(upstream-link): check a runner again after a pause before sending to it

Cause: in one of four full runs of the tests (in a clone, load 14) the scenario 'An entry host that was frozen sends nothing to the runner' failed: 21 requests started at the runner 4.2 s after its shutdown began, right after the entry host was continued. Its view was confirmed again within milliseconds by a majority, but the runner's health was the answer from before the pause. Ruled out: the confirmed view, which had been renewed; the probe interval, which is 1 s. Change: a health check counts for 2.5 s from its start, whatever it found; without one, and to a runner known to shut down, a request is refused as not run before its first byte. An unreachable runner stays a matter of the ejection, with its cap. Checked: the new test fails without the change and passes with it (29 of 29 in the package).

--- a/packages/upstream-link/__tests__/runner-links.test.ts
+++ b/packages/upstream-link/__tests__/runner-links.test.ts
@@ -217,3 +217,25 @@
     { seed: 20_261, numRuns: 40 },
   )
 })
+
+// A process that was stopped and continued has old health checks, and the runner may have begun its
+// shutdown meanwhile. Seen as 21 starts 4.2 s after the shutdown of a runner.
+void t.test('nothing is sent after a pause before the runner was checked again', async t => {
+  let pausedMs = 0
+  const clock = { now: () => systemClock.now() + pausedMs }
+  const { runner, links } = await setUp(t, { clock })
+  await text((await links.send(request())).body)
+  pausedMs = 4_000
+  const deadline = clock.now() + 5_000
+  const early = request('/work?ms=1', { deadline })
+  t.match(await failure(links.send(early)), { kind: 'no-upstream', outcome: 'not-run' })
+  t.equal(runner.stats.startsById[early.id], undefined)
+  const sendLater = async (): Promise<void> => {
+    await sleep(50)
+    await links
+      .send(request('/work?ms=1', { deadline }))
+      .then(answer => text(answer.body), sendLater)
+  }
+  await sendLater()
+  t.ok(clock.now() < deadline, 'a check makes the runner usable again')
+})
--- a/packages/upstream-link/src/runner-links.ts
+++ b/packages/upstream-link/src/runner-links.ts
@@ -10,6 +10,12 @@
 const healthMs = 1_000
 /** Limit of a health check or a reading of `/running`, in milliseconds. */
 const probeMs = 1_000
+/**
+ * Time for which a health check counts, from its start, in milliseconds. A process that was paused
+ * for longer does not know whether the runner has begun its shutdown, and must check again before it
+ * sends: no work may start 3 s after a shutdown began.
+ */
+const healthValidMs = 2_500
 /** Connections idle for longer are closed, but for one that serves the health checks. */
 const idleMs = 10_000
 
@@ -62,13 +68,17 @@
   readonly #settlement = createSettlement({ readRunning: () => this.#readRunning() })
   readonly #removeSweep: () => void
   #healthAt = 0
+  #health: RunnerHealth = 'ok'
+  /** Start of the last health check that has ended, whatever it found. */
+  #checkedAt: number
   #probing = false
   #closing = false
   #gone = false
 
   constructor(private readonly opts: RunnerLinksOptions) {
     this.runner = opts.runner
-    this.#healthAt = opts.clock.now() + healthMs * Math.random()
+    this.#checkedAt = opts.clock.now()
+    this.#healthAt = this.#checkedAt + healthMs * Math.random()
     this.#removeSweep = addSweep(() => {
       this.#sweep()
     })
@@ -78,8 +88,13 @@
     if (req.body instanceof Readable) await firstChunk(req.body, req.signal)
     if (this.#closing) throw new RequestError('shutting-down')
     if (req.signal?.aborted) throw new RequestError('caller-left')
-    const left = Math.ceil(req.deadline - this.opts.clock.now())
+    const now = this.opts.clock.now()
+    const left = Math.ceil(req.deadline - now)
     if (left <= 0) throw new RequestError('deadline-passed')
+    // The slot may have been reserved long ago, for example before a slow call to the store.
+    if (this.#health === 'shutting-down' || now - this.#checkedAt > healthValidMs) {
+      throw new RequestError('no-upstream')
+    }
     const conn = this.#take(this.opts.connections - 1)
     if (!conn) throw new RequestError('no-upstream')
     return new Promise((resolve, reject) => {
@@ -169,7 +184,8 @@
           this.#retire(fresh)
         }
       }
-      this.opts.onHealth?.(isAnswer(found) ? found : 'unreachable')
+      this.#health = isAnswer(found) ? found : 'unreachable'
+      this.opts.onHealth?.(this.#health)
     } finally {
       this.#probing = false
     }
@@ -184,6 +200,7 @@
 
   async #check(conn: Connection): Promise<RunnerHealth | 'silent'> {
     conn.busy = true
+    const startedAt = this.opts.clock.now()
     try {
       const { status } = await conn.get('/health', probeMs)
       this.#putBack(conn)
@@ -192,6 +209,8 @@
       conn.destroy()
       // A closed connection says nothing about the others; one that times out may be silent.
       return (err as Error).name === 'TimeoutError' ? 'silent' : 'unreachable'
+    } finally {
+      this.#checkedAt = startedAt
     }
   }
 
