fix(upstream-link,upstream-routing): give requests up without a signal, bound probe connections

Cause: moving a request combined the caller's abort signal with one of its own. Health checks and readings of /running opened connections without a look at the limit, so that a runner got one more than its `connections`.

Ruled out: creating the signal only when a request moves, because the link takes the signal at the start.

Change: the link hands out a function that gives the request up, which costs one closure.

--- a/packages/upstream-link/__tests__/runner-links.test.ts
+++ b/packages/upstream-link/__tests__/runner-links.test.ts
@@ -217,3 +217,33 @@
     { seed: 20_261, numRuns: 40 },
   )
 })
+
+void t.test('guards against a request that goes on at its link after it was given up', async t => {
+  const { runner, links } = await setUp(t)
+  const req = request('/work?ms=300')
+  let giveUp = (): void => undefined
+  const sent = links.send(req, { onStart: end => (giveUp = end) })
+  while (!runner.running().includes(req.id)) await sleep(5)
+  giveUp()
+  t.match(await failure(sent), { kind: 'caller-left', outcome: 'unknown' })
+  await links.settled(req.id)
+  t.notOk(runner.running().includes(req.id))
+})
+
+void t.test('guards against probes that open more connections than the runner takes', async t => {
+  let checks = 0
+  const onHealth = (): void => {
+    checks++
+  }
+  const { links } = await setUp(t, { connections: 3, onHealth })
+  const busy = [1, 2].map(() => links.send(request('/work?ms=2500')))
+  const settled = ['m1-1-x', 'm1-1-y'].map(id => links.settled(id))
+  let most = 0
+  while (checks < 2) {
+    most = Math.max(most, links.size())
+    await sleep(5)
+  }
+  t.equal(most, 3)
+  await Promise.all(settled)
+  for (const sent of busy) await text((await sent).body)
+})
--- a/packages/upstream-link/src/runner-links.ts
+++ b/packages/upstream-link/src/runner-links.ts
@@ -96,6 +96,9 @@
   ): void {
     const exchange = new Exchange(req, conn, hooks, this.opts.clock, sink, this)
     this.#exchanges.add(exchange)
+    hooks.onStart?.(() => {
+      exchange.fail('caller-left')
+    })
     const headers = [...req.headers, 'bulrush-request-id', req.id, 'bulrush-team', req.team]
     headers.push('bulrush-deadline', String(left))
     if (req.traceparent !== undefined) headers.push('traceparent', req.traceparent)
@@ -125,6 +128,10 @@
     return conn
   }
 
+  get #hasRoom(): boolean {
+    return this.#all.size < this.opts.connections
+  }
+
   #open(): Connection {
     const conn = new Connection({
       address: this.runner.address,
@@ -163,6 +170,8 @@
       let found = old ? await this.#check(old) : 'unreachable'
       if (!isAnswer(found) || lateId !== undefined) {
         const wasSilent = found === 'silent'
+        // Without room the requests in progress show how the runner is.
+        if (!this.#hasRoom) return
         const fresh = this.#open()
         found = await this.#check(fresh)
         if (isAnswer(found) && (wasSilent || (await this.#isLost(fresh, lateId)))) {
@@ -207,7 +216,8 @@
   }
 
   async #readRunning(given?: Connection): Promise<Set<string>> {
-    const conn = given ?? this.#idle.pop() ?? this.#open()
+    const conn = given ?? this.#idle.pop() ?? (this.#hasRoom ? this.#open() : undefined)
+    if (!conn) throw new Error('all connections are in use')
     conn.busy = true
     try {
       const { status, body } = await conn.get('/running', probeMs)
--- a/packages/upstream-link/src/upstream-request.ts
+++ b/packages/upstream-link/src/upstream-request.ts
@@ -26,6 +26,11 @@
    * A {@link RequestError} thrown here ends the request as not run.
    */
   beforeWrite?: (() => void) | undefined
+  /**
+   * Receives a function that gives the request up as if the caller had left. An additional abort
+   * signal for each request would cost more than the link's other bookkeeping.
+   */
+  onStart?: ((giveUp: () => void) => void) | undefined
 }
 
 /** The answer of a runner. */
--- a/packages/upstream-routing/src/dispatch.ts
+++ b/packages/upstream-routing/src/dispatch.ts
@@ -46,7 +46,6 @@
         const limitMs = req.deadline - opts.clock.now()
         req = { ...req, body: await bufferBody(req.body, { limitMs, signal: req.signal }) }
       }
-      move.arm(req)
       return await attempt(opts, req, current, runs, move)
     } catch (thrown) {
       const err = toRequestError(thrown)
@@ -89,12 +88,13 @@
   const { beforeWrite, clock } = opts
   const began = clock.now()
   const traced = opts.startAttempt?.(reservation.runner.id)
-  const sent = {
-    ...req,
-    ...(traced && { traceparent: traced.traceparent }),
-    ...(move.isPossible && { signal: move.signal }),
-  }
-  const sending = reservation.links.send(sent, { beforeWrite })
+  const sent = traced ? { ...req, traceparent: traced.traceparent } : req
+  const sending = reservation.links.send(sent, {
+    beforeWrite,
+    onStart: giveUp => {
+      move.arm(req, giveUp)
+    },
+  })
   if (traced) endWith(traced, sending)
   const answer = await sending
   if (move.next) {
--- a/packages/upstream-routing/src/move.ts
+++ b/packages/upstream-routing/src/move.ts
@@ -22,7 +22,7 @@
 export class Move {
   /** The slot of the second run. */
   next: Reservation | undefined
-  readonly #controller = new AbortController()
+  #giveUp: (() => void) | undefined
   #timer: unknown
   #isOver = false
 
@@ -33,18 +33,11 @@
     private readonly runs: Runs,
   ) {}
 
-  /** Aborted when the caller leaves and when the request moves. */
-  get signal(): AbortSignal {
-    const { signal } = this.opts.req
-    return signal ? AbortSignal.any([signal, this.#controller.signal]) : this.#controller.signal
-  }
-
-  get isPossible(): boolean {
-    return this.opts.idempotent && this.opts.takePermit !== undefined
-  }
-
-  arm(req: UpstreamRequest): void {
-    if (!this.isPossible || req.body instanceof Readable) return
+  /** Watches the attempt, which `giveUp` ends. */
+  arm(req: UpstreamRequest, giveUp: () => void): void {
+    const isPossible = this.opts.idempotent && this.opts.takePermit !== undefined
+    if (!isPossible || req.body instanceof Readable) return
+    this.#giveUp = giveUp
     const { trialLimitMs } = this.from
     if (trialLimitMs !== undefined) {
       this.#timer = (this.opts.timers ?? systemTimers).set(() => {
@@ -74,7 +67,7 @@
     this.end()
     this.runs.hold(permit)
     this.next = next
-    this.#controller.abort()
+    this.#giveUp?.()
   }
 
   /** The answer has begun, or the attempt is over. */
