fix(upstream-routing): start slowly after a zone returns, limit the whole body wait

The wait for a request body was limited for each part only, so a sender that trickles held a slot without end.

Change: a runner whose zone leaves the list of zones out starts with one slot, as after a trial. The limit of a body runs from the start of the wait.

Conclusion: runners that stayed in service keep all their slots.

--- a/packages/upstream-routing/__tests__/router.test.ts
+++ b/packages/upstream-routing/__tests__/router.test.ts
@@ -74,6 +74,21 @@
   t.end()
 })
 
+void t.test('guards against a full load on the runners of a zone that just returned', t => {
+  const { router, clock } = setUp(3)
+  router.setZonesOut(['a'])
+  t.equal(router.free(), 16)
+  clock.advance(60_000)
+  router.setZonesOut([])
+  t.equal(router.free(), 17, 'one slot at first')
+  clock.advance(5_000)
+  t.equal(router.free(), 20)
+  router.setZonesOut(['b'])
+  clock.advance(5_000)
+  t.equal(router.free(), 16, 'runners that stayed in service keep all their slots')
+  t.end()
+})
+
 void t.test('ejection stops at a third; trials run one at a time, then slow start', t => {
   const { router, clock, decisions, use, others } = setUp(6)
   for (const id of ['r0', 'r1', 'r2']) for (let i = 0; i < 5; i++) use(id, 'failed')
--- a/packages/upstream-routing/src/request-body.ts
+++ b/packages/upstream-routing/src/request-body.ts
@@ -6,7 +6,7 @@
 
 /** Limits of {@link bufferBody}. */
 export interface BodyLimits {
-  /** Longest wait for each part of the body, in milliseconds. */
+  /** Longest wait for the whole body, in milliseconds. */
   limitMs: number
   signal?: AbortSignal | undefined
 }
@@ -23,6 +23,7 @@
 export async function bufferBody(body: Readable, limits: BodyLimits): Promise<Buffer | Readable> {
   const chunks: Buffer[] = []
   let length = 0
+  const lateAt = performance.now() + limits.limitMs
   for (;;) {
     const chunk = body.read() as Buffer | null
     if (chunk !== null) {
@@ -34,12 +35,12 @@
     }
     if (body.readableEnded) return Buffer.concat(chunks)
     if (body.destroyed || limits.signal?.aborted) throw new RequestError('caller-left')
-    if (await isLate(body, limits)) throw new RequestError('sender-too-slow')
+    if (await isLate(body, lateAt, limits.signal)) throw new RequestError('sender-too-slow')
   }
 }
 
 /** Waits for a change of the body; true when the time is over. */
-async function isLate(body: Readable, { limitMs, signal }: BodyLimits): Promise<boolean> {
+async function isLate(body: Readable, lateAt: number, signal?: AbortSignal): Promise<boolean> {
   const events = ['readable', 'end', 'close', 'error']
   return new Promise(resolve => {
     const done = (late: unknown): void => {
@@ -48,7 +49,7 @@
       clearTimeout(timer)
       resolve(late === true)
     }
-    const timer = setTimeout(done, Math.max(0, limitMs), true)
+    const timer = setTimeout(done, Math.max(0, lateAt - performance.now()), true)
     for (const event of events) body.on(event, done)
     signal?.addEventListener('abort', done)
   })
--- a/packages/upstream-routing/src/router.ts
+++ b/packages/upstream-routing/src/router.ts
@@ -211,7 +211,14 @@
   }
 
   setZonesOut(zones: readonly string[]): void {
+    const now = this.opts.clock.now()
+    const before = this.#zonesOut
     this.#zonesOut = new Set(zones)
+    for (const routed of this.#runners.values()) {
+      const { zone } = routed.runner
+      // Runners of a returned zone may be cold, as after a reinstatement.
+      if (before.has(zone) && !this.#zonesOut.has(zone)) routed.reinstatedAt = now
+    }
     this.#notifyFree()
   }
 
