perf(entry): answer callers without a second end of the answer by h3

Cause: a CPU profile of an entry host under a closed loop showed 5.2 % in the creation of one NodeError per request and more in what led to it: after the handler had answered, h3 built a response and ended the finished answer again. Change: the route hands the Node request and answer to the handler and returns a promise of its own that never settles, so h3 does not answer. It holds nothing but itself and is collected with the request. A request line with a whole URL is still reduced to its path.

--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Duplex } from 'node:stream'
 import { errorTable, RequestError, toRequestError, type ErrorKind } from '@bulrushbridge/errors'
-import { fromNodeHandler, H3, type NodeHandler } from 'h3'
+import { H3, type H3Event } from 'h3'
 import { toNodeHandler } from 'h3/node'
 import { answerError } from './answer.js'
 
@@ -59,22 +59,32 @@
 export async function createCallerServer(opts: CallerServerOptions): Promise<CallerServer> {
   let active = 0
   let draining = false
-  const route = (handler: CallerHandler) =>
-    // The server speaks HTTP/1.1 only, so the wider request type of h3 does not occur.
-    fromNodeHandler((async (req: IncomingMessage, res: ServerResponse) => {
-      const requestId = opts.nextRequestId()
-      active += 1
-      if (draining) res.setHeader('connection', 'close')
-      try {
-        await handler(req, res, requestId)
-      } catch (cause) {
-        const err = toRequestError(cause)
-        opts.onError(err, req, requestId)
-        answerError(res, err, requestId)
-      } finally {
-        active -= 1
-      }
-    }) as NodeHandler)
+  const serve = async (handler: CallerHandler, req: IncomingMessage, res: ServerResponse) => {
+    const requestId = opts.nextRequestId()
+    active += 1
+    if (draining) res.setHeader('connection', 'close')
+    try {
+      await handler(req, res, requestId)
+    } catch (cause) {
+      const err = toRequestError(cause)
+      opts.onError(err, req, requestId)
+      answerError(res, err, requestId)
+    } finally {
+      active -= 1
+    }
+  }
+  const route =
+    (handler: CallerHandler) =>
+    ({ runtime, url }: H3Event): Promise<never> => {
+      // The server speaks HTTP/1.1 only, so the wider types of h3 do not occur.
+      const { req, res } = runtime?.node as { req: IncomingMessage; res: ServerResponse }
+      // A request line may hold a whole URL.
+      req.url = url.pathname + url.search
+      void serve(handler, req, res)
+      // The handler answers itself. After a settled promise h3 would end the answer a second time,
+      // which creates an error for each request.
+      return new Promise(() => undefined)
+    }
   const app = new H3()
   app.all('/queues/:queue/call/**', route(opts.call))
   app.all('/queues/:queue/call', route(opts.call))
