fix(entry): keep a host busy for 2 s after its last work

Cause: a host with a few short requests a second changed between idle and busy from round to round, and each change makes an exchange due at once, so the peer traffic would have returned to that of two exchanges per pair every 500 ms. Ruled out: counting only the change to busy; peers would then learn of the end of work up to 2 s late. Change: createLoadStates holds the busy state for 2 s. bench node states what its figures contain and has a new figure, node/working-peer-traffic, for a fleet with 20 requests a second at each host.

--- a/bench/node-overhead.ts
+++ b/bench/node-overhead.ts
@@ -16,7 +16,16 @@
 /** Pause until the work of the start has ended, in milliseconds. */
 const settleMs = 5_000
 
-/** Memory, CPU and peer traffic of an idle entry host in a fleet of nine, and of a loaded one. */
+/** Rate at each entry host while the peer traffic of a working fleet is measured. */
+const workingPerSecond = 20
+
+/**
+ * Memory, processor time and peer traffic of an idle entry host in a fleet of nine, and of a loaded
+ * one. Processor time is user and system time of all threads of the process, with compilation and
+ * garbage collection. When other programs share the machine it is an upper estimate, because they
+ * displace caches; the first figure of the run has the load average. Idle figures are means over the
+ * fleet. Peer traffic counts the payload of the TCP connections at both of their ends.
+ */
 export async function measureNodeOverhead({ quick }: MeasureOptions): Promise<Figure[]> {
   return measureFleet(quick ? 3 : fleetSize, quick ? 3_000 : 15_000)
 }
@@ -38,19 +47,23 @@
     const cpuPercent = (after.cpuMs - before.cpuMs) / entryHosts / seconds / 10
     // Each byte is counted once, at the serving end, and costs both ends.
     const peerBytes = (2 * (after.peerBytes - before.peerBytes)) / entryHosts / seconds
+    const stream = {
+      path: '/queues/lamps/call/work',
+      headers: { authorization: `Bearer ${bed.sample.keys.lamps ?? ''}` },
+      deadlineMs: 1_000,
+    }
+    const peerBytesBefore = await readPeerBytesOf(bed.entries)
+    const workingAt = performance.now()
+    const targets = bed.entries.map(({ callers }) => callers)
+    const perSecond = workingPerSecond * entryHosts
+    await runLoad({ streams: [{ ...stream, targets, perSecond }], warmUpMs: 0, measuredMs })
+    const workingSeconds = (performance.now() - workingAt) / 1_000
+    const workingBytes = (await readPeerBytesOf(bed.entries)) - peerBytesBefore
     const [first] = bed.entries
     const pid = first?.program.process.pid ?? 0
     const loadedBefore = readProcessStats(pid)
     await runLoad({
-      streams: [
-        {
-          targets: [first?.callers ?? ''],
-          path: '/queues/lamps/call/work',
-          headers: { authorization: `Bearer ${bed.sample.keys.lamps ?? ''}` },
-          perSecond: loadedPerSecond,
-          deadlineMs: 1_000,
-        },
-      ],
+      streams: [{ ...stream, targets: [first?.callers ?? ''], perSecond: loadedPerSecond }],
       warmUpMs: 0,
       measuredMs,
     })
@@ -64,6 +77,12 @@
         value: peerBytes / 1_000,
         target: targetKilobytesPerSecond,
       },
+      {
+        name: 'node/working-peer-traffic',
+        unit: 'KB/s',
+        value: (2 * workingBytes) / entryHosts / workingSeconds / 1_000,
+        target: targetKilobytesPerSecond,
+      },
       { name: 'node/loaded-memory', unit: 'MB', value: loaded.residentBytes / 1e6 },
       {
         name: 'node/loaded-cpu',
@@ -79,16 +98,23 @@
 async function readFleet(entries: TestEntry[]) {
   const at = performance.now()
   const stats = entries.map(({ program }) => readProcessStats(program.process.pid ?? 0))
-  const bytes = await Promise.all(entries.map(readPeerBytes))
-  const sum = (values: number[]) => values.reduce((total, value) => total + value, 0)
+  const peerBytes = await readPeerBytesOf(entries)
   return {
     at,
     cpuMs: sum(stats.map(({ cpuMs }) => cpuMs)),
     megabytes: sum(stats.map(({ residentBytes }) => residentBytes)) / stats.length / 1e6,
-    peerBytes: sum(bytes),
+    peerBytes,
   }
 }
 
+async function readPeerBytesOf(entries: TestEntry[]): Promise<number> {
+  return sum(await Promise.all(entries.map(readPeerBytes)))
+}
+
+function sum(values: number[]): number {
+  return values.reduce((total, value) => total + value, 0)
+}
+
 async function readPeerBytes({ operators }: TestEntry): Promise<number> {
   const res = await fetch(`http://${operators}/metrics`)
   const found = /^bulrush_peer_bytes (\S+)$/m.exec(await res.text())
--- a/packages/entry/src/peer-calls.ts
+++ b/packages/entry/src/peer-calls.ts
@@ -4,7 +4,7 @@
 import type { PeerLinks } from '@bulrushbridge/peer-link'
 import type { PeerPermits } from '@bulrushbridge/team-limit'
 import { ExchangeRequestSchema, type Report } from '@bulrushbridge/wire'
-import { toLoadState, type LocalLoad } from './peer-load.js'
+import { createLoadStates, type LocalLoad } from './peer-load.js'
 import { toConfigReport, toReport } from './peer-messages.js'
 
 /** Time allowed for a call without a deadline, in milliseconds. */
@@ -75,7 +75,7 @@
         const res = await opts.links.to(peer).calls.announce(req, timeout(deadline))
         return { version: Number(res.version) }
       },
-      load: () => toLoadState(opts.readLocal()),
+      load: createLoadStates(opts),
       seeds: () => opts.seeds,
     },
     permits: {
--- a/packages/entry/src/peer-load.ts
+++ b/packages/entry/src/peer-load.ts
@@ -24,15 +24,28 @@
 }
 
 /**
- * State of a load for the interval of the exchanges. Spare permits change with each request, so
- * their changes alone cause an exchange only while no work is running or waiting.
+ * Time for which an entry host counts as busy after its last work, in milliseconds. Without it a
+ * few short requests a second would change the state, and cause an exchange, in every round.
+ */
+const busyHoldMs = 2_000
+
+/**
+ * Creates the reader of the load's state for the interval of the exchanges. Spare permits change
+ * with each request, so their changes alone cause an exchange only while the host is idle.
  *
  * @example
- * toLoadState({ demand: [], runners: [], spare: [] }).busy // false
+ * const readState = createLoadStates({ clock, readLocal })
+ * readState().busy
  */
-export function toLoadState({ demand, runners, spare }: LocalLoad): LoadState {
-  const busy = demand.length > 0 || runners.length > 0
-  return { busy, key: busy ? 'busy' : JSON.stringify(spare) }
+export function createLoadStates(opts: { clock: Clock; readLocal(): LocalLoad }): () => LoadState {
+  let busyUntil = -Infinity
+  return () => {
+    const { demand, runners, spare } = opts.readLocal()
+    const now = opts.clock.now()
+    if (demand.length > 0 || runners.length > 0) busyUntil = now + busyHoldMs
+    const busy = now < busyUntil
+    return { busy, key: busy ? 'busy' : JSON.stringify(spare) }
+  }
 }
 
 /** The requests that the peers have in progress, from their last reports. */
