test(testbed,scenarios): cut links between entry hosts, guard the checks before a start

Cause: no scenario cut the links between entry hosts, because the testbed had none, and the checks before a start (confirmed view, key) could be switched off without a failure.

Change: with `peerLinks` the testbed puts a link between each two entry hosts for each direction in which connections are opened. A module that is preloaded into the programs redirects their connections; a setting for an advertised address was ruled out, because only tests would use it and one address per host cannot tell the directions apart. Control programs and workers can run beside entry hosts (`createJobFleet`); worker stand-ins report each start. Steps cut, silence and heal links, kill and freeze control programs. Three scenarios: an entry host that is cut off starts nothing more; it repeats no request that a runner failed; no request is repeated after its key was withdrawn.

Fault found: `resetAndDestroy` fails with EINVAL on a socket whose end is being sent and leaves its handle open (shown with two sockets in a script). The runner stand-in did this on close: two runs of the new scenario passed and the test process then ran at 100% CPU until its time limit. It now destroys such sockets. `packages/upstream-link/src/connection.ts` calls it in the same way; that is left to its owner.

Changes to existing checks: none; `isReady` has a time limit, so that an entry host that hangs fails the wait.

--- a/packages/standins/src/runner.ts
+++ b/packages/standins/src/runner.ts
@@ -274,7 +274,11 @@
           resolve()
         }),
       )
-      for (const socket of sockets) socket.resetAndDestroy()
+      for (const socket of sockets) {
+        // While the end of a socket is being sent, a reset fails and leaves its handle open.
+        if (socket.writableEnded) socket.destroy()
+        else socket.resetAndDestroy()
+      }
       return closed
     },
     /** Graceful shutdown: new work is accepted during `graceMs`, then refused as not run. */
--- a/packages/standins/src/worker-tasks.ts
+++ b/packages/standins/src/worker-tasks.ts
@@ -21,6 +21,9 @@
   checkpoint?: unknown
 }
 
+/** Told of each start of a task; what it returns is called at the end of the task. */
+export type OnTaskStart = (task: TaskRequest) => () => void
+
 /** State of a task; `fenced` was stopped before it ever started. */
 export type TaskState = 'running' | 'finished' | 'failed' | 'stopped' | 'lapsed' | 'fenced'
 
@@ -43,6 +46,7 @@
   leaseUntil: number
   resources: WorkerResources
   timers: NodeJS.Timeout[]
+  onEnd: (() => void) | undefined
 }
 
 const noResources: WorkerResources = { cpus: 0, memoryMb: 0, accelerators: 0 }
@@ -56,15 +60,17 @@
 export class WorkerTasks {
   readonly #capacity: WorkerResources
   readonly #faults: WorkerFaults
+  readonly #onStart: OnTaskStart | undefined
   readonly #entries = new Map<string, Entry>()
   readonly #startsByJob: Record<string, number> = {}
   readonly #runningByTeam: Record<string, number> = {}
   readonly #maxRunningByTeam: Record<string, number> = {}
   #token = 0
 
-  constructor(capacity: WorkerResources, faults: WorkerFaults) {
+  constructor(capacity: WorkerResources, faults: WorkerFaults, onStart?: OnTaskStart) {
     this.#capacity = capacity
     this.#faults = faults
+    this.#onStart = onStart
   }
 
   start(req: TaskRequest) {
@@ -84,6 +90,7 @@
     this.#maxRunningByTeam[req.team] = Math.max(this.#maxRunningByTeam[req.team] ?? 0, running)
     const { runMs = 50, fail = false } = (req.payload ?? {}) as { runMs?: number; fail?: boolean }
     entry.leaseUntil = performance.now() + req.leaseDeadlineMs
+    entry.onEnd = this.#onStart?.(req)
     if (this.#faults.failAll) this.#end(entry, 'failed')
     else {
       const end = () => {
@@ -146,7 +153,7 @@
   }
 
   close(): void {
-    for (const { timers } of this.#entries.values()) timers.forEach(clearTimeout)
+    for (const entry of this.#entries.values()) this.#end(entry, 'stopped')
   }
 
   #newEntry(taskId: string, jobId: string, team: string, resources: WorkerResources): Entry {
@@ -163,6 +170,7 @@
       leaseUntil: Infinity,
       resources,
       timers: [],
+      onEnd: undefined,
     }
   }
 
@@ -206,6 +214,7 @@
   #end(entry: Entry, state: TaskState): void {
     if (entry.state !== 'running') return
     entry.timers.forEach(clearTimeout)
+    entry.onEnd?.()
     entry.state = state
     entry.runMs = performance.now() - entry.startedAt
     this.#runningByTeam[entry.team] = (this.#runningByTeam[entry.team] ?? 1) - 1
--- a/packages/standins/src/worker.ts
+++ b/packages/standins/src/worker.ts
@@ -4,7 +4,7 @@
 import type { AddressInfo, Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { z } from 'zod'
-import { WorkerTasks, type WorkerTask } from './worker-tasks.js'
+import { WorkerTasks, type OnTaskStart, type WorkerTask } from './worker-tasks.js'
 
 /** Faults of a worker; each is one switch. */
 export interface WorkerFaults {
@@ -32,6 +32,7 @@
   cpus?: number
   memoryMb?: number
   accelerators?: number
+  onStart?: OnTaskStart
 }
 
 /** Body of `POST /tasks`. */
@@ -76,7 +77,7 @@
     usageLagMs: 0,
     reject: false,
   }
-  const tasks = new WorkerTasks({ cpus, memoryMb, accelerators }, faults)
+  const tasks = new WorkerTasks({ cpus, memoryMb, accelerators }, faults, opts.onStart)
   const sockets = new Set<Socket>()
 
   const setFaults = (changes: Record<string, unknown>) => {
--- a/packages/testbed/src/caller.ts
+++ b/packages/testbed/src/caller.ts
@@ -9,6 +9,8 @@
   method?: 'GET' | 'POST' | 'PUT'
   /** Path and query for the runner. */
   path?: string
+  /** Submits a job instead of calling a runner. */
+  isJob?: boolean
   body?: string
   idempotencyKey?: string
   deadlineMs?: number
@@ -54,7 +56,8 @@
       }
       const elapsed = () => performance.now() - startedAt
       try {
-        const url = `http://${req.entry}/queues/${req.queue}/call${req.path ?? '/work'}`
+        const action = req.isJob === true ? 'jobs' : `call${req.path ?? '/work'}`
+        const url = `http://${req.entry}/queues/${req.queue}/${action}`
         const res = await request(url, {
           method: req.method ?? 'GET',
           headers,
--- a/packages/testbed/src/scenario-runner.ts
+++ b/packages/testbed/src/scenario-runner.ts
@@ -3,12 +3,14 @@
 import { readFileSync } from 'node:fs'
 import { fileURLToPath } from 'node:url'
 import tap, { test } from 'tap'
-import type { ScenarioSystem } from './scenario-system.js'
+import { closeSystem, type ScenarioSystem } from './scenario-system.js'
 import { ScenarioWorld } from './scenario-world.js'
 import { callerSteps } from './steps/callers.js'
 import { checkSteps } from './steps/checks.js'
 import { faultSteps } from './steps/faults.js'
+import { jobSteps } from './steps/jobs.js'
 import { operatorSteps } from './steps/operators.js'
+import { partitionSteps } from './steps/partitions.js'
 import { createStepRegistry } from './steps/registry.js'
 import { systemSteps } from './steps/system.js'
 
@@ -47,6 +49,8 @@
   callerSteps,
   operatorSteps,
   faultSteps,
+  partitionSteps,
+  jobSteps,
   checkSteps,
 ])
 
@@ -84,7 +88,7 @@
     })
   }
   void test('the system stops', async () => {
-    await shared.system?.bed.close()
+    if (shared.system !== undefined) await closeSystem(shared.system)
   })
 }
 
--- a/packages/testbed/src/scenario-system.ts
+++ b/packages/testbed/src/scenario-system.ts
@@ -1,5 +1,6 @@
 import { noRunnerFaults } from '@bulrushbridge/standins'
 import { generateKey } from '@bulrushbridge/team-keys'
+import { createJobFleet, type JobFleet } from './job-fleet.js'
 import { createRunRecorder, type RunRecorder } from './run-recorder.js'
 import {
   createTestbed,
@@ -17,6 +18,9 @@
   runners: number
   slots: number
   limits: Record<string, number>
+  /** Control programs, beside the first entry hosts. */
+  controls: number
+  workers: number
   balancerWaitMs: number
 }
 
@@ -31,6 +35,7 @@
   readonly spec: string
   readonly bed: Testbed
   readonly recorder: RunRecorder
+  readonly jobFleet: JobFleet | undefined
   /** Current key of each team; a withdrawn one is replaced by {@link healSystem}. */
   readonly keys: Record<string, TeamKey>
   /** Teams whose key was withdrawn. */
@@ -56,6 +61,7 @@
     slots: spec.slots,
     balancerWaitMs: spec.balancerWaitMs,
     runnerLinks: true,
+    peerLinks: true,
     onStart: recorder.onStart,
     teams: Object.entries(teamShares).map(([name, share]) => ({
       name,
@@ -64,10 +70,16 @@
     })),
   }
   const bed = await createTestbed(opts)
+  const { controls, workers } = spec
+  const { zones = [] } = opts
+  const { onStart } = recorder
+  const jobFleet =
+    controls === 0 ? undefined : await createJobFleet({ bed, controls, workers, zones, onStart })
   return {
     spec: JSON.stringify(spec),
     bed,
     recorder,
+    jobFleet,
     keys: Object.fromEntries(
       Object.entries(bed.sample.keys).map(([team, key]) => [team, { id: `${team}-1`, key }]),
     ),
@@ -76,6 +88,12 @@
   }
 }
 
+/** Ends all parts of a system. */
+export async function closeSystem({ bed, jobFleet }: ScenarioSystem): Promise<void> {
+  await jobFleet?.close()
+  await bed.close()
+}
+
 /** Entry hosts that answer as ready now. */
 export async function readyEntries(bed: Testbed): Promise<TestEntry[]> {
   const ready = await Promise.all(
@@ -101,7 +119,9 @@
     entry.storeLink.heal()
     entry.program.kill('SIGCONT')
   }
+  await system.jobFleet?.heal()
   for (const link of bed.runnerLinks) link.heal()
+  bed.peerNetwork?.heal()
   for (const runner of bed.runners) {
     runner.switchFaults(noRunnerFaults())
   }
--- a/packages/testbed/src/scenario-world.ts
+++ b/packages/testbed/src/scenario-world.ts
@@ -1,5 +1,5 @@
 import { seededRandom } from '@bulrushbridge/standins'
-import { healSystem, readyEntries, startSystem } from './scenario-system.js'
+import { closeSystem, healSystem, readyEntries, startSystem } from './scenario-system.js'
 import type { ScenarioSystem, SystemSpec } from './scenario-system.js'
 import type { TestEntry } from './testbed.js'
 import { sendTraffic, type RecordedCall, type WorkKind } from './traffic.js'
@@ -40,6 +40,8 @@
     runners: 4,
     slots: 8,
     limits: {},
+    controls: 0,
+    workers: 0,
     balancerWaitMs: 1_000,
   }
   /** Moments at which operators' orders were accepted, on `performance.now()`. */
@@ -66,7 +68,7 @@
     const earlier = feature.system
     if (earlier !== undefined && (earlier.isSpent || earlier.spec !== JSON.stringify(this.spec))) {
       feature.system = undefined
-      await earlier.bed.close()
+      await closeSystem(earlier)
     }
     feature.system ??= await startSystem(this.spec)
     this.#system = feature.system
--- a/packages/testbed/src/steps/checks.ts
+++ b/packages/testbed/src/steps/checks.ts
@@ -5,7 +5,7 @@
 import type { Steps } from './registry.js'
 
 /** Everything recorded in a scenario, after callers and faults have ended. */
-async function results(world: ScenarioWorld) {
+export async function results(world: ScenarioWorld) {
   const calls = await world.calls()
   const { recorder, bed } = await world.system()
   assert.ok(calls.length > 0, 'the scenario sent no request, so the check would prove nothing')
@@ -32,7 +32,7 @@
 }
 
 /** No start that `isConcerned` picks may come later than the bound after the order. */
-async function assertNoneLater(
+export async function assertNoneLater(
   world: ScenarioWorld,
   order: string,
   seconds: number,
@@ -60,6 +60,9 @@
     team: string,
     seconds: number,
   ) => assertNoneLater(world, `withdrawal of ${team}`, seconds, start => start.team === team),
+  'no request started for {string} later than {float} seconds after entry host {int} was reached again':
+    (world, team: string, seconds: number, n: number) =>
+      assertNoneLater(world, `return of e${n}`, seconds, start => start.team === team),
   'no request started in zone {string} later than {float} seconds after it was taken out': (
     world,
     zone: string,
@@ -87,6 +90,32 @@
   ) => assertNoneLater(world, `shutdown of r${n}`, seconds, start => start.runner === `r${n}`),
 }
 
+/** What one entry host did; request ids begin with its id. */
+const entryChecks: Steps = {
+  'entry host {int} started nothing later than {float} seconds after it was cut off': (
+    world,
+    n: number,
+    seconds: number,
+  ) => assertNoneLater(world, `cut of e${n}`, seconds, isStartOf(n)),
+  'entry host {int} started requests later than {float} seconds after entry host {int} was cut off':
+    async (world, n: number, seconds: number, other: number) => {
+      const { starts } = await results(world)
+      const from = acceptedAt(world, `cut of e${other}`) + seconds * 1_000
+      assert.ok(starts.some(start => isStartOf(n)(start) && start.at > from))
+    },
+  'requests were refused with {string}': async (world, kind: string) => {
+    const { calls } = await results(world)
+    assert.ok(
+      calls.some(({ answer }) => answer.kind === kind && answer.outcome === 'not-run'),
+      summary(calls, calls),
+    )
+  },
+}
+
+function isStartOf(n: number) {
+  return ({ requestId }: RecordedStart) => requestId.startsWith(`e${n}.`)
+}
+
 /** Starts and the requests that callers sent. */
 const startChecks: Steps = {
   'no more than {int} requests of {string} ever ran at the same time': async (
@@ -168,7 +197,7 @@
   },
 }
 
-function repeated(names: (string | undefined)[]): string[] {
+export function repeated(names: (string | undefined)[]): string[] {
   const seen = new Set<string>()
   return names.filter((name): name is string => {
     if (name === undefined) return false
@@ -178,7 +207,7 @@
   })
 }
 
-function tokenOf(path: string): string {
+export function tokenOf(path: string): string {
   return new URL(path, 'http://runner').searchParams.get('token') ?? ''
 }
 
@@ -260,4 +289,4 @@
 }
 
 /** All checks. */
-export const checkSteps: Steps = { ...orderChecks, ...startChecks, ...answerChecks }
+export const checkSteps: Steps = { ...orderChecks, ...entryChecks, ...startChecks, ...answerChecks }
--- a/packages/testbed/src/steps/faults.ts
+++ b/packages/testbed/src/steps/faults.ts
@@ -17,7 +17,7 @@
 }
 
 /** Lets a fault end by itself while the scenario goes on. */
-function endAfter(world: ScenarioWorld, seconds: number, end: () => void): void {
+export function endAfter(world: ScenarioWorld, seconds: number, end: () => void): void {
   world.pending.push(sleep(seconds * 1_000).then(end))
 }
 
@@ -124,6 +124,9 @@
     runner.switchFaults({ lateMs })
   },
   'runner {int} answers crossed': runnerFault({ crossed: true }),
+  'every runner answers crossed': async world => {
+    for (const runner of (await world.system()).bed.runners) runner.switchFaults({ crossed: true })
+  },
   'runner {int} answers cut in half': runnerFault({ cut: true }),
   'runner {int} closes connections when the work starts': runnerFault({ cutBefore: true }),
   'runner {int} refuses everything': runnerFault({ refuse: true }),
--- a/packages/testbed/src/steps/operators.ts
+++ b/packages/testbed/src/steps/operators.ts
@@ -42,6 +42,17 @@
 export const operatorSteps: Steps = {
   'the operator withdraws the key of {string}': (world, team: string) => withdraw(world, team, 1),
   'the operator withdraws the key of {string} at entry host {int}': withdraw,
+  'the operator withdraws the key of {string} at entry host {int} and it is not accepted': async (
+    world,
+    team: string,
+    entryHost: number,
+  ) => {
+    const { bed, keys, withdrawn } = await world.system()
+    withdrawn.add(team)
+    const answer = await bed.operator(entryHost - 1).post('keys/withdraw', { id: keys[team]?.id })
+    assertAccepted(answer)
+    assert.equal(answer.body.accepted, false, JSON.stringify(answer.body))
+  },
   'two operators withdraw the key of {string} at the same time': async (world, team: string) => {
     const { bed, keys, withdrawn } = await world.system()
     withdrawn.add(team)
--- a/packages/testbed/src/steps/system.ts
+++ b/packages/testbed/src/steps/system.ts
@@ -15,6 +15,9 @@
   ) => {
     Object.assign(world.spec, { entryHosts, zones, runners, slots })
   },
+  '{int} control programs and {int} workers': (world, controls: number, workers: number) => {
+    Object.assign(world.spec, { controls, workers })
+  },
   'the team {string} has an upper limit of {int}': (world, team: string, limit: number) => {
     world.spec.limits[team] = limit
   },
--- a/packages/testbed/src/testbed.ts
+++ b/packages/testbed/src/testbed.ts
@@ -13,6 +13,7 @@
 import { createLink, type Link } from './link.js'
 import { createLoopback } from './loopback.js'
 import { createOperator, type Operator } from './operator.js'
+import { createPeerNetwork, type PeerNetwork } from './peer-network.js'
 import {
   createSampleDocument,
   type SampleDocument,
@@ -23,6 +24,9 @@
 /** Secret of the peers in tests. */
 const peerSecret = 'testbed-peer-secret'
 
+/** Peer port with `peerLinks`: the links must exist before the host starts. Each has its own IP. */
+const peerPort = 7_200
+
 /** Options of {@link createTestbed}. */
 export interface TestbedOptions {
   /** Entry hosts; the n-th is `e<n>` in the n-th zone. */
@@ -43,6 +47,8 @@
   onStart?: RunnerOptions['onStart']
   /** Puts a link before each runner, so that a test can cut or silence it. */
   runnerLinks?: boolean
+  /** Puts a link between each two entry hosts, for each direction. */
+  peerLinks?: boolean
 }
 
 /** An entry host of a testbed. */
@@ -52,8 +58,12 @@
   program: RunningProgram
   callers: string
   operators: string
-  /** Its link to the table service. */
+  /** Its link to the table service, which its control program uses too. */
   storeLink: Link
+  /** Address that its programs use. */
+  host: string
+  /** Environment of its programs. */
+  env: Record<string, string>
 }
 
 /** A whole system: stand-ins in this process, entry hosts as processes of their own. */
@@ -64,12 +74,16 @@
   readonly runners: RunnerStandin[]
   /** Links to the runners, with the option `runnerLinks`. */
   readonly runnerLinks: Link[]
+  /** Links between the entry hosts, with the option `peerLinks`. */
+  readonly peerNetwork: PeerNetwork | undefined
   readonly runnerEntries: SampleRunner[]
   readonly sample: SampleDocument
   readonly entries: TestEntry[]
   readonly caller: Caller
   /** Starts an entry host, or a replacement of one with the same id. */
   startEntry(id: string, zone: string): Promise<TestEntry>
+  /** Starts a control program beside an entry host. */
+  startControl(entry: TestEntry): Promise<RunningProgram>
   /** An operator at the n-th entry host. */
   operator(n?: number): Operator
   /** Sends a request of a team to the n-th entry host on the team's own queue. */
@@ -132,18 +146,24 @@
   const entries: TestEntry[] = []
   const programs: RunningProgram[] = []
   const caller = createCaller()
+  const peerNetwork = opts.peerLinks === true ? createPeerNetwork() : undefined
 
   const startEntry = async (id: string, zone: string): Promise<TestEntry> => {
     const host = loopback.next()
     const storeLink = await createLink({ host, target: new URL(table.url).host })
     links.push(storeLink)
+    const env = {
+      BULRUSH_PEER_SECRET: peerSecret,
+      ...(await peerNetwork?.join({ id, host, peerPort })),
+      ...opts.env,
+    }
     const settings: Record<string, string> = {
       member: id,
       zone,
       host,
       'caller-port': '0',
       'operator-port': '0',
-      'peer-port': '0',
+      'peer-port': String(peerNetwork === undefined ? 0 : peerPort),
       'table-url': `http://${storeLink.address}`,
       'object-url': objects.url,
       'hosts-url': hosts.url,
@@ -151,20 +171,30 @@
       'balancer-wait': String(opts.balancerWaitMs ?? 200),
       peers: entries.map(each => `${each.id}=${each.program.ready.peers ?? ''}`).join(','),
     }
-    const args = Object.entries(settings).flatMap(([name, value]) => [`--${name}`, value])
-    const program = await launch('bulrush-entry', args, {
-      BULRUSH_PEER_SECRET: peerSecret,
-      ...opts.env,
-    })
+    const program = await launch('bulrush-entry', flags(settings), env)
     programs.push(program)
     const { callers = '', operators = '' } = program.ready
-    const entry = { id, zone, program, callers, operators, storeLink }
+    const entry = { id, zone, program, callers, operators, storeLink, host, env }
     const at = entries.findIndex(each => each.id === id)
     if (at === -1) entries.push(entry)
     else entries[at] = entry
     return entry
   }
 
+  const startControl = async ({ id, zone, host, env, storeLink }: TestEntry) => {
+    const settings = {
+      member: id,
+      zone,
+      host,
+      'table-url': `http://${storeLink.address}`,
+      'object-url': objects.url,
+      'hosts-url': hosts.url,
+    }
+    const program = await launch('bulrush-control', flags(settings), env)
+    programs.push(program)
+    return program
+  }
+
   const entryAt = (n: number): TestEntry => {
     const entry = entries[n]
     if (entry === undefined) throw new RangeError(`there is no entry host ${n}`)
@@ -177,11 +207,13 @@
     hosts,
     runners,
     runnerLinks,
+    peerNetwork,
     runnerEntries,
     sample,
     entries,
     caller,
     startEntry,
+    startControl,
     operator: (n = 0) => createOperator(entryAt(n).operators, sample.operator.credential),
     send: (n, team, req = {}) =>
       caller.send({
@@ -199,6 +231,7 @@
       await Promise.all(programs.map(program => program.ended()))
       await Promise.all([
         ...links.map(link => link.close()),
+        peerNetwork?.close(),
         ...runners.map(runner => runner.close()),
         table.close(),
         objects.close(),
@@ -220,15 +253,24 @@
   return bed
 }
 
+function flags(settings: Record<string, string>): string[] {
+  return Object.entries(settings).flatMap(([name, value]) => [`--${name}`, value])
+}
+
 async function isReady(entry: TestEntry): Promise<boolean> {
   try {
-    const res = await fetch(`http://${entry.operators}/health/ready`)
+    const res = await fetch(`http://${entry.operators}/health/ready`, {
+      signal: AbortSignal.timeout(readyMs),
+    })
     return res.status === 200
   } catch {
     return false
   }
 }
 
+/** Time for one readiness check: a host that hangs must fail the wait, not prolong it. */
+const readyMs = 5_000
+
 /** Longest wait of {@link until}, in milliseconds. */
 const untilMs = 30_000
 
--- a/packages/testbed/src/traffic.ts
+++ b/packages/testbed/src/traffic.ts
@@ -28,6 +28,8 @@
   orders: { method: 'POST', keyed: true, copies: 1 },
   /** POST with an idempotency key, sent three times at the same moment. */
   'repeated orders': { method: 'POST', keyed: true, copies: 3 },
+  /** Non-idempotent job, submitted to two entry hosts at the same moment. */
+  jobs: { method: 'POST', keyed: true, copies: 2 },
 } as const
 
 /** A name in {@link workKinds}. */
@@ -74,15 +76,18 @@
 
 function sendOne(opts: TrafficOptions, token: string): Promise<RecordedCall>[] {
   const { method, keyed, copies } = workKinds[opts.kind]
-  const body = method === 'GET' ? undefined : `body of ${token}`
+  const isJob = opts.kind === 'jobs'
+  const text = isJob ? jobText(opts.workMs, token) : `body of ${token}`
+  const body = method === 'GET' ? undefined : text
   const idempotencyKey = keyed ? token : undefined
   return opts.chooseEntries(copies).map(async entry => {
     const sentAt = performance.now()
     const answer = await opts.send({
       entry,
-      queue: opts.team,
+      queue: isJob ? `${opts.team}-jobs` : opts.team,
       key: opts.key(),
       method,
+      isJob,
       path: `/work?ms=${opts.workMs}&bytes=${opts.fillerBytes}&token=${token}`,
       deadlineMs: opts.deadlineMs,
       ...(body === undefined ? {} : { body }),
@@ -105,3 +110,12 @@
     }
   })
 }
+
+function jobText(runMs: number, token: string): string {
+  return JSON.stringify({
+    request: { cpus: 1, memoryMb: 64, accelerators: 0, runMs },
+    idempotent: false,
+    kind: 'merge',
+    payload: { runMs, token },
+  })
+}
--- a/scenarios/key-withdrawal.feature
+++ b/scenarios/key-withdrawal.feature
@@ -74,3 +74,14 @@
     And entry host 1 is killed
     And the store answers again
     Then no request started for "lamps" later than 3 seconds after the withdrawal was accepted
+
+  @key-withdrawal @race
+  Scenario: A request that a runner failed is not repeated after its key was withdrawn
+    When callers of "mills" send 200 requests of 10 ms through entry host 2 over 1 seconds
+    And 1.2 seconds pass
+    And every runner answers crossed
+    And callers of "lamps" send 24 requests of 4200 ms through entry host 2 over 1 seconds
+    And 1 second passes
+    And the operator withdraws the key of "lamps"
+    And callers of "lamps" send 20 requests of 10 ms through entry host 2 over 4 seconds
+    Then no request started for "lamps" later than 3 seconds after the withdrawal was accepted
--- /dev/null
+++ b/scenarios/partition.feature
@@ -0,0 +1,32 @@
+Feature: Conditions hold while entry hosts are cut off from each other
+
+  Background:
+    Given seed 41
+    And 3 entry hosts in 3 availability zones and 4 runners with 8 slots
+    And the team "mills" has an upper limit of 4
+
+  @key-withdrawal @cut
+  Scenario: An entry host that is cut off from store and peers starts nothing more
+    When callers of "lamps" send 240 requests of 50 ms through entry host 3 over 7 seconds
+    And callers of "mills" send 240 requests of 50 ms through all entry hosts over 7 seconds
+    And 1 second passes
+    And entry host 3 is cut off from its peers and the store
+    And the operator withdraws the key of "lamps"
+    Then no request started for "lamps" later than 3 seconds after the withdrawal was accepted
+    And entry host 3 started nothing later than 3 seconds after it was cut off
+    And requests were refused with "view-expired"
+    And requests of "mills" started later than 3 seconds after the withdrawal
+    And no request that was refused as not run was started
+
+  @key-withdrawal @cut @race
+  Scenario: An entry host that is cut off repeats no request that a runner failed
+    When callers of "lamps" send 200 requests of 10 ms through entry host 3 over 1 seconds
+    And 1.2 seconds pass
+    And every runner answers crossed
+    And callers of "lamps" send 24 requests of 4200 ms through entry host 3 over 1 seconds
+    And 1 second passes
+    And entry host 3 is cut off from its peers and the store
+    And the operator withdraws the key of "lamps"
+    And callers of "lamps" send 20 requests of 10 ms through entry host 3 over 4 seconds
+    Then no request started for "lamps" later than 3 seconds after the withdrawal was accepted
+    And entry host 3 started nothing later than 3 seconds after it was cut off
--- /dev/null
+++ b/scenarios/partition.test.ts
@@ -0,0 +1,3 @@
+import { runFeature } from '@bulrushbridge/testbed/scenarios'
+
+runFeature(new URL('./partition.feature', import.meta.url))
