--- a/packages/testbed/src/scenario-system.ts
+++ b/packages/testbed/src/scenario-system.ts
@@ -1,5 +1,6 @@
 import { noRunnerFaults } from '@bulrushbridge/standins'
 import { generateKey } from '@bulrushbridge/team-keys'
+import { createJobFleet, type JobFleet } from './job-fleet.js'
 import { createRunRecorder, type RunRecorder } from './run-recorder.js'
 import { createTestbed, until, type Testbed, type TestbedOptions } from './testbed.js'
 
@@ -11,6 +12,9 @@
   runners: number
   slots: number
   limits: Record<string, number>
+  /** Control programs, beside the first entry hosts. */
+  controls: number
+  workers: number
   balancerWaitMs: number
 }
 
@@ -25,6 +29,7 @@
   readonly spec: string
   readonly bed: Testbed
   readonly recorder: RunRecorder
+  readonly jobFleet: JobFleet | undefined
   /** Current key of each team; a withdrawn one is replaced by {@link healSystem}. */
   readonly keys: Record<string, TeamKey>
   /** Teams whose key was withdrawn. */
@@ -50,6 +55,7 @@
     slots: spec.slots,
     balancerWaitMs: spec.balancerWaitMs,
     runnerLinks: true,
+    peerLinks: true,
     onStart: recorder.onStart,
     teams: Object.entries(teamShares).map(([name, share]) => ({
       name,
@@ -58,10 +64,16 @@
     })),
   }
   const bed = await createTestbed(opts)
+  const { controls, workers } = spec
+  const { zones = [] } = opts
+  const { onStart } = recorder
+  const jobFleet =
+    controls === 0 ? undefined : await createJobFleet({ bed, controls, workers, zones, onStart })
   return {
     spec: JSON.stringify(spec),
     bed,
     recorder,
+    jobFleet,
     keys: Object.fromEntries(
       Object.entries(bed.sample.keys).map(([team, key]) => [team, { id: `${team}-1`, key }]),
     ),
@@ -70,6 +82,12 @@
   }
 }
 
+/** Ends all parts of a system. */
+export async function closeSystem({ bed, jobFleet }: ScenarioSystem): Promise<void> {
+  await jobFleet?.close()
+  await bed.close()
+}
+
 /** Switches every fault off and waits until all entry hosts are ready and nothing runs. */
 export async function healSystem(system: ScenarioSystem): Promise<void> {
   const { bed, recorder } = system
@@ -79,7 +97,9 @@
     entry.storeLink.heal()
     entry.program.kill('SIGCONT')
   }
+  await system.jobFleet?.heal()
   for (const link of bed.runnerLinks) link.heal()
+  bed.peerNetwork?.heal()
   for (const runner of bed.runners) {
     runner.switchFaults(noRunnerFaults())
   }
--- a/packages/testbed/src/scenario-world.ts
+++ b/packages/testbed/src/scenario-world.ts
@@ -1,6 +1,6 @@
 import { seededRandom } from '@bulrushbridge/standins'
 import { createBalancer, type Balancer } from './balancer.js'
-import { healSystem, startSystem } from './scenario-system.js'
+import { closeSystem, healSystem, startSystem } from './scenario-system.js'
 import type { ScenarioSystem, SystemSpec } from './scenario-system.js'
 import { until, type TestEntry } from './testbed.js'
 import { sendTraffic, type RecordedCall, type WorkKind } from './traffic.js'
@@ -41,6 +41,8 @@
     runners: 4,
     slots: 8,
     limits: {},
+    controls: 0,
+    workers: 0,
     balancerWaitMs: 1_000,
   }
   /** Moments at which operators' orders were accepted, on `performance.now()`. */
@@ -67,7 +69,7 @@
     const earlier = feature.system
     if (earlier !== undefined && (earlier.isSpent || earlier.spec !== JSON.stringify(this.spec))) {
       feature.system = undefined
-      await earlier.bed.close()
+      await closeSystem(earlier)
     }
     feature.system ??= await startSystem(this.spec)
     this.#system = feature.system
