feat(contract): optional racks of a pool

Ruled out: a list of host ids per pool, which changes with every replacement of a host. A document without racks keeps its digest. Conclusion: promotions carry racks as part of the pool's entry; the diff and the change rows needed no change.

--- a/packages/contract/__tests__/check.test.ts
+++ b/packages/contract/__tests__/check.test.ts
@@ -2,7 +2,14 @@
 import { join } from 'node:path'
 import t from 'tap'
 import { parse, stringify } from 'yaml'
-import { checkEnvironment, documentDigest, parseEnvironment } from '../src/index.js'
+import {
+  applyChange,
+  checkEnvironment,
+  diffDocument,
+  documentDigest,
+  emptyConfiguration,
+  parseEnvironment,
+} from '../src/index.js'
 
 function example(name: string): string {
   return readFileSync(join(import.meta.dirname, `../examples/${name}.yaml`), 'utf8')
@@ -67,6 +74,42 @@
   t.end()
 })
 
+void t.test('a rack in two pools is a fault, since a host would have two home pools', t => {
+  const racks = (first: string, second: string) =>
+    messages(
+      /pools:\n(.*\n){3}/,
+      `pools:\n  - { name: compatibility, racks: [${first}] }\n  - { name: test-sheets, racks: [${second}] }\n`,
+    )
+  t.same(racks('r1, r2', 'r3'), [])
+  t.match(
+    racks('r1, r2', 'r2')[0],
+    /rack 'r2' is in pool 'compatibility' and in pool 'test-sheets'/,
+  )
+  t.match(racks('r1, r1', 'r2')[0], /rack 'r1' is twice in pool 'compatibility'/)
+  t.end()
+})
+
+void t.test('a change of racks is promoted, a change of their order is not', t => {
+  const withRacks = (racks: string[]) => {
+    const parsed = parseEnvironment(lumenfit)
+    if (!parsed.ok) throw new Error('the example has faults')
+    const [first, ...others] = parsed.document.pools
+    if (first === undefined) throw new Error('the example has no pool')
+    return { ...parsed.document, pools: [{ ...first, racks }, ...others] }
+  }
+  const promoted = applyChange(emptyConfiguration(), {
+    kind: 'promote',
+    digest: '',
+    entries: diffDocument(emptyConfiguration(), withRacks(['r1', 'r2'])),
+  })
+  t.same(diffDocument(promoted, withRacks(['r2', 'r1'])), [])
+  t.equal(documentDigest(withRacks(['r2', 'r1'])), documentDigest(withRacks(['r1', 'r2'])))
+  t.match(diffDocument(promoted, withRacks(['r1'])), [
+    { op: 'set', section: 'pools', value: { racks: ['r1'] } },
+  ])
+  t.end()
+})
+
 void t.test('a missing field and a syntax fault have positions', t => {
   t.match(messages(', limit: 160', '')[0], /field 'limit' is missing/)
   t.match(messages('zones: [', 'zones: [['), [/^\d+:\d+ /])
--- a/packages/contract/src/document.ts
+++ b/packages/contract/src/document.ts
@@ -11,6 +11,8 @@
   name,
   /** True for the pool that lends its hosts to others. */
   spare: z.boolean().default(false),
+  /** Racks whose hosts without a runner belong to the pool. */
+  racks: z.array(name).optional(),
 })
 
 /** One runner of a service. */
--- a/packages/contract/src/normalise.ts
+++ b/packages/contract/src/normalise.ts
@@ -19,7 +19,9 @@
   return documentSchema.parse({
     ...doc,
     zones: [...doc.zones].sort(),
-    pools: [...doc.pools].sort(byName),
+    pools: doc.pools
+      .map(pool => (pool.racks === undefined ? pool : { ...pool, racks: [...pool.racks].sort() }))
+      .sort(byName),
     services: [...doc.services]
       .map(service => ({ ...service, runners: [...service.runners].sort(byId) }))
       .sort(byName),
--- a/packages/contract/src/rules.ts
+++ b/packages/contract/src/rules.ts
@@ -170,6 +170,21 @@
       return [{ path: ['teams', i, 'limit'], message, severity: 'warning' }]
     })
   },
+  'rack-in-two-pools': doc => {
+    const racks = doc.pools.flatMap((pool, p) =>
+      (pool.racks ?? []).map((rack, r) => ({
+        rack,
+        pool: pool.name,
+        path: ['pools', p, 'racks', r],
+      })),
+    )
+    return duplicates(racks.map(({ rack }) => rack)).flatMap(({ index, first, value }) => {
+      const [before, entry] = [racks[first]?.pool ?? '', racks[index]]
+      if (entry === undefined) return []
+      const where = before === entry.pool ? 'twice in pool' : `in pool '${before}' and in pool`
+      return [fault(entry.path, `rack '${value}' is ${where} '${entry.pool}'`)]
+    })
+  },
   'host-in-two-pools': doc => {
     const pools = new Map<string, string>()
     return allRunners(doc).flatMap(({ host, pool, path }) => {
