feat(standins): orders, capacity and boot ids in the host list

Ruled out: letting PUT /hosts play the reboots from a test, because then the rule that a generation is executed once would be the test's own. Change: POST /hosts/{id}/drain|reboot|open with a generation, executed once, lower ones refused with 409; each boot has a new boot id and leaves the host closed until 'open'; settable reboot time, hosts that never return or fail the platform's check after the boot (POST /host-faults); the lag applies to what is listed, counted from the end of the boot. Callers that state no capacity or boot id get defaults. Conclusion: existing callers of the stand-in are unchanged.

--- a/packages/standins/__tests__/standins.test.ts
+++ b/packages/standins/__tests__/standins.test.ts
@@ -1,5 +1,5 @@
 import t from 'tap'
-import { createHostListStandin, createTableStandin } from '../src/index.js'
+import { createHostListStandin, createManualClock, createTableStandin } from '../src/index.js'
 
 const post = (url: string, path: string, body: unknown) =>
   fetch(url + path, { method: 'POST', body: JSON.stringify(body) })
@@ -41,6 +41,74 @@
   t.equal(standin.counters().writes, 6)
 })
 
+void t.test('a generation is executed once, and a lower one is refused', async t => {
+  const clock = createManualClock()
+  const hosts = [{ id: 'h', address: '127.0.0.2:1', zone: 'a', rack: 'r', state: 'live' as const }]
+  const executed: string[] = []
+  const standin = await createHostListStandin({
+    hosts,
+    lagMs: 100,
+    rebootMs: 1_000,
+    now: () => clock.now(),
+    onOrder: ({ action, generation }) => executed.push(`${action} ${generation}`),
+  })
+  t.teardown(() => standin.close())
+  const order = async (action: string, generation: number) =>
+    (await post(standin.url, `/hosts/h/${action}`, { generation })).status
+  const listed = async () => {
+    const res = await fetch(`${standin.url}/hosts`)
+    const { hosts: all } = (await res.json()) as { hosts: { state: string; bootId: string }[] }
+    return all.map(({ state, bootId }) => `${state} ${bootId}`)
+  }
+  t.same(
+    [
+      await order('drain', 2),
+      await order('drain', 2),
+      await order('open', 1),
+      await order('boil', 3),
+      await order('reboot', 0),
+    ],
+    [200, 200, 409, 404, 400],
+  )
+  t.same(executed, ['drain 2'])
+  t.same(await listed(), ['live h-boot-0'], 'the drain is not visible before the lag')
+  clock.advance(100)
+  t.same(await listed(), ['leaving h-boot-0'])
+  t.equal(await order('reboot', 3), 200)
+  clock.advance(1_050)
+  t.same(await listed(), [], 'the boot is not visible before the lag')
+  clock.advance(50)
+  t.same(await listed(), ['leaving h-boot-1'], 'a host comes back closed')
+  t.same(
+    [await order('reboot', 3), await order('open', 4), await order('reboot', 3)],
+    [200, 200, 409],
+  )
+  clock.advance(100)
+  t.same(await listed(), ['live h-boot-1'], 'a repeated reboot is not executed')
+})
+
+void t.test('hosts that never return stay away, and unhealthy ones are listed so', async t => {
+  const host = { address: '127.0.0.2:1', zone: 'a', rack: 'r', state: 'live' as const }
+  const standin = await createHostListStandin({
+    hosts: [
+      { id: 'lost', ...host },
+      { id: 'sick', ...host },
+    ],
+  })
+  t.teardown(() => standin.close())
+  await post(standin.url, '/host-faults', { neverReturn: ['lost'], returnUnhealthy: ['sick'] })
+  for (const id of ['lost', 'sick']) {
+    await post(standin.url, `/hosts/${id}/reboot`, { generation: 1 })
+  }
+  const listed = async () => {
+    const res = await fetch(`${standin.url}/hosts`)
+    return ((await res.json()) as { hosts: unknown[] }).hosts
+  }
+  t.match(await listed(), [{ id: 'sick', healthy: false }])
+  await post(standin.url, '/host-faults', { neverReturn: [] })
+  t.match(await listed(), [{ id: 'lost', healthy: true }, { id: 'sick' }])
+})
+
 void t.test('the host list lags behind its changes', async t => {
   const standin = await createHostListStandin({ lagMs: 3_600_000 })
   t.teardown(() => standin.close())
--- a/packages/standins/src/host-list.ts
+++ b/packages/standins/src/host-list.ts
@@ -1,4 +1,10 @@
-import { createFaultServer, type ListenOptions, type Standin } from './fault-server.js'
+import {
+  createFaultServer,
+  type ListenOptions,
+  type Standin,
+  type StandinAnswer,
+} from './fault-server.js'
+import { HostOrders, isHostAction, noHostFaults, type HostFaults } from './host-orders.js'
 
 /** A host as the platform lists it. */
 export interface ListedHost {
@@ -7,6 +13,13 @@
   zone: string
   rack: string
   state: 'live' | 'leaving'
+  cpus?: number
+  memoryMb?: number
+  accelerators?: number
+  /** Differs after each boot; assigned when absent. */
+  bootId?: string
+  /** False when the platform's own check after the boot failed. */
+  healthy?: boolean
 }
 
 /** Options of {@link createHostListStandin}. */
@@ -14,38 +27,84 @@
   hosts?: ListedHost[]
   /** How long a change takes to become visible, in milliseconds. */
   lagMs?: number
+  /** Time from a reboot order until the host has booted, in milliseconds. */
+  rebootMs?: number
+  /** Clock of the lag and of reboots, in milliseconds. */
+  now?: () => number
+  /** Called for each order that is executed. */
+  onOrder?: (order: { id: string; action: string; generation: number }) => void
 }
 
-/** The host list's stand-in; `PUT /hosts` sets the list from outside the process. */
+/**
+ * The host list's stand-in; `PUT /hosts` sets the list from outside the process, and
+ * `POST /host-faults` the switches of {@link HostFaults}.
+ */
 export interface HostListStandin extends Standin {
   /** Replaces the list; readers see it after the lag. */
   set(hosts: ListedHost[]): void
+  /** The hosts as they are now, without the lag. */
+  actual(): ListedHost[]
+  readonly hostFaults: HostFaults
 }
 
+/** Capacity of a host that states none. */
+const defaultCapacity = { cpus: 16, memoryMb: 65_536, accelerators: 0 }
+
 /**
- * Stand-in for the platform's lagging list of live and leaving hosts (`GET /hosts`).
+ * Stand-in for the platform's hosts: the lagging list of live and leaving hosts (`GET /hosts`), and
+ * the orders `POST /hosts/{id}/drain|reboot|open` with a generation. Each generation of a host is
+ * executed once; a lower one is refused with 409.
  *
  * @example
- * const standin = await createHostListStandin({ lagMs: 500 })
+ * const standin = await createHostListStandin({ lagMs: 500, rebootMs: 2_000 })
+ * standin.hostFaults.neverReturn.push('batch-1')
  */
 export async function createHostListStandin(opts: HostListOptions = {}): Promise<HostListStandin> {
   const lagMs = opts.lagMs ?? 0
-  let visible = opts.hosts ?? []
+  const now = opts.now ?? (() => performance.now())
+  const hostFaults = noHostFaults()
+  hostFaults.rebootMs = opts.rebootMs ?? 0
+  const complete = (host: ListedHost): ListedHost => ({
+    ...defaultCapacity,
+    bootId: `${host.id}-boot-0`,
+    ...host,
+  })
+  let visible = (opts.hosts ?? []).map(complete)
   let pending: { at: number; hosts: ListedHost[] }[] = []
+  const publish = (hosts: ListedHost[], at = now()) => {
+    pending.push({ at: at + lagMs, hosts })
+  }
+  const orders = new HostOrders({ hosts: visible, faults: hostFaults, now, publish })
   const set = (hosts: ListedHost[]) => {
-    pending.push({ at: performance.now() + lagMs, hosts })
+    orders.replace(hosts.map(complete))
   }
   const current = () => {
-    const now = performance.now()
-    visible = pending.findLast(change => change.at <= now)?.hosts ?? visible
-    pending = pending.filter(change => change.at > now)
+    orders.finishReboots()
+    const time = now()
+    visible = pending.findLast(change => change.at <= time)?.hosts ?? visible
+    pending = pending.filter(change => change.at > time)
     return visible
   }
+  const order = (id: string, action: string, body: string): StandinAnswer => {
+    if (!isHostAction(action)) return { status: 404, body: {} }
+    const { generation } = JSON.parse(body) as { generation: unknown }
+    if (typeof generation !== 'number' || !Number.isSafeInteger(generation) || generation < 1) {
+      return { status: 400, body: { error: 'the generation is missing' } }
+    }
+    const answer = orders.execute(id, action, generation)
+    if (answer.executed) opts.onOrder?.({ id, action, generation })
+    return { status: answer.status, body: answer }
+  }
   const standin = await createFaultServer(opts, req => {
-    if (req.path[0] !== 'hosts') return { status: 404, body: {} }
+    const [root, id, action] = req.path
+    if (root === 'host-faults' && req.method === 'POST') {
+      return { status: 200, body: Object.assign(hostFaults, JSON.parse(req.body)) }
+    }
+    if (root !== 'hosts') return { status: 404, body: {} }
     if (req.method === 'GET') return { status: 200, body: { hosts: current() } }
+    if (req.method === 'POST') return order(id ?? '', action ?? '', req.body)
     set((JSON.parse(req.body) as { hosts: ListedHost[] }).hosts)
     return { status: 200, body: {} }
   })
-  return Object.assign(standin, { set })
+  return Object.assign(standin, { set, actual: () => orders.hosts(), hostFaults })
 }
