feat(host): client of the platform's host list

Cause: the fleet duty reads the whole list and sends orders; the entry host's reader had its own request and schema. Ruled out: a second request and schema in the fleet package. Change: createHostListClient with a deadline on each call and HostListError; 'stale' and 'unknown-host' are answers, not errors. Observed: npx tap run packages/host: 11 passed; after npm run build, scenarios/upstream-shutdown and packages/entry: 26 passed. On a scratch copy without the typed error and the check of the list 4 assertions fail. Conclusion: one client for all readers of the list.

--- a/packages/entry/src/host-list.ts
+++ b/packages/entry/src/host-list.ts
@@ -1,20 +1,9 @@
 import type { Clock } from '@bulrushbridge/errors'
-import { request } from 'undici'
-import { z } from 'zod'
+import { createHostListClient, goneAfterMs } from '@bulrushbridge/host'
 
 /** Interval of reading the host list, in milliseconds. */
 const pollMs = 1_000
 
-/**
- * A host that the list has named and then left out counts as gone after this time, in milliseconds.
- * The list lags, so a shorter absence says little.
- */
-const goneAfterMs = 30_000
-
-const hostListSchema = z.object({
-  hosts: z.array(z.object({ id: z.string(), state: z.enum(['live', 'leaving']) })),
-})
-
 /** Hosts by what the lagging list says of them. */
 export interface ListedHosts {
   leaving: string[]
@@ -33,10 +22,10 @@
   clock: Clock
   onHosts: (hosts: ListedHosts) => void
 }): { close(): void } {
+  const client = createHostListClient(opts)
   const lastListedAt = new Map<string, number>()
   const read = async () => {
-    const res = await request(`${opts.url}/hosts`, { signal: AbortSignal.timeout(pollMs) })
-    const { hosts } = hostListSchema.parse(await res.body.json())
+    const hosts = await client.list(opts.clock.now() + pollMs)
     const now = opts.clock.now()
     for (const { id } of hosts) lastListedAt.set(id, now)
     const leaving = hosts.filter(({ state }) => state === 'leaving').map(({ id }) => id)
--- a/packages/host/src/index.ts
+++ b/packages/host/src/index.ts
@@ -1,3 +1,12 @@
+export {
+  createHostListClient,
+  goneAfterMs,
+  HostListError,
+  type HostAction,
+  type HostListClient,
+  type OrderAnswer,
+  type PlatformHost,
+} from './host-list.js'
 export {
   hostsTable,
   poolRange,
