--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -6,7 +6,7 @@
   type HostListStandin,
   type ListedHost,
 } from './host-list.js'
-export type { HostFaults } from './host-orders.js'
+export { HostOrders, noHostFaults, type HostFaults } from './host-orders.js'
 export { createManualClock, until, type ManualClock } from './manual-clock.js'
 export { createObjectStandin } from './object.js'
 export { createTableStandin } from './table.js'
