feat(placement): claims check the worker's row in hosts

Cause: with the fleet duty a host may drain between the placement's reading of the workers (every 2 s) and the claim; a task claimed then would run on a host that is about to reboot. Ruled out: reading the workers more often, which narrows the gap only; checking the versions of the cached rows, which refuses the claim instead of reading again. Change: claim() reads the row of each worker that it uses and checks its version in the transaction; a worker without a row is dropped. It costs one read for each worker of a claim.

--- a/packages/placement/src/task-rows.ts
+++ b/packages/placement/src/task-rows.ts
@@ -1,6 +1,14 @@
-import { poolRange, taskKey, tasksTable, type TaskRow } from '@bulrushbridge/host'
+import {
+  hostsTable,
+  poolRange,
+  taskKey,
+  tasksTable,
+  workerKey,
+  type TaskRow,
+  type WorkerRow,
+} from '@bulrushbridge/host'
 import { jobsTable, jobTransition, type Job } from '@bulrushbridge/jobs'
-import type { HeldDuty, Row, TableService, Transaction } from '@bulrushbridge/store'
+import type { Check, HeldDuty, Row, TableService, Transaction } from '@bulrushbridge/store'
 import type { TaskPermits } from '@bulrushbridge/team-limit'
 import { jobAfterTask, type JobAfterTask, type TaskEnd } from './task-end.js'
 
@@ -46,11 +54,15 @@
 
   /**
    * Claims queued jobs of one team in one transaction: the jobs, the tasks and the team's permits.
-   * Returns the tasks that were claimed; others have changed or exceed the team's limit.
+   * It checks the versions of the workers' rows, so that nothing is claimed on a worker that has
+   * left the pool or drains. Returns the tasks that were claimed; others have changed or exceed the
+   * team's limit.
    */
   async claim(team: string, tasks: readonly TaskRow[]): Promise<TaskRow[]> {
     let left = [...tasks]
     for (let attempt = 0; attempt < maxAttempts && left.length > 0; attempt++) {
+      const workers = await this.#workers(left)
+      left = left.filter(({ worker }) => workers.has(worker))
       const jobs = await Promise.all(left.map(task => this.#job(task.jobKey)))
       left = left.filter((_, at) => jobs[at]?.value.state === 'queued')
       const rows = jobs.filter(row => row?.value.state === 'queued')
@@ -61,7 +73,12 @@
         left = left.slice(0, Math.floor(left.length / 2))
         continue
       }
-      const tx: Transaction = { checks: [...permits.checks], writes: [...permits.writes] }
+      const used = new Set(left.map(({ worker }) => worker))
+      const present = [...workers.values()].filter(({ id }) => used.has(id))
+      const tx: Transaction = {
+        checks: [...permits.checks, ...present.map(({ check }) => check)],
+        writes: [...permits.writes],
+      }
       left.forEach((task, at) => {
         const row = rows[at]
         if (row === undefined) return
@@ -125,6 +142,18 @@
     throw new Error(`the rows of task ${task.taskId} changed ${maxAttempts} times`)
   }
 
+  /** Checks of the rows of the tasks' workers; a worker without a row has left the pool. */
+  async #workers(tasks: readonly TaskRow[]): Promise<Map<string, { id: string; check: Check }>> {
+    const found = new Map<string, { id: string; check: Check }>()
+    for (const id of new Set(tasks.map(({ worker }) => worker))) {
+      const key = workerKey(this.#opts.pool, id)
+      const row = await this.#opts.table.read<WorkerRow>(hostsTable, key)
+      if (row === undefined) continue
+      found.set(id, { id, check: { table: hostsTable, key, version: row.version } })
+    }
+    return found
+  }
+
   #job(key: string): Promise<Row<Job> | undefined> {
     return this.#opts.table.read<Job>(jobsTable, key)
   }
