feat(control): start the duty fleet

Cause: the fleet package was not started by any program. Ruled out: starting it without a host list; every host would count as missing.

--- a/packages/control/src/control-program.ts
+++ b/packages/control/src/control-program.ts
@@ -5,6 +5,7 @@
 import { createConfigurationFollower } from './configuration-follower.js'
 import type { ControlContext } from './control-context.js'
 import { createDutyTask, type DutyTaskOptions } from './duty-task.js'
+import { beginFleet } from './fleet-duty.js'
 import { beginMembership } from './membership-duty.js'
 import { beginPermits } from './permits-duty.js'
 import { createPlacementDuties } from './placement-duties.js'
@@ -46,6 +47,8 @@
     start('permits', roundMs, held => beginPermits(ctx, held)),
     start('records', recordsIntervalMs, held => beginRecords(ctx, held)),
     createPlacementDuties(ctx),
+    // Without the platform's list there are no hosts to own.
+    ...(cfg['hosts-url'] === '' ? [] : [start('fleet', roundMs, held => beginFleet(ctx, held))]),
   ]
   log.info('control program started', { zone: cfg.zone })
   return {
--- /dev/null
+++ b/packages/control/src/fleet-duty.ts
@@ -0,0 +1,35 @@
+import { createFleetDuty, createHostProbe } from '@bulrushbridge/fleet'
+import { normalizeError } from '@bulrushbridge/errors'
+import { createHostListClient } from '@bulrushbridge/host'
+import type { HeldDuty } from '@bulrushbridge/store'
+import type { ControlContext } from './control-context.js'
+import type { DutyTerm } from './duty-task.js'
+
+/**
+ * Begins a term of the duty `fleet`: inventory, maintenance, moves and the return of zones.
+ *
+ * @example
+ * createDutyTask({ ...opts, duty: 'fleet', begin: held => beginFleet(context, held) })
+ */
+export function beginFleet(ctx: ControlContext, held: () => HeldDuty | undefined): DutyTerm {
+  const { cfg, table, clock, log, follower, decisions } = ctx
+  const release = follower.keepConfirmed()
+  const fleet = createFleetDuty({
+    table,
+    held,
+    clock,
+    platform: createHostListClient({ url: cfg['hosts-url'], clock }),
+    probe: createHostProbe(),
+    configuration: () => follower.committed(),
+    confirmedUntil: () => follower.confirmedUntil(),
+    onDecision: decision => {
+      const { subject, rule, action } = decision
+      log.info(`${subject.kind} ${action}`, { id: subject.id, rule })
+      decisions.record(decision)
+    },
+    onError: err => {
+      log.warn('an order to the platform failed', { error: normalizeError(err).message })
+    },
+  })
+  return { round: () => fleet.round(), close: release }
+}
