test(fleet): failures, zones and moves; feat: fresh generations

Cause: tests of failed hosts, zones and moves found three faults in the first version of the duty. 1. A host that was forgotten and came back began with generation 0; the platform answers a generation that it has executed with success, so an order could count as accepted without its effect. Generations now begin at the seconds of the wall clock, as they do after a refusal. 2. Hosts that a zone holds back are 'joining', and planMoves takes a joining host for one on its way to fill a shortage; no host was lent while a zone was out. Decisions now see them as failed. 3. (test only) a repair by the platform used up a generation; the stand-in has boot(), a boot without an order. Ruled out for 1: counting up after each refusal, which meets the same generation; keeping the rows of lost hosts for ever.

--- a/packages/fleet/__tests__/fixture.ts
+++ b/packages/fleet/__tests__/fixture.ts
@@ -144,11 +144,18 @@
   const isRoundDone = () =>
     rows().length === hosts.length &&
     rows().every(({ state, maintainedAt }) => state === 'serving' && maintainedAt >= wallStart)
+  /** An order that the platform executes for somebody else. */
+  const execute = (id: string, action: 'drain' | 'reboot' | 'open', generation: number) =>
+    platform.execute(id, action, generation)
+  /** A boot without an order, as in a repair. */
+  const boot = (id: string) => {
+    platform.boot(id)
+  }
   const isOpen = (id: string) => platform.hosts().some(h => h.id === id && h.state === 'live')
   const state = (id: string) => rows().find(row => row.id === id)?.state
   return {
     ...{ clock, table, faults, cfg, orders, decisions, broken, hosts, unlisted, busy, sick },
-    ...{ rows, state, isOpen, fleet, takeDuty, boots, isRoundDone },
+    ...{ rows, state, isOpen, execute, boot, fleet, takeDuty, boots, isRoundDone },
   }
 }
 
--- a/packages/fleet/src/fleet-configuration.ts
+++ b/packages/fleet/src/fleet-configuration.ts
@@ -77,6 +77,8 @@
 ): Fleet {
   const hosts = rows.map(row => {
     const host = asFleetHost(row)
+    // A joining host counts as on its way to fill a shortage; one that its zone holds back does not.
+    if (row.held === true) return { ...host, state: 'failed' as const }
     const isAbsent = row.state === 'serving' && listed(row.id)?.state !== 'live'
     return isAbsent ? { ...host, state: 'draining' as const } : host
   })
--- a/packages/fleet/src/host-steps.ts
+++ b/packages/fleet/src/host-steps.ts
@@ -52,6 +52,15 @@
   return listed.state === 'live'
 }
 
+/**
+ * First generation of a host, or the next one after a refusal: the seconds of the wall clock. It is
+ * above every earlier one, also when the host was known and forgotten, because a host gets far
+ * fewer orders than one a second.
+ */
+export function freshGeneration(now: number, last = 0): number {
+  return Math.max(last + 1, Math.floor(now / 1_000))
+}
+
 /** The row with the next order to the platform. */
 function ordered(row: FleetHostRow, changes: Partial<FleetHostRow>): FleetHostRow {
   return { ...row, ...changes, generation: row.generation + 1 }
--- a/packages/fleet/src/inventory.ts
+++ b/packages/fleet/src/inventory.ts
@@ -1,6 +1,6 @@
 import { homePool, roundStart, type FleetConfiguration } from './fleet-configuration.js'
 import type { PlatformHost } from '@bulrushbridge/host'
-import { failed, type HostStep } from './host-steps.js'
+import { failed, freshGeneration, type HostStep } from './host-steps.js'
 import { listedPart, type FleetHostRow } from './rows.js'
 
 /** A failed host that the list does not name is forgotten after this time, in milliseconds. */
@@ -44,7 +44,7 @@
   const { id, bootId } = host
   // When it was maintained last is not known, so it is due in the current round.
   const maintainedAt = roundStart(cfg, now) - 1
-  const own = { id, home, pool: home, bootId, maintainedAt, generation: 0 }
+  const own = { id, home, pool: home, bootId, maintainedAt, generation: freshGeneration(now) }
   const next: FleetHostRow = { ...own, ...listedPart(host), state: 'serving' }
   return [{ id, next, rule: 'host-listed', action: 'add', observed: { pool: home } }]
 }
--- a/packages/fleet/src/send-orders.ts
+++ b/packages/fleet/src/send-orders.ts
@@ -1,5 +1,5 @@
 import { platformCallMs, type FleetTerm } from './fleet-term.js'
-import { orderOf } from './host-steps.js'
+import { freshGeneration, orderOf } from './host-steps.js'
 import type { FleetHostRow } from './rows.js'
 
 /**
@@ -24,8 +24,9 @@
   const answer = await platform.order(id, action, generation, clock.now() + platformCallMs)
   if (answer === 'accepted') term.observer.accepted(row)
   if (answer !== 'stale') return
-  // The platform remembers a host that was forgotten here; its next generation is found by counting
-  // up. For a former holder of the duty the write fails by the fence.
-  await term.rows.writeHost(id, { ...row, generation: generation + 1 })
+  // The row is behind the platform, for example after the table was restored. For a former holder
+  // of the duty the write fails by the fence.
+  const next = freshGeneration(term.now(), generation)
+  await term.rows.writeHost(id, { ...row, generation: next })
   term.decide('host', id, { rule: 'order-stale', action, observed: { generation } })
 }
--- a/packages/standins/src/host-orders.ts
+++ b/packages/standins/src/host-orders.ts
@@ -80,6 +80,12 @@
     return { status: 200, executed: true, generation }
   }
 
+  /** Boots a host without an order, as a crash or a repair does. */
+  boot(id: string): void {
+    this.#rebooting.set(id, this.#opts.now())
+    this.finishReboots()
+  }
+
   /** Ends the reboots that are due. A host comes back closed, with a new boot id. */
   finishReboots(): void {
     const { faults, now, publish } = this.#opts
