feat(placement): reclaim lent resources for teams below their share

A team at its upper limit also kept the room chosen for it empty, round after round.

Ruled out: taking tasks from any team above its share without comparing with the level that the waiting team reaches (two teams stop each other's tasks in turn); storing reservations (a new holder may wait and choose again); stopping a non-idempotent task after a checkpoint (it repeats what it did since).

Change: teams above their share start nothing while one below waits for room; tasks are throttled, then checkpointed, stopped and requeued, newest first and only as many as the job needs; the room is reserved for the job. Urgent jobs reclaim at once, others after 2 s and 1 s of throttling. Each step has a decision record. Jobs of a team at its limit are left out of the choice for 1 s or until one of its tasks ends. Throttling can be switched off again, and a worker's report of a checkpoint says whether the task saved anything.

After a change of the holder reservations are lost, so a requeued task may start once more before it makes room again.

--- a/packages/decision-log/src/explain.ts
+++ b/packages/decision-log/src/explain.ts
@@ -24,6 +24,8 @@
   'pool-demand': (_, seen) => `pool ${seen('pool')} needed capacity for longer than a move costs`,
   'faulty-job': (_, seen) => `the job failed on workers of ${seen('racks')} racks`,
   'faulty-worker': (_, seen) => `jobs of ${seen('teams')} teams failed on the worker`,
+  'share-reclaim': (_, seen) =>
+    `team ${seen('waitingTeam')} waited below its share while team ${seen('team')} was above its own`,
   'member-failed': () => 'the entry host gave neither an exchange nor a heartbeat for 10 s',
 }
 
--- a/packages/host/src/worker-client.ts
+++ b/packages/host/src/worker-client.ts
@@ -53,8 +53,10 @@
   ): Promise<boolean>
   /** Ends the task; an id that never started is fenced, so that a late start is refused. */
   stop(taskId: string, fencingToken: number, deadline: number): Promise<ReportedTask>
-  checkpoint(taskId: string, fencingToken: number, deadline: number): Promise<void>
-  throttle(taskId: string, fencingToken: number, deadline: number): Promise<void>
+  /** Saves the task's progress; without `checkpoint` in the report the task has saved nothing. */
+  checkpoint(taskId: string, fencingToken: number, deadline: number): Promise<ReportedTask>
+  /** Slows the task down, or ends that. */
+  throttle(taskId: string, opts: { on: boolean; token: number }, deadline: number): Promise<void>
   list(deadline: number): Promise<ReportedTask[]>
   close(): Promise<void>
 }
@@ -89,11 +91,12 @@
   }
   const unexpected = (status: number) =>
     new WorkerError(`the worker ${opts.address} answered with status ${status}`)
-  const act = async (taskId: string, action: string, fencingToken: number, deadline: number) => {
+  const act = async (taskId: string, action: string, body: object, deadline: number) => {
     const path = `/tasks/${encodeURIComponent(taskId)}/${action}`
-    const res = await call('POST', path, deadline, { fencingToken })
-    if (res.status !== 200) throw unexpected(res.status)
-    return res.body
+    const res = await call('POST', path, deadline, body)
+    const parsed = taskSchema.safeParse(res.body)
+    if (res.status !== 200 || !parsed.success) throw unexpected(res.status)
+    return parsed.data
   }
 
   return {
@@ -110,13 +113,11 @@
       if (status !== 200 && status !== 404) throw unexpected(status)
       return status === 200
     },
-    stop: async (taskId, token, deadline) =>
-      taskSchema.parse(await act(taskId, 'stop', token, deadline)),
-    checkpoint: async (taskId, token, deadline) => {
-      await act(taskId, 'checkpoint', token, deadline)
-    },
-    throttle: async (taskId, token, deadline) => {
-      await act(taskId, 'throttle', token, deadline)
+    stop: (taskId, fencingToken, deadline) => act(taskId, 'stop', { fencingToken }, deadline),
+    checkpoint: (taskId, fencingToken, deadline) =>
+      act(taskId, 'checkpoint', { fencingToken }, deadline),
+    throttle: async (taskId, { on, token }, deadline) => {
+      await act(taskId, 'throttle', { fencingToken: token, on }, deadline)
     },
     list: async deadline => {
       const { status, body } = await call('GET', '/tasks', deadline)
--- a/packages/placement/__tests__/fixture.ts
+++ b/packages/placement/__tests__/fixture.ts
@@ -20,10 +20,20 @@
 export const pool = 'batch'
 export const queue = 'lamps-jobs'
 const dutyTtlMs = 3_000
-const limit = 4
+const defaultLimit = 4
 
 /** A pool with workers `w1`... in racks `r1`... and zones `a` and `b`. */
-export async function createFixture(t: Test, opts: { workers?: number; racks?: number } = {}) {
+export async function createFixture(
+  t: Test,
+  opts: {
+    workers?: number
+    racks?: number
+    cpus?: number
+    /** Upper limit of each team. */
+    limit?: number
+    shares?: Record<string, number>
+  } = {},
+) {
   const standin = await createTableStandin()
   const zonesOut = new Set<string>()
   const gone = new Set<string>()
@@ -36,9 +46,15 @@
   })
   const table = createHttpTableService({ url: standin.url })
   closers.push(() => table.close())
+  const size = opts.cpus === undefined ? {} : { cpus: opts.cpus }
   for (let n = 1; n <= (opts.workers ?? 2); n++) {
     const rack = `r${((n - 1) % (opts.racks ?? 10)) + 1}`
-    const worker = await createWorkerStandin({ id: `w${n}`, rack, zone: n % 2 === 1 ? 'a' : 'b' })
+    const worker = await createWorkerStandin({
+      id: `w${n}`,
+      rack,
+      zone: n % 2 === 1 ? 'a' : 'b',
+      ...size,
+    })
     workers.push(worker)
     const write = { table: hostsTable, key: workerKey(pool, worker.listed.id) }
     await table.commit({ checks: [], writes: [{ ...write, value: { ...worker.listed, pool } }] })
@@ -57,9 +73,12 @@
     })
     const permits = createTaskPermits({ table: own })
     const teams = ['lamps', 'mills', 'stones']
-    permits.configure({ version: 1, limits: new Map(teams.map(team => [team, limit])) })
+    permits.configure({
+      version: 1,
+      limits: new Map(teams.map(team => [team, opts.limit ?? defaultLimit])),
+    })
     const decisions: PlacementDecision[] = []
-    const shares = new Map(teams.map(team => [team, 1]))
+    const shares = new Map(teams.map(team => [team, opts.shares?.[team] ?? 1]))
     const placement = createPlacementDuty({
       table: own,
       permits,
@@ -96,7 +115,7 @@
         await placement.round().catch(() => undefined)
         return condition()
       })
-    return { clock, duty, placement, decisions, pass, take, rounds }
+    return { clock, duty, permits, placement, decisions, pass, take, rounds }
   }
 
   const jobs = createJobs({ table, member: 'e1' })
--- a/packages/placement/src/choose.ts
+++ b/packages/placement/src/choose.ts
@@ -1,6 +1,8 @@
 import type { TaskRow, WorkerRow, WorkResources } from '@bulrushbridge/host'
 import type { QueuedJob } from '@bulrushbridge/jobs'
-import { dominantShare, fairOrder, type Resources } from '@bulrushbridge/team-share'
+import { dominantShare } from '@bulrushbridge/team-share'
+import { fits, freeByWorker, sumOf, take, toResources } from './amounts.js'
+import { TeamLevels } from './team-levels.js'
 
 /** What the choice is made from. */
 export interface PlacementState {
@@ -13,6 +15,8 @@
   closedWorkers: ReadonlySet<string>
   /** Share of each team. */
   shares: ReadonlyMap<string, number>
+  /** Workers on which room is kept for a job, by job id; nothing else starts in this room. */
+  reserved?: ReadonlyMap<string, string>
   /** What to reserve for a job. */
   sizeOf(job: QueuedJob): WorkResources
   /** Most placements of one call. */
@@ -32,42 +36,100 @@
 }
 
 /**
- * Chooses which queued jobs start on which workers now. The team with the lowest weighted dominant
- * share is served first, and within a team urgent jobs come before others.
+ * Chooses which queued jobs start on which workers now. The team that uses least of its share is
+ * served first, and within a team urgent jobs come before others. While a job of a team below its
+ * share finds no room, teams above theirs start nothing, so that what ends is left for it.
  *
  * @example
  * for (const { job, worker } of choosePlacements(state)) await start(job, worker)
  */
 export function choosePlacements(state: PlacementState): Placement[] {
-  const candidates = openWorkers(state)
-  const capacity = sumOf(candidates.map(({ worker }) => worker))
-  const usage = new Map<string, WorkResources>()
-  for (const task of state.tasks) addTo(usage, task.team, task)
-  const waiting = jobsByTeam(state.jobs)
-  const byRack = countBy(state.tasks, ({ rack, team }) => `${team}/${rack}`)
-  const byZone = countBy(state.tasks, ({ zone, team }) => `${team}/${zone}`)
-  const placements: Placement[] = []
-  while (waiting.size > 0 && placements.length < state.limit) {
-    const teams = [...waiting.keys()].map(team => ({
-      team,
-      weight: state.shares.get(team) ?? 1,
-      usage: toResources(usage.get(team)),
-    }))
-    const team = fairOrder(teams, toResources(capacity))[0]?.team ?? ''
-    const jobs = waiting.get(team) ?? []
-    const job = jobs.shift()
-    if (jobs.length === 0) waiting.delete(team)
-    if (job === undefined) continue
-    const size = state.sizeOf(job)
-    const chosen = bestWorker(candidates, job, size, { byRack, byZone })
-    if (chosen === undefined) continue
-    take(chosen.free, size)
-    addTo(usage, team, size)
-    increment(byRack, `${team}/${chosen.worker.rack}`)
-    increment(byZone, `${team}/${chosen.worker.zone}`)
-    placements.push({ job, worker: chosen.worker, size })
+  return new Choice(state).run()
+}
+
+/** The room and the levels while one choice is made. */
+class Choice {
+  readonly #state: PlacementState
+  readonly #candidates: Candidate[]
+  readonly #levels: TeamLevels
+  readonly #byRack: Map<string, number>
+  readonly #byZone: Map<string, number>
+  readonly #placements: Placement[] = []
+  /** Set while a job of a team below its share waits for room. */
+  #isShort = false
+
+  constructor(state: PlacementState) {
+    this.#state = state
+    this.#candidates = openWorkers(state)
+    this.#levels = new TeamLevels({
+      capacity: sumOf(this.#candidates.map(({ worker }) => worker)),
+      shares: state.shares,
+      usage: state.tasks,
+      waiting: state.jobs.map(({ team }) => team),
+    })
+    this.#byRack = countBy(state.tasks, ({ rack, team }) => `${team}/${rack}`)
+    this.#byZone = countBy(state.tasks, ({ zone, team }) => `${team}/${zone}`)
+  }
+
+  run(): Placement[] {
+    const { jobs, limit, reserved } = this.#state
+    for (const job of jobs) this.#placeReserved(job)
+    const waiting = jobsByTeam(jobs.filter(({ id }) => reserved?.has(id) !== true))
+    while (waiting.size > 0 && this.#placements.length < limit) {
+      const team = this.#nextTeam(waiting.keys())
+      const teamJobs = waiting.get(team) ?? []
+      const job = teamJobs.shift()
+      const mustWait = this.#isShort && this.#levels.of(team) >= 1
+      if (teamJobs.length === 0 || mustWait) waiting.delete(team)
+      if (job !== undefined && !mustWait) this.#place(job)
+    }
+    return this.#placements
+  }
+
+  /** Room is taken even before it is free, so that no other job starts there. */
+  #placeReserved(job: QueuedJob): void {
+    const id = this.#state.reserved?.get(job.id)
+    const chosen = this.#candidates.find(({ worker }) => worker.id === id)
+    if (chosen === undefined) return
+    const size = this.#state.sizeOf(job)
+    if (fits(chosen.free, size)) this.#add(job, chosen, size)
+    else {
+      take(chosen.free, size)
+      this.#levels.add(job.team, size)
+    }
+  }
+
+  #place(job: QueuedJob): void {
+    const size = this.#state.sizeOf(job)
+    const counts = { byRack: this.#byRack, byZone: this.#byZone }
+    const chosen = bestWorker(this.#candidates, job, size, counts)
+    if (chosen !== undefined) this.#add(job, chosen, size)
+    else if (this.#levels.of(job.team) < 1) {
+      // A job that waits for a closed worker must not stop the others.
+      this.#isShort ||= this.#candidates.some(({ worker }) => fits(worker, size))
+    }
+  }
+
+  #add(job: QueuedJob, chosen: Candidate, size: WorkResources): void {
+    const { worker, free } = chosen
+    take(free, size)
+    this.#levels.add(job.team, size)
+    increment(this.#byRack, `${job.team}/${worker.rack}`)
+    increment(this.#byZone, `${job.team}/${worker.zone}`)
+    this.#placements.push({ job, worker, size })
+  }
+
+  /** Ties go by name, so that the order does not depend on that of the jobs. */
+  #nextTeam(teams: Iterable<string>): string {
+    let next: { team: string; level: number } | undefined
+    for (const team of teams) {
+      const level = this.#levels.of(team)
+      const isNext =
+        next === undefined || level < next.level || (level === next.level && team < next.team)
+      if (isNext) next = { team, level }
+    }
+    return next?.team ?? ''
   }
-  return placements
 }
 
 /** Whether no worker of the pool, even an empty one, is large enough for the job. */
@@ -77,16 +139,7 @@
 
 /** Workers that may take jobs, with what their tasks leave free. */
 function openWorkers(state: PlacementState): Candidate[] {
-  const free = new Map(
-    state.workers.map(worker => {
-      const { cpus, memoryMb, accelerators } = worker
-      return [worker.id, { cpus, memoryMb, accelerators }] as const
-    }),
-  )
-  for (const task of state.tasks) {
-    const left = free.get(task.worker)
-    if (left !== undefined) take(left, task)
-  }
+  const free = freeByWorker(state.workers, state.tasks)
   return state.workers.flatMap(worker => {
     const left = free.get(worker.id)
     const isOpen = !state.zonesOut.has(worker.zone) && !state.closedWorkers.has(worker.id)
@@ -97,7 +150,11 @@
 function jobsByTeam(jobs: readonly QueuedJob[]): Map<string, QueuedJob[]> {
   const teams = new Map<string, QueuedJob[]>()
   const ordered = [...jobs].sort((a, b) => Number(b.urgent) - Number(a.urgent))
-  for (const job of ordered) teams.set(job.team, [...(teams.get(job.team) ?? []), job])
+  for (const job of ordered) {
+    const own = teams.get(job.team)
+    if (own === undefined) teams.set(job.team, [job])
+    else own.push(job)
+  }
   return teams
 }
 
@@ -134,39 +191,6 @@
   return at !== -1 && (a[at] ?? 0) < (b[at] ?? 0)
 }
 
-function fits(free: WorkResources, size: WorkResources): boolean {
-  return (
-    size.cpus <= free.cpus &&
-    size.memoryMb <= free.memoryMb &&
-    size.accelerators <= free.accelerators
-  )
-}
-
-function take(from: WorkResources, size: WorkResources): void {
-  from.cpus -= size.cpus
-  from.memoryMb -= size.memoryMb
-  from.accelerators -= size.accelerators
-}
-
-function addTo(sums: Map<string, WorkResources>, key: string, size: WorkResources): void {
-  sums.set(key, sumOf([sums.get(key) ?? sumOf([]), size]))
-}
-
-function sumOf(sizes: readonly WorkResources[]): WorkResources {
-  const sum = { cpus: 0, memoryMb: 0, accelerators: 0 }
-  for (const { cpus, memoryMb, accelerators } of sizes) {
-    sum.cpus += cpus
-    sum.memoryMb += memoryMb
-    sum.accelerators += accelerators
-  }
-  return sum
-}
-
-function toResources(size: WorkResources | undefined): Resources {
-  const { cpus = 0, memoryMb = 0, accelerators = 0 } = size ?? {}
-  return { cpus, memory: memoryMb, accelerators }
-}
-
 function countBy<T>(items: readonly T[], keyOf: (item: T) => string): Map<string, number> {
   const counts = new Map<string, number>()
   for (const item of items) increment(counts, keyOf(item))
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -3,10 +3,10 @@
 export { createLearnedSizes, type LearnedSizes, type ObservedJob } from './learned-sizes.js'
 export {
   createPlacementDuty,
-  taskLeaseMs,
   type PlacementConfiguration,
   type PlacementDuty,
   type PlacementDutyOptions,
 } from './placement-duty.js'
+export { taskLeaseMs } from './task-starter.js'
 export { jobAfterTask, type JobAfterTask, type TaskEnd } from './task-end.js'
 export type { PlacementDecision } from './worker-visits.js'
--- a/packages/placement/src/learned-sizes.ts
+++ b/packages/placement/src/learned-sizes.ts
@@ -29,6 +29,8 @@
   observe(kind: string, job: ObservedJob): void
   /** What to reserve for a job: learned figures with a margin, or what it declares. */
   estimate(kind: string, declared: ObservedJob): ObservedJob
+  /** Mean run time of a kind in milliseconds; undefined while too little is known. */
+  runMs(kind: string): number | undefined
 }
 
 /**
@@ -65,6 +67,12 @@
         runMs: learned('runMs'),
       }
     },
+    runMs: kind => {
+      const known = kinds.get(kind)
+      return known === undefined || known.count < minObservations
+        ? undefined
+        : known.estimates.runMs?.mean
+    },
   }
 }
 
--- a/packages/placement/src/placement-duty.ts
+++ b/packages/placement/src/placement-duty.ts
@@ -1,13 +1,10 @@
 import type { Clock } from '@bulrushbridge/errors'
-import { hostsTable, poolRange, type TaskRow, type WorkerRow } from '@bulrushbridge/host'
+import { hostsTable, poolRange, type WorkerRow, type WorkResources } from '@bulrushbridge/host'
 import {
   cancellingTable,
   jobKey,
-  jobsTable,
-  payloadsTable,
   queuedRange,
   queuedTable,
-  type Job,
   type QueuedJob,
 } from '@bulrushbridge/jobs'
 import type { HeldDuty, TableService } from '@bulrushbridge/store'
@@ -15,8 +12,10 @@
 import { createWorkerBlame } from './blame.js'
 import { canNeverRun, choosePlacements, type Placement } from './choose.js'
 import { createLearnedSizes } from './learned-sizes.js'
-import { taskOf } from './task-of.js'
+import { Reclaimer } from './reclaimer.js'
 import { TaskRows } from './task-rows.js'
+import { TaskStarter, taskLeaseMs } from './task-starter.js'
+import { TeamCaps } from './team-caps.js'
 import { WorkerFleet } from './worker-fleet.js'
 import { WorkerVisits, type KnownTask, type PlacementDecision } from './worker-visits.js'
 
@@ -29,11 +28,8 @@
 /** Interval of reading the workers' rows, in milliseconds. */
 const workersIntervalMs = 2_000
 
-/** Longest time of a start call, in milliseconds. */
-const startCallMs = 1_000
-
-/** Lifetime of a task's lease, in milliseconds: about ten rounds of renewal. */
-export const taskLeaseMs = 10_000
+/** Choices of one round; each but the first follows a team that turned out to be at its limit. */
+const maxPasses = 3
 
 /** The part of the configuration that placement needs. */
 export interface PlacementConfiguration {
@@ -85,6 +81,9 @@
   readonly #rows: TaskRows
   readonly #fleet: WorkerFleet
   readonly #visits: WorkerVisits
+  readonly #starter: TaskStarter
+  readonly #reclaimer: Reclaimer
+  readonly #caps: TeamCaps
   readonly #sizes = createLearnedSizes()
   readonly #blame = createWorkerBlame()
   readonly #tasks = new Map<string, KnownTask>()
@@ -95,6 +94,7 @@
   constructor(opts: PlacementDutyOptions) {
     this.#opts = opts
     this.#rows = new TaskRows(opts)
+    this.#caps = new TeamCaps(opts.clock, this.#tasks)
     this.#fleet = new WorkerFleet(opts.clock)
     this.#visits = new WorkerVisits({
       ...opts,
@@ -105,6 +105,22 @@
       blame: this.#blame,
       poolSize: () => this.#workers.length,
     })
+    this.#starter = new TaskStarter({
+      ...opts,
+      rows: this.#rows,
+      fleet: this.#fleet,
+      tasks: this.#tasks,
+      visits: this.#visits,
+    })
+    this.#reclaimer = new Reclaimer({
+      ...opts,
+      tasks: this.#tasks,
+      visits: this.#visits,
+      sizes: this.#sizes,
+      onCapped: team => {
+        this.#caps.mark(team)
+      },
+    })
   }
 
   async round(): Promise<void> {
@@ -161,17 +177,34 @@
   async #startQueued(): Promise<void> {
     const { configuration, clock, confirmedUntil } = this.#opts
     if (clock.now() >= confirmedUntil()) return
-    const { queues, shares, zonesOut } = configuration()
+    const { queues, shares } = configuration()
     const jobs = await this.#queuedJobs(queues)
     await this.#wish(jobs)
-    if (jobs.length === 0) return
-    const { leaving, gone } = this.#opts.listed()
-    const closedWorkers = new Set([
-      ...leaving,
-      ...gone,
-      ...this.#blame.quarantined(),
-      ...this.#visits.unreachable(),
-    ])
+    const closedWorkers = this.#closedWorkers()
+    let capped = this.#caps.capped()
+    let left = jobs.filter(({ team }) => !capped.has(team))
+    // What a team at its limit could not claim is offered to the others.
+    for (let pass = 0; pass < maxPasses && left.length > 0; pass++) {
+      const started = await this.#startSome(left, closedWorkers)
+      capped = this.#caps.capped()
+      const isCapped = left.some(({ team }) => capped.has(team))
+      left = left.filter(({ id, team }) => !started.has(id) && !capped.has(team))
+      if (!isCapped) break
+    }
+    const { zonesOut } = configuration()
+    const workers = this.#workers.filter(
+      ({ id, zone }) => !zonesOut.has(zone) && !closedWorkers.has(id),
+    )
+    const ordered = left.sort((a, b) => Number(b.urgent) - Number(a.urgent))
+    await this.#reclaimer.run({ jobs: ordered, workers, shares, sizeOf: this.#sizeOf })
+  }
+
+  /** Starts what there is room for; returns the ids of the jobs that were claimed. */
+  async #startSome(
+    jobs: readonly QueuedJob[],
+    closedWorkers: ReadonlySet<string>,
+  ): Promise<Set<string>> {
+    const { shares, zonesOut } = this.#opts.configuration()
     const placements = choosePlacements({
       jobs,
       workers: this.#workers,
@@ -179,10 +212,8 @@
       zonesOut,
       closedWorkers,
       shares,
-      sizeOf: job => {
-        const size = this.#sizes.estimate(job.kind, job.request)
-        return canNeverRun(size, this.#workers) ? job.request : size
-      },
+      reserved: this.#reclaimer.reserved(),
+      sizeOf: this.#sizeOf,
       limit: startsPerRound,
     })
     const teams = new Map<string, Placement[]>()
@@ -190,7 +221,24 @@
       const { team } = placement.job
       teams.set(team, [...(teams.get(team) ?? []), placement])
     }
-    for (const [team, chosen] of teams) await this.#startOf(team, chosen)
+    const started = new Set<string>()
+    for (const [team, chosen] of teams) {
+      const claimed = await this.#starter.start(team, chosen)
+      for (const { jobId } of claimed) started.add(jobId)
+      if (claimed.length < chosen.length) this.#caps.mark(team)
+    }
+    return started
+  }
+
+  #closedWorkers(): Set<string> {
+    const { leaving, gone } = this.#opts.listed()
+    const quarantined = this.#blame.quarantined()
+    return new Set([...leaving, ...gone, ...quarantined, ...this.#visits.unreachable()])
+  }
+
+  readonly #sizeOf = (job: QueuedJob): WorkResources => {
+    const size = this.#sizes.estimate(job.kind, job.request)
+    return canNeverRun(size, this.#workers) ? job.request : size
   }
 
   async #queuedJobs(queues: readonly string[]): Promise<QueuedJob[]> {
@@ -227,53 +275,4 @@
       action: 'park',
     })
   }
-
-  async #startOf(team: string, placements: readonly Placement[]): Promise<void> {
-    const token = this.#opts.held()?.token ?? 0
-    const tasks = placements.map(placement => taskOf(placement, this.#opts.pool, token))
-    const claimed = await this.#rows.claim(team, tasks)
-    for (const row of claimed) {
-      // Without a call the worker cannot have started it.
-      this.#tasks.set(row.taskId, { row, leaseUntil: -Infinity, mayRun: false })
-    }
-    await Promise.all(claimed.map(row => this.#start(row)))
-  }
-
-  async #start(row: TaskRow): Promise<void> {
-    const { table, clock, confirmedUntil, configuration, held } = this.#opts
-    const task = this.#tasks.get(row.taskId)
-    if (task === undefined) return
-    const stored = await table.read<{ payload: unknown }>(payloadsTable, row.jobKey)
-    const job = row.idempotent ? await table.read<Job>(jobsTable, row.jobKey) : undefined
-    const checkpoint = job?.value.checkpoint
-    // Checked last, because the claim and the reads may have taken long.
-    const now = clock.now()
-    const isCurrent = now < confirmedUntil() && held()?.token === row.token
-    if (!isCurrent || configuration().zonesOut.has(row.zone)) return
-    task.mayRun = true
-    const { taskId, jobId, team, cpus, memoryMb, accelerators, token } = row
-    const size = { cpus, memoryMb, accelerators }
-    try {
-      const answer = await this.#fleet.client(row.address).start(
-        {
-          taskId,
-          jobId,
-          team,
-          ...size,
-          fencingToken: token,
-          leaseDeadlineMs: taskLeaseMs,
-          payload: stored?.value.payload,
-          ...(checkpoint === undefined ? {} : { checkpoint }),
-        },
-        now + startCallMs,
-      )
-      if (answer === 'full') task.mayRun = false
-      if (answer !== 'started') return
-      task.leaseUntil = clock.now() + taskLeaseMs
-      await this.#visits.confirm(task)
-    } catch (err) {
-      // The next visit to the worker settles what the call has done.
-      this.#opts.onError?.(err)
-    }
-  }
 }
--- a/packages/placement/src/worker-visits.ts
+++ b/packages/placement/src/worker-visits.ts
@@ -4,9 +4,10 @@
 import type { HeldDuty } from '@bulrushbridge/store'
 import type { WorkerBlame } from './blame.js'
 import type { LearnedSizes } from './learned-sizes.js'
-import { taskLeaseMs, type PlacementConfiguration } from './placement-duty.js'
+import type { PlacementConfiguration } from './placement-duty.js'
 import type { TaskEnd } from './task-end.js'
 import type { TaskRows } from './task-rows.js'
+import { taskLeaseMs } from './task-starter.js'
 import type { WorkerFleet } from './worker-fleet.js'
 
 /** Longest time of one call to a worker, in milliseconds. */
@@ -28,6 +29,10 @@
   leaseUntil: number
   /** False while the worker is known not to have started it. */
   mayRun: boolean
+  /** How long it has run by the last report, in milliseconds. */
+  ranMs?: number
+  /** True once the worker saved nothing when it was asked to; such a task runs to its end. */
+  hasNoCheckpoint?: boolean
   /** What the worker saved before the task was stopped. */
   checkpoint?: unknown
 }
@@ -98,6 +103,31 @@
     task.row = { ...task.row, state: 'running' }
   }
 
+  /** Slows a task down, or lets it go on at its speed. */
+  async throttle({ row }: KnownTask, on: boolean): Promise<void> {
+    const { clock, fleet, held } = this.#opts
+    const token = held()?.token
+    if (token === undefined) return
+    await fleet.client(row.address).throttle(row.taskId, { on, token }, clock.now() + callMs)
+  }
+
+  /** Checkpoints and stops a task; false when the worker saved nothing, and the task runs on. */
+  async takeOff(task: KnownTask): Promise<boolean> {
+    const { clock, fleet, held } = this.#opts
+    const token = held()?.token
+    // A non-idempotent task would repeat what it did after its checkpoint.
+    if (token === undefined || !task.row.idempotent) return false
+    const client = fleet.client(task.row.address)
+    const { taskId } = task.row
+    const saved = await client.checkpoint(taskId, token, clock.now() + callMs)
+    if (saved.state === 'running' && saved.checkpoint === undefined) {
+      task.hasNoCheckpoint = true
+      return false
+    }
+    await this.#endAs(task, await client.stop(taskId, token, clock.now() + callMs))
+    return true
+  }
+
   async #visit(
     worker: string,
     tasks: readonly KnownTask[],
@@ -151,6 +181,7 @@
       return
     }
     if (report.state === 'running') {
+      task.ranMs = report.runMs
       await this.confirm(task)
       await this.#keepOrStop(client, task, cancelling)
       return
--- a/packages/standins/src/worker-tasks.ts
+++ b/packages/standins/src/worker-tasks.ts
@@ -42,6 +42,8 @@
   startedAt: number
   leaseUntil: number
   resources: WorkerResources
+  /** Whether the task can save a checkpoint. */
+  saves: boolean
   timers: NodeJS.Timeout[]
 }
 
@@ -82,7 +84,9 @@
     this.#startsByJob[req.jobId] = (this.#startsByJob[req.jobId] ?? 0) + 1
     const running = (this.#runningByTeam[req.team] = (this.#runningByTeam[req.team] ?? 0) + 1)
     this.#maxRunningByTeam[req.team] = Math.max(this.#maxRunningByTeam[req.team] ?? 0, running)
-    const { runMs = 50, fail = false } = (req.payload ?? {}) as { runMs?: number; fail?: boolean }
+    const payload = (req.payload ?? {}) as { runMs?: number; fail?: boolean; saves?: boolean }
+    const { runMs = 50, fail = false, saves = true } = payload
+    entry.saves = saves
     entry.leaseUntil = performance.now() + req.leaseDeadlineMs
     if (this.#faults.failAll) this.#end(entry, 'failed')
     else {
@@ -104,15 +108,15 @@
     })
   }
 
-  throttle(id: string, fencingToken: number) {
+  throttle(id: string, { fencingToken, on }: { fencingToken: number; on: boolean }) {
     return this.#onRunning(id, fencingToken, entry => {
-      entry.throttled = true
+      entry.throttled = on
     })
   }
 
   checkpoint(id: string, fencingToken: number) {
     return this.#onRunning(id, fencingToken, entry => {
-      entry.checkpoint = { ranMs: performance.now() - entry.startedAt }
+      if (entry.saves) entry.checkpoint = { ranMs: performance.now() - entry.startedAt }
     })
   }
 
@@ -162,6 +166,7 @@
       startedAt: performance.now(),
       leaseUntil: Infinity,
       resources,
+      saves: true,
       timers: [],
     }
   }
--- a/packages/standins/src/worker.ts
+++ b/packages/standins/src/worker.ts
@@ -54,14 +54,16 @@
 /** Body of the other calls on a task. */
 const fencedSchema = z.object({ fencingToken: z.int().min(0) })
 
+const throttleSchema = fencedSchema.extend({ on: z.boolean() })
+
 interface Answer {
   status: number
   body: unknown
 }
 
 /**
- * Starts a stand-in of a worker, which runs tasks under leases. A payload `{ runMs, fail }` sets
- * the run time and the end of a task.
+ * Starts a stand-in of a worker, which runs tasks under leases. A payload `{ runMs, fail, saves }`
+ * sets the run time and the end of a task, and whether it can save a checkpoint.
  *
  * @example
  * const worker = await createWorkerStandin({ id: 'w1', rack: 'r1', zone: 'a' })
@@ -99,9 +101,9 @@
     if (id === undefined) return tasks.start(taskSchema.parse(JSON.parse(body)))
     if (method === 'GET') return tasks.get(id)
     if (action === 'lease') return tasks.renew(id, leaseSchema.parse(JSON.parse(body)))
+    if (action === 'throttle') return tasks.throttle(id, throttleSchema.parse(JSON.parse(body)))
     const { fencingToken } = fencedSchema.parse(JSON.parse(body))
     if (action === 'stop') return tasks.stop(id, fencingToken)
-    if (action === 'throttle') return tasks.throttle(id, fencingToken)
     if (action === 'checkpoint') return tasks.checkpoint(id, fencingToken)
     return { status: 404, body: { error: 'not found' } }
   }
