feat(placement): keep what was learned in rows and let workers leave quarantine

Cause: learned sizes, run times, failures and the quarantine were in the memory of the duty's holder, so each change of the holder let a broken worker fail the jobs of three teams again; and a repaired worker never left quarantine.

Ruled out: one row per kind or worker (more writes, no use of the parts alone); a write for each observation (grows with the jobs); ending the quarantine by time alone (a broken worker would fail jobs of every team after each pause).

Change: one row per pool in `placement-learned`, written under the duty's fence at most every 5 s and only when it changed, with at most 500 kinds. After 60 s a quarantined worker runs one task at a time as a trial; three successes in a row reinstate it, a failure doubles the pause up to 16 minutes. A trial is an idempotent job that is not urgent and has not failed elsewhere. Workers that left the pool are forgotten.

Conclusion: a new holder lacks at most what was learned in the last 5 s.

--- a/packages/placement/__tests__/choose.test.ts
+++ b/packages/placement/__tests__/choose.test.ts
@@ -89,6 +89,27 @@
   t.end()
 })
 
+// A trial may fail its job, and a faulty job must not fail a repaired worker.
+void t.test('a trial is given one job that can stand a failure', t => {
+  const [first, ...others] = workers
+  const trial = { trialWorkers: new Set(['wa1']), workers: first === undefined ? [] : [first] }
+  const jobs = [
+    job('once', 'lamps', { idempotent: false }),
+    job('urgent', 'lamps', { urgent: true }),
+    job('failed', 'lamps', { failedRacks: ['x'] }),
+    job('plain', 'lamps'),
+    job('other', 'lamps'),
+  ]
+  const placed = choosePlacements(state({ jobs, ...trial }))
+  t.same(
+    placed.map(each => each.job.id),
+    ['plain'],
+  )
+  const all = choosePlacements(state({ jobs, ...trial, workers: [...others, ...trial.workers] }))
+  t.equal(all.length, jobs.length, 'the others take the rest')
+  t.end()
+})
+
 void t.test('no worker is given more than it has', t => {
   const rng = seededRandom(11)
   const jobs = Array.from({ length: 200 }, (_, n) => {
--- a/packages/placement/__tests__/fixture.ts
+++ b/packages/placement/__tests__/fixture.ts
@@ -85,6 +85,7 @@
       wishes: createTaskWishes({ table: own, pool }),
       pool,
       clock,
+      wallClock: () => clock.now(),
       held: () => duty.held(),
       configuration: () => ({ queues: [queue], shares, zonesOut }),
       confirmedUntil: () => clock.now() + 2_000,
--- a/packages/placement/src/choose.ts
+++ b/packages/placement/src/choose.ts
@@ -13,6 +13,8 @@
   zonesOut: ReadonlySet<string>
   /** Workers that take nothing new: leaving, unreachable or in quarantine. */
   closedWorkers: ReadonlySet<string>
+  /** Workers in quarantine that may run one task, as a trial. */
+  trialWorkers?: ReadonlySet<string>
   /** Share of each team. */
   shares: ReadonlyMap<string, number>
   /** Workers on which room is kept for a job, by job id; nothing else starts in this room. */
@@ -33,6 +35,8 @@
 interface Candidate {
   worker: WorkerRow
   free: WorkResources
+  /** It takes a single task that may fail. */
+  isTrial: boolean
 }
 
 /**
@@ -106,13 +110,14 @@
     if (chosen !== undefined) this.#add(job, chosen, size)
     else if (this.#levels.of(job.team) < 1) {
       // A job that waits for a closed worker must not stop the others.
-      this.#isShort ||= this.#candidates.some(({ worker }) => fits(worker, size))
+      this.#isShort ||= this.#candidates.some(each => !each.isTrial && fits(each.worker, size))
     }
   }
 
   #add(job: QueuedJob, chosen: Candidate, size: WorkResources): void {
     const { worker, free } = chosen
     take(free, size)
+    if (chosen.isTrial) this.#candidates.splice(this.#candidates.indexOf(chosen), 1)
     this.#levels.add(job.team, size)
     increment(this.#byRack, `${job.team}/${worker.rack}`)
     increment(this.#byZone, `${job.team}/${worker.zone}`)
@@ -140,10 +145,15 @@
 /** Workers that may take jobs, with what their tasks leave free. */
 function openWorkers(state: PlacementState): Candidate[] {
   const free = freeByWorker(state.workers, state.tasks)
+  const busy = new Set(state.tasks.map(({ worker }) => worker))
   return state.workers.flatMap(worker => {
     const left = free.get(worker.id)
-    const isOpen = !state.zonesOut.has(worker.zone) && !state.closedWorkers.has(worker.id)
-    return isOpen && left !== undefined ? [{ worker, free: left }] : []
+    const isTrial = state.trialWorkers?.has(worker.id) === true
+    const isOpen =
+      !state.zonesOut.has(worker.zone) &&
+      !state.closedWorkers.has(worker.id) &&
+      !(isTrial && busy.has(worker.id))
+    return isOpen && left !== undefined ? [{ worker, free: left, isTrial }] : []
   })
 }
 
@@ -171,7 +181,7 @@
 ): Candidate | undefined {
   let best: { candidate: Candidate; rank: number[] } | undefined
   for (const candidate of candidates) {
-    if (!fits(candidate.free, size)) continue
+    if (!fits(candidate.free, size) || (candidate.isTrial && !mayBeTrial(job))) continue
     const { rack, zone } = candidate.worker
     const rank = [
       job.failedRacks?.includes(rack) === true ? 1 : 0,
@@ -186,6 +196,11 @@
   return best?.candidate
 }
 
+/** A trial may cost its job the time of a failure, and must not be failed by a faulty job. */
+function mayBeTrial({ idempotent, urgent, failedRacks = [] }: QueuedJob): boolean {
+  return idempotent && !urgent && failedRacks.length === 0
+}
+
 function isLower(a: readonly number[], b: readonly number[]): boolean {
   const at = a.findIndex((value, i) => value !== b[i])
   return at !== -1 && (a[at] ?? 0) < (b[at] ?? 0)
--- a/packages/placement/src/learned-sizes.ts
+++ b/packages/placement/src/learned-sizes.ts
@@ -12,6 +12,9 @@
 /** Fraction added to the mean in any case, because identical observations have no deviation. */
 const marginFraction = 0.1
 
+/** Kinds that are kept; the ones not observed for longest go, which bounds the stored row. */
+const maxKinds = 500
+
 /** What one ended job used at most, and for how long it ran. */
 export interface ObservedJob extends WorkResources {
   runMs: number
@@ -22,6 +25,14 @@
   variance: number
 }
 
+interface KindState {
+  count: number
+  estimates: Record<string, Estimate>
+}
+
+/** What is stored of the learned sizes, by kind; kinds observed last come last. */
+export type LearnedState = [kind: string, state: KindState][]
+
 const quantities = ['cpus', 'memoryMb', 'accelerators', 'runMs'] as const
 
 /** Sizes and run times of job kinds, learned from ended jobs. */
@@ -31,6 +42,8 @@
   estimate(kind: string, declared: ObservedJob): ObservedJob
   /** Mean run time of a kind in milliseconds; undefined while too little is known. */
   runMs(kind: string): number | undefined
+  state(): LearnedState
+  restore(state: LearnedState): void
 }
 
 /**
@@ -41,11 +54,16 @@
  * const { cpus } = sizes.estimate(job.kind, job.request)
  */
 export function createLearnedSizes(): LearnedSizes {
-  const kinds = new Map<string, { count: number; estimates: Record<string, Estimate> }>()
+  const kinds = new Map<string, KindState>()
   return {
     observe: (kind, job) => {
       const known = kinds.get(kind) ?? { count: 0, estimates: {} }
+      kinds.delete(kind)
       kinds.set(kind, known)
+      for (const oldest of kinds.keys()) {
+        if (kinds.size <= maxKinds) break
+        kinds.delete(oldest)
+      }
       known.count += 1
       for (const name of quantities) {
         const before = known.estimates[name]
@@ -73,6 +91,10 @@
         ? undefined
         : known.estimates.runMs?.mean
     },
+    state: () => [...kinds],
+    restore: state => {
+      for (const [kind, known] of state) kinds.set(kind, known)
+    },
   }
 }
 
--- a/packages/placement/src/placement-duty.ts
+++ b/packages/placement/src/placement-duty.ts
@@ -9,8 +9,9 @@
 } from '@bulrushbridge/jobs'
 import type { HeldDuty, TableService } from '@bulrushbridge/store'
 import type { TaskPermits, TaskWishWriter } from '@bulrushbridge/team-limit'
-import { createWorkerBlame } from './blame.js'
+import { createWorkerBlame, type WorkerBlame } from './blame.js'
 import { canNeverRun, choosePlacements, type Placement } from './choose.js'
+import { LearnedRow } from './learned-row.js'
 import { createLearnedSizes } from './learned-sizes.js'
 import { Reclaimer } from './reclaimer.js'
 import { TaskRows } from './task-rows.js'
@@ -46,6 +47,8 @@
   wishes: TaskWishWriter
   pool: string
   clock: Clock
+  /** Wall clock in milliseconds, for times that the next holder reads. */
+  wallClock?: () => number
   /** The lease of the duty `placement/<pool>`. */
   held: () => HeldDuty | undefined
   configuration: () => PlacementConfiguration
@@ -85,7 +88,8 @@
   readonly #reclaimer: Reclaimer
   readonly #caps: TeamCaps
   readonly #sizes = createLearnedSizes()
-  readonly #blame = createWorkerBlame()
+  readonly #blame: WorkerBlame
+  readonly #learned: LearnedRow
   readonly #tasks = new Map<string, KnownTask>()
   #workers: WorkerRow[] = []
   #workersReadAt = -Infinity
@@ -94,6 +98,14 @@
   constructor(opts: PlacementDutyOptions) {
     this.#opts = opts
     this.#rows = new TaskRows(opts)
+    const { wallClock = Date.now } = opts
+    this.#blame = createWorkerBlame({ wallClock })
+    this.#learned = new LearnedRow({
+      ...opts,
+      rows: this.#rows,
+      sizes: this.#sizes,
+      blame: this.#blame,
+    })
     this.#caps = new TeamCaps(opts.clock, this.#tasks)
     this.#fleet = new WorkerFleet(opts.clock)
     this.#visits = new WorkerVisits({
@@ -127,9 +139,11 @@
     if (this.#opts.held() === undefined) return
     try {
       await this.#readWorkers()
+      await this.#learned.load()
       if (!this.#isLoaded) await this.#load()
       await this.#visits.run(await this.#cancelling())
       await this.#startQueued()
+      await this.#learned.save()
     } catch (err) {
       // A transaction may have taken effect without an answer, so the rows are read again.
       this.#isLoaded = false
@@ -146,6 +160,7 @@
     if (now - this.#workersReadAt < workersIntervalMs) return
     const rows = await this.#opts.table.scan<WorkerRow>(hostsTable, poolRange(this.#opts.pool))
     this.#workers = rows.map(row => row.value)
+    if (rows.length > 0) this.#blame.keep(new Set(this.#workers.map(({ id }) => id)))
     this.#workersReadAt = now
   }
 
@@ -193,7 +208,8 @@
     }
     const { zonesOut } = configuration()
     const workers = this.#workers.filter(
-      ({ id, zone }) => !zonesOut.has(zone) && !closedWorkers.has(id),
+      ({ id, zone }) =>
+        !zonesOut.has(zone) && !closedWorkers.has(id) && !this.#blame.isQuarantined(id),
     )
     const ordered = left.sort((a, b) => Number(b.urgent) - Number(a.urgent))
     await this.#reclaimer.run({ jobs: ordered, workers, shares, sizeOf: this.#sizeOf })
@@ -211,6 +227,7 @@
       tasks: [...this.#tasks.values()].map(({ row }) => row),
       zonesOut,
       closedWorkers,
+      trialWorkers: new Set(this.#blame.onTrial()),
       shares,
       reserved: this.#reclaimer.reserved(),
       sizeOf: this.#sizeOf,
@@ -232,8 +249,9 @@
 
   #closedWorkers(): Set<string> {
     const { leaving, gone } = this.#opts.listed()
-    const quarantined = this.#blame.quarantined()
-    return new Set([...leaving, ...gone, ...quarantined, ...this.#visits.unreachable()])
+    const onTrial = new Set(this.#blame.onTrial())
+    const paused = this.#blame.quarantined().filter(id => !onTrial.has(id))
+    return new Set([...leaving, ...gone, ...paused, ...this.#visits.unreachable()])
   }
 
   readonly #sizeOf = (job: QueuedJob): WorkResources => {
--- a/packages/placement/src/task-rows.ts
+++ b/packages/placement/src/task-rows.ts
@@ -1,6 +1,6 @@
 import { poolRange, taskKey, tasksTable, type TaskRow } from '@bulrushbridge/host'
 import { jobsTable, jobTransition, type Job } from '@bulrushbridge/jobs'
-import type { HeldDuty, Row, TableService, Transaction } from '@bulrushbridge/store'
+import type { HeldDuty, Row, TableService, Transaction, Write } from '@bulrushbridge/store'
 import type { TaskPermits } from '@bulrushbridge/team-limit'
 import { jobAfterTask, type JobAfterTask, type TaskEnd } from './task-end.js'
 
@@ -110,6 +110,11 @@
     if (job?.value.state === 'queued') await this.#commit(jobTransition(job, 'parked', reason))
   }
 
+  /** Writes a row that only the holder of this duty writes. */
+  async write(write: Write): Promise<void> {
+    await this.#commit({ checks: [], writes: [write] })
+  }
+
   async #change(
     task: TaskRow,
     parts: (job: Row<Job> | undefined) => Transaction | Promise<Transaction>,
--- a/packages/placement/src/worker-visits.ts
+++ b/packages/placement/src/worker-visits.ts
@@ -229,7 +229,14 @@
     const { worker, team, kind } = task.row
     if (report.checkpoint !== undefined) task.checkpoint = report.checkpoint
     if (report.state === 'finished') {
-      blame.finished(worker)
+      if (blame.finished(worker)) {
+        this.#opts.onDecision?.({
+          subject: { kind: 'worker', id: worker },
+          rule: 'trial-succeeded',
+          observed: { team, quarantined: blame.quarantined().length },
+          action: 'reinstate',
+        })
+      }
       // The usage lags, so a short task may end before any was reported.
       if (report.usage.cpus > 0) sizes.observe(kind, { ...report.usage, runMs: report.runMs })
       await this.#end(task, 'finished')
