feat(jobs,placement): refuse and park jobs that no worker of the pool holds

Cause: a job larger than every worker was accepted and then parked, and a job was parked while the only worker of its size was away for maintenance, because the sizes were those of the rows present at that moment.

Ruled out: reading the workers' rows in entry hosts (a scan per host and pool); refusing while nothing is known (a new pool would take no job); parking by learned sizes with their margin (an earlier fault, its test stays).

Change: the duty writes one row per pool in `pool-summaries` with the largest workers and the expected wait per team, at most every 10 s, under its fence; sizes of workers that left count for 1 h and pass to the next holder. Jobs of a kind whose learned mean exceeds every worker are parked with the reason. An acceptance gives `estimatedWaitMs`, from learned run times. `canNeverRun` became `exceedsAll` in the package jobs, and its test calls that; the assertions are the same.

Observed: on a scratch copy with one rule switched off at a time these tests failed: refusal, repeat of an accepted job, expiry of a summary, remembering and forgetting sizes and loading them (a large worker that left), learned parking, learned run times.

Conclusion: unknown still means accepted. A parked job does not return to the queue by itself when a larger worker joins.

--- a/packages/entry/src/jobs-handler.ts
+++ b/packages/entry/src/jobs-handler.ts
@@ -61,6 +61,8 @@
 interface JobsRequest {
   team: string
   queue: string
+  /** Pool on whose workers jobs of the queue run. */
+  pool: string
   /** What follows `/jobs/`: an id or `cancel`. */
   rest: string | undefined
   deadline: number
@@ -114,7 +116,7 @@
     throw new RequestError('unknown-queue', { message: 'The queue takes no jobs.' })
   }
   const deadline = opts.clock.now() + deadlineMs(opts, req.headers['bulrush-deadline'])
-  return { team, queue, rest, deadline, req, res, requestId }
+  return { team, queue, pool: row.pool, rest, deadline, req, res, requestId }
 }
 
 function deadlineMs(opts: JobsHandlerOptions, header: string | string[] | undefined): number {
@@ -125,7 +127,7 @@
 }
 
 async function accept(opts: JobsHandlerOptions, call: JobsRequest): Promise<void> {
-  const { team, queue, deadline, req } = call
+  const { team, queue, pool, deadline, req } = call
   const { kind, payload, ...asked } = await readJson(opts, req, acceptSchema)
   const header = req.headers['idempotency-key']
   if (header !== undefined && !idempotencyKeyPattern.test(String(header))) {
@@ -138,13 +140,15 @@
   const id = await opts.jobs.accept({
     team,
     queue,
+    pool,
     ...asked,
     payload: payload ?? null,
     deadline,
     ...(kind === undefined ? {} : { kind }),
     ...(header === undefined ? {} : { idempotencyKey: String(header) }),
   })
-  answer(call, 202, { id })
+  const estimatedWaitMs = await opts.jobs.waitMs({ team, pool })
+  answer(call, 202, { id, ...(estimatedWaitMs === undefined ? {} : { estimatedWaitMs }) })
 }
 
 async function cancel(opts: JobsHandlerOptions, call: JobsRequest): Promise<void> {
--- a/packages/errors/src/kinds.ts
+++ b/packages/errors/src/kinds.ts
@@ -28,6 +28,11 @@
   'unknown-queue': { status: 404, message: 'There is no such queue.', retryable: false },
   'unknown-path': { status: 404, message: 'There is nothing at this path.', retryable: false },
   'job-unknown': { status: 404, message: 'There is no such job.', retryable: false },
+  'job-too-large': {
+    status: 422,
+    message: 'No worker of the pool is large enough for the job.',
+    retryable: false,
+  },
   'sender-too-slow': {
     status: 408,
     message: 'The request body did not arrive in time.',
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -23,3 +23,11 @@
   type Jobs,
   type JobsOptions,
 } from './jobs.js'
+export {
+  createPoolSummaries,
+  exceedsAll,
+  poolSummariesTable,
+  type PoolSummaries,
+  type PoolSummary,
+  type WorkerSize,
+} from './pool-summary.js'
--- a/packages/jobs/src/jobs.ts
+++ b/packages/jobs/src/jobs.ts
@@ -1,5 +1,5 @@
 import { createHash, randomBytes } from 'node:crypto'
-import { RequestError } from '@bulrushbridge/errors'
+import { RequestError, systemClock, type Clock } from '@bulrushbridge/errors'
 import {
   StoreError,
   type CallOptions,
@@ -19,6 +19,7 @@
   type JobRequest,
   type JobState,
 } from './job.js'
+import { createPoolSummaries, exceedsAll, type PoolSummaries } from './pool-summary.js'
 
 /** Jobs read by one scan. */
 const pageRows = 500
@@ -33,6 +34,7 @@
   committer?: Committer
   /** Name of this entry host. */
   member: string
+  clock?: Clock
   /** Wall clock in milliseconds, for the order of jobs. */
   wallClock?: () => number
 }
@@ -41,6 +43,8 @@
 export interface AcceptOptions {
   team: string
   queue: string
+  /** Pool of the queue; with it a job that no worker holds is refused. */
+  pool?: string
   idempotent: boolean
   urgent: boolean
   request: JobRequest
@@ -67,9 +71,12 @@
 export interface Jobs {
   /**
    * Resolves with the id when the job is durable. Rejects with a RequestError: `store-unavailable`
-   * has the outcome `unknown` when the job may have been accepted.
+   * has the outcome `unknown` when the job may have been accepted, and `job-too-large` is given
+   * only when the largest workers of the pool are known.
    */
   accept(opts: AcceptOptions): Promise<string>
+  /** Expected wait of a further job, in milliseconds; undefined when the pool is not known. */
+  waitMs(opts: { team: string; pool: string }): Promise<number | undefined>
   get(opts: { team: string; id: string } & CallOptions): Promise<Job | undefined>
   /** What the submitter handed over with the job. */
   payload(opts: { team: string; id: string } & CallOptions): Promise<unknown>
@@ -108,10 +115,13 @@
 class StoredJobs implements Jobs {
   readonly #opts: JobsOptions
   readonly #committer: Committer
+  readonly #summaries: PoolSummaries
 
   constructor(opts: JobsOptions) {
     this.#opts = opts
     this.#committer = opts.committer ?? opts.table
+    const { table, clock = systemClock, wallClock = Date.now } = opts
+    this.#summaries = createPoolSummaries({ table, clock, wallClock })
   }
 
   async accept(opts: AcceptOptions): Promise<string> {
@@ -131,6 +141,12 @@
       tx.writes.push({ table: jobKeysTable, key, value })
     }
     const callOpts = opts.deadline === undefined ? {} : { deadline: opts.deadline }
+    if (await this.#isTooLarge(opts)) {
+      // A repeat of a job that was accepted while the pool had larger workers is not refused.
+      const earlier = opts.idempotencyKey && (await this.#acceptedEarlier(tx, callOpts))
+      if (earlier) return earlier
+      throw new RequestError('job-too-large')
+    }
     try {
       const result = await this.#committer.commit(tx, callOpts)
       if (result.committed) return job.id
@@ -140,14 +156,15 @@
       const outcome = cause.settled ? 'not-run' : 'unknown'
       throw new RequestError('store-unavailable', { outcome, cause })
     }
-    try {
-      return await this.#accepted(tx, callOpts)
-    } catch (cause) {
-      if (!(cause instanceof StoreError)) throw cause
-      // An earlier attempt was accepted under the same key.
-      const outcome = 'unknown'
-      throw new RequestError('store-unavailable', { outcome, cause })
-    }
+    const id = await this.#acceptedEarlier(tx, callOpts)
+    if (id !== undefined) return id
+    const cause = new StoreError('the idempotency key was removed meanwhile')
+    throw new RequestError('store-unavailable', { outcome: 'unknown', cause })
+  }
+
+  async waitMs({ team, pool }: { team: string; pool: string }): Promise<number | undefined> {
+    const summary = await this.#summaries.get(pool)
+    return summary === undefined ? undefined : (summary.waitMs[team] ?? 0)
   }
 
   async get(opts: { team: string; id: string } & CallOptions): Promise<Job | undefined> {
@@ -203,15 +220,28 @@
     return after === undefined ? result : { ...result, next: after }
   }
 
+  async #isTooLarge({ pool, request }: AcceptOptions): Promise<boolean> {
+    const summary = pool === undefined ? undefined : await this.#summaries.get(pool)
+    return summary !== undefined && exceedsAll(request, summary.largest)
+  }
+
   /** The id of the job that holds the idempotency key, when the same was asked for. */
-  async #accepted(tx: Transaction, callOpts: CallOptions): Promise<string> {
+  async #acceptedEarlier(tx: Transaction, callOpts: CallOptions): Promise<string | undefined> {
     const write = tx.writes.find(({ table }) => table === jobKeysTable)
     const own = write?.value as JobKeyRow | undefined
-    if (write === undefined || own === undefined) throw new StoreError('the job id is in use')
-    const row = await this.#opts.table.read<JobKeyRow>(jobKeysTable, write.key, callOpts)
-    if (row === undefined) throw new StoreError('the idempotency key was removed meanwhile')
-    if (row.value.fingerprint !== own.fingerprint) throw new RequestError('idempotency-key-reused')
-    return row.value.id
+    try {
+      if (write === undefined || own === undefined) throw new StoreError('the job id is in use')
+      const row = await this.#opts.table.read<JobKeyRow>(jobKeysTable, write.key, callOpts)
+      if (row === undefined) return undefined
+      if (row.value.fingerprint !== own.fingerprint) {
+        throw new RequestError('idempotency-key-reused')
+      }
+      return row.value.id
+    } catch (cause) {
+      if (!(cause instanceof StoreError)) throw cause
+      // An earlier attempt may have been accepted under the same key.
+      throw new RequestError('store-unavailable', { outcome: 'unknown', cause })
+    }
   }
 
   #page(team: string, queue: string, after: string | undefined) {
--- a/packages/placement/__tests__/choose.test.ts
+++ b/packages/placement/__tests__/choose.test.ts
@@ -1,9 +1,8 @@
 import t from 'tap'
 import type { WorkerRow } from '@bulrushbridge/host'
-import type { QueuedJob } from '@bulrushbridge/jobs'
+import { exceedsAll, type QueuedJob } from '@bulrushbridge/jobs'
 import { seededRandom } from '@bulrushbridge/standins'
 import {
-  canNeverRun,
   choosePlacements,
   createLearnedSizes,
   createWorkerBlame,
@@ -126,10 +125,10 @@
 })
 
 void t.test('only a job that no empty worker holds can never run', t => {
-  t.ok(canNeverRun({ cpus: 5, memoryMb: 1, accelerators: 0 }, workers))
-  t.ok(canNeverRun({ cpus: 1, memoryMb: 1, accelerators: 1 }, workers))
-  t.notOk(canNeverRun({ cpus: 4, memoryMb: 4_096, accelerators: 0 }, workers))
-  t.notOk(canNeverRun({ cpus: 5, memoryMb: 1, accelerators: 0 }, []), 'the workers are not known')
+  t.ok(exceedsAll({ cpus: 5, memoryMb: 1, accelerators: 0 }, workers))
+  t.ok(exceedsAll({ cpus: 1, memoryMb: 1, accelerators: 1 }, workers))
+  t.notOk(exceedsAll({ cpus: 4, memoryMb: 4_096, accelerators: 0 }, workers))
+  t.notOk(exceedsAll({ cpus: 5, memoryMb: 1, accelerators: 0 }, []), 'the workers are not known')
   t.end()
 })
 
--- /dev/null
+++ b/packages/placement/__tests__/never-fits.test.ts
@@ -0,0 +1,154 @@
+import t from 'tap'
+import { RequestError } from '@bulrushbridge/errors'
+import { hostsTable, workerKey } from '@bulrushbridge/host'
+import { createJobs } from '@bulrushbridge/jobs'
+import { createFixture, queue } from './fixture.js'
+import { estimateWaits } from '../src/wait-estimate.js'
+
+const small = { cpus: 1, memoryMb: 64, accelerators: 0, runMs: 50 }
+const large = { ...small, cpus: 17 }
+
+const tooLarge = { kind: 'job-too-large', outcome: 'not-run' }
+
+/** How an acceptance was refused. */
+async function refusal(accepting: Promise<string>) {
+  try {
+    await accepting
+    return undefined
+  } catch (err) {
+    if (!(err instanceof RequestError)) throw err
+    return { kind: err.kind, outcome: err.outcome }
+  }
+}
+
+/** A pool whose summary has been written, and the jobs of an entry host that has cached nothing. */
+async function summarisedPool(t: Parameters<typeof createFixture>[0]) {
+  const fixture = await createFixture(t)
+  const control = fixture.holder('c1')
+  await control.take()
+  let wallNow = 0
+  const wallClock = () => control.clock.now() + wallNow
+  const { table } = fixture
+  const entry = () =>
+    createJobs({ table, member: 'e2', clock: { now: () => performance.now() }, wallClock })
+  const job = { team: 'lamps', queue, pool: 'batch', idempotent: true, urgent: false, payload: {} }
+  const later = (ms: number) => {
+    wallNow += ms
+  }
+  return { ...fixture, control, entry, job, later }
+}
+
+void t.test('a job that no worker holds is refused at acceptance', async t => {
+  const { control, entry, job, jobs } = await summarisedPool(t)
+  const unknown = entry()
+  t.ok(await unknown.accept({ ...job, request: large }), 'without a summary it is accepted')
+  await control.placement.round()
+  const known = entry()
+  t.same(await refusal(known.accept({ ...job, request: large })), tooLarge)
+  t.same(await refusal(known.accept({ ...job, request: { ...small, accelerators: 1 } })), tooLarge)
+  t.ok(await known.accept({ ...job, request: small }))
+  const { jobs: listed } = await jobs.list({ team: 'lamps', queue, limit: 10 })
+  t.equal(listed.length, 2, 'the refused ones are not stored')
+})
+
+// A refusal must not say "not run" of a job that was accepted while the pool had larger workers.
+void t.test('a repeat of an accepted job is not refused for its size', async t => {
+  const { control, entry, job } = await summarisedPool(t)
+  const keyed = { ...job, request: large, idempotencyKey: 'k1' }
+  const id = await entry().accept(keyed)
+  await control.placement.round()
+  t.equal(await entry().accept(keyed), id)
+  t.same(await refusal(entry().accept({ ...keyed, idempotencyKey: 'k2' })), tooLarge)
+})
+
+void t.test('an old summary and a failing store refuse nothing', async t => {
+  const { control, entry, job, later, standin } = await summarisedPool(t)
+  await control.placement.round()
+  later(200_000)
+  t.ok(await entry().accept({ ...job, request: large }))
+  standin.faults.down = true
+  const deadline = performance.now() + 300
+  const refused = await refusal(entry().accept({ ...job, request: large, deadline }))
+  standin.faults.down = false
+  t.equal(refused?.kind, 'store-unavailable')
+})
+
+// A worker in maintenance has no row; jobs of its size must wait for it.
+void t.test('a large worker that left a short time ago still counts', async t => {
+  const { accept, control, isIn, holder, table } = await summarisedPool(t)
+  const key = workerKey('batch', 'w9')
+  const value = { id: 'w9', pool: 'batch', rack: 'r9', zone: 'a', address: '127.0.0.9:1' }
+  const big = { ...value, cpus: 64, memoryMb: 65_536, accelerators: 0 }
+  await table.commit({ checks: [], writes: [{ table: hostsTable, key, value: big }] })
+  await control.placement.round()
+  await table.commit({ checks: [], writes: [{ table: hostsTable, key, value: null }] })
+  await control.duty.close()
+  const next = holder('c2')
+  await next.take()
+  await next.placement.round()
+  const id = await accept({ request: large })
+  for (let n = 0; n < 20; n++) {
+    await next.pass(250)
+    await next.placement.round()
+  }
+  t.ok(await isIn(id, 'queued'), 'a new holder knows the size as well')
+  next.clock.advance(3_700_000)
+  await next.take()
+  await next.rounds(() => isIn(id, 'parked'))
+})
+
+void t.test('jobs of a kind that uses more than any worker has are parked', async t => {
+  const { accept, control, isIn, jobOf, table, workers } = await summarisedPool(t)
+  const estimate = { mean: 99_000, variance: 0 }
+  const used = { mean: 1, variance: 0 }
+  const estimates = { cpus: used, memoryMb: estimate, accelerators: used, runMs: used }
+  const value = {
+    sizes: [['solver', { count: 5, estimates }]],
+    blame: { failures: {}, quarantine: {} },
+  }
+  const write = { table: 'placement-learned', key: 'batch', value }
+  await table.commit({ checks: [], writes: [write] })
+  const id = await accept({ kind: 'solver' })
+  await control.rounds(() => isIn(id, 'parked'))
+  t.match((await jobOf(id)).reason, /solver use more than any worker/)
+  t.same(
+    workers.flatMap(worker => worker.tasks()),
+    [],
+  )
+})
+
+void t.test('the estimate of a wait uses learned run times and the part of the team', t => {
+  const jobs = Array.from({ length: 8 }, (_, n) => ({
+    id: `j${n}`,
+    team: 'lamps',
+    queue,
+    idempotent: true,
+    urgent: false,
+    request: { ...small, runMs: 1 },
+    kind: 'plan',
+    acceptedAt: 0,
+  }))
+  const state = {
+    jobs,
+    running: ['mills'],
+    shares: new Map(),
+    capacity: { cpus: 4, memoryMb: 4_096, accelerators: 0 },
+    sizeOf: () => small,
+    runMsOf: () => 1_000,
+  }
+  // Eight jobs of 1 s on half of four processors.
+  t.equal(estimateWaits(state).get('lamps'), 4_000)
+  t.equal(estimateWaits({ ...state, running: [] }).get('lamps'), 2_000)
+  t.equal(estimateWaits({ ...state, runMsOf: () => undefined }).get('lamps'), 4)
+  t.end()
+})
+
+void t.test('entry hosts give the expected wait', async t => {
+  const { accept, control, entry } = await summarisedPool(t)
+  t.equal(await entry().waitMs({ team: 'lamps', pool: 'batch' }), undefined)
+  for (let n = 0; n < 8; n++) await accept({ payload: { runMs: 600_000 } })
+  await control.placement.round()
+  const jobs = entry()
+  t.ok(((await jobs.waitMs({ team: 'lamps', pool: 'batch' })) ?? 0) > 0)
+  t.equal(await jobs.waitMs({ team: 'mills', pool: 'batch' }), 0)
+})
--- a/packages/placement/src/choose.ts
+++ b/packages/placement/src/choose.ts
@@ -137,11 +137,6 @@
   }
 }
 
-/** Whether no worker of the pool, even an empty one, is large enough for the job. */
-export function canNeverRun(request: WorkResources, workers: readonly WorkerRow[]): boolean {
-  return workers.length > 0 && !workers.some(worker => fits(worker, request))
-}
-
 /** Workers that may take jobs, with what their tasks leave free. */
 function openWorkers(state: PlacementState): Candidate[] {
   const free = freeByWorker(state.workers, state.tasks)
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,5 +1,5 @@
 export { blameJob, createWorkerBlame, type WorkerBlame } from './blame.js'
-export { canNeverRun, choosePlacements, type Placement, type PlacementState } from './choose.js'
+export { choosePlacements, type Placement, type PlacementState } from './choose.js'
 export { createLearnedSizes, type LearnedSizes, type ObservedJob } from './learned-sizes.js'
 export {
   createPlacementDuty,
--- a/packages/placement/src/learned-sizes.ts
+++ b/packages/placement/src/learned-sizes.ts
@@ -40,6 +40,8 @@
   observe(kind: string, job: ObservedJob): void
   /** What to reserve for a job: learned figures with a margin, or what it declares. */
   estimate(kind: string, declared: ObservedJob): ObservedJob
+  /** What jobs of a kind use on average, without a margin; undefined while too little is known. */
+  mean(kind: string): WorkResources | undefined
   /** Mean run time of a kind in milliseconds; undefined while too little is known. */
   runMs(kind: string): number | undefined
   state(): LearnedState
@@ -85,6 +87,16 @@
         runMs: learned('runMs'),
       }
     },
+    mean: kind => {
+      const known = kinds.get(kind)
+      if (known === undefined || known.count < minObservations) return undefined
+      const { cpus, memoryMb, accelerators } = known.estimates
+      return {
+        cpus: cpus?.mean ?? 0,
+        memoryMb: memoryMb?.mean ?? 0,
+        accelerators: accelerators?.mean ?? 0,
+      }
+    },
     runMs: kind => {
       const known = kinds.get(kind)
       return known === undefined || known.count < minObservations
--- a/packages/placement/src/placement-duty.ts
+++ b/packages/placement/src/placement-duty.ts
@@ -1,28 +1,23 @@
 import type { Clock } from '@bulrushbridge/errors'
 import { hostsTable, poolRange, type WorkerRow, type WorkResources } from '@bulrushbridge/host'
-import {
-  cancellingTable,
-  jobKey,
-  queuedRange,
-  queuedTable,
-  type QueuedJob,
-} from '@bulrushbridge/jobs'
+import { exceedsAll, type QueuedJob } from '@bulrushbridge/jobs'
 import type { HeldDuty, TableService } from '@bulrushbridge/store'
 import type { TaskPermits, TaskWishWriter } from '@bulrushbridge/team-limit'
+import { sumOf } from './amounts.js'
 import { createWorkerBlame, type WorkerBlame } from './blame.js'
-import { canNeverRun, choosePlacements, type Placement } from './choose.js'
+import { choosePlacements, type Placement } from './choose.js'
 import { LearnedRow } from './learned-row.js'
 import { createLearnedSizes } from './learned-sizes.js'
+import { PoolSummaryRow } from './pool-summary-row.js'
+import { QueuedJobs } from './queued-jobs.js'
 import { Reclaimer } from './reclaimer.js'
 import { TaskRows } from './task-rows.js'
 import { TaskStarter, taskLeaseMs } from './task-starter.js'
 import { TeamCaps } from './team-caps.js'
+import { estimateWaits } from './wait-estimate.js'
 import { WorkerFleet } from './worker-fleet.js'
 import { WorkerVisits, type KnownTask, type PlacementDecision } from './worker-visits.js'
 
-/** Queued jobs of each queue that one round considers. */
-const jobsPerQueue = 200
-
 /** Tasks that one round starts at most. */
 const startsPerRound = 100
 
@@ -90,6 +85,8 @@
   readonly #sizes = createLearnedSizes()
   readonly #blame: WorkerBlame
   readonly #learned: LearnedRow
+  readonly #summary: PoolSummaryRow
+  readonly #queue: QueuedJobs
   readonly #tasks = new Map<string, KnownTask>()
   #workers: WorkerRow[] = []
   #workersReadAt = -Infinity
@@ -106,6 +103,13 @@
       sizes: this.#sizes,
       blame: this.#blame,
     })
+    this.#summary = new PoolSummaryRow({ ...opts, wallClock, rows: this.#rows })
+    this.#queue = new QueuedJobs({
+      ...opts,
+      rows: this.#rows,
+      sizes: this.#sizes,
+      summary: this.#summary,
+    })
     this.#caps = new TeamCaps(opts.clock, this.#tasks)
     this.#fleet = new WorkerFleet(opts.clock)
     this.#visits = new WorkerVisits({
@@ -140,6 +144,7 @@
     try {
       await this.#readWorkers()
       await this.#learned.load()
+      await this.#summary.load()
       if (!this.#isLoaded) await this.#load()
       await this.#visits.run(await this.#cancelling())
       await this.#startQueued()
@@ -160,6 +165,7 @@
     if (now - this.#workersReadAt < workersIntervalMs) return
     const rows = await this.#opts.table.scan<WorkerRow>(hostsTable, poolRange(this.#opts.pool))
     this.#workers = rows.map(row => row.value)
+    this.#summary.seen(this.#workers)
     if (rows.length > 0) this.#blame.keep(new Set(this.#workers.map(({ id }) => id)))
     this.#workersReadAt = now
   }
@@ -178,22 +184,16 @@
     this.#isLoaded = true
   }
 
-  /** Ids of the jobs that are being cancelled. */
-  async #cancelling(): Promise<Set<string>> {
-    const ids = new Set<string>()
-    if (this.#tasks.size === 0) return ids
-    for (const queue of this.#opts.configuration().queues) {
-      const rows = await this.#opts.table.scan<unknown>(cancellingTable, queuedRange(queue))
-      for (const { key } of rows) ids.add(key.slice(key.indexOf('/') + 1))
-    }
-    return ids
+  #cancelling(): Promise<Set<string>> {
+    // Without tasks nothing has to be stopped.
+    return this.#queue.cancelling(this.#tasks.size === 0 ? [] : this.#opts.configuration().queues)
   }
 
   async #startQueued(): Promise<void> {
     const { configuration, clock, confirmedUntil } = this.#opts
     if (clock.now() >= confirmedUntil()) return
     const { queues, shares } = configuration()
-    const jobs = await this.#queuedJobs(queues)
+    const jobs = await this.#queue.read(queues)
     await this.#wish(jobs)
     const closedWorkers = this.#closedWorkers()
     let capped = this.#caps.capped()
@@ -211,10 +211,25 @@
       ({ id, zone }) =>
         !zonesOut.has(zone) && !closedWorkers.has(id) && !this.#blame.isQuarantined(id),
     )
+    await this.#saveSummary(jobs, workers)
     const ordered = left.sort((a, b) => Number(b.urgent) - Number(a.urgent))
     await this.#reclaimer.run({ jobs: ordered, workers, shares, sizeOf: this.#sizeOf })
   }
 
+  async #saveSummary(jobs: readonly QueuedJob[], workers: readonly WorkerRow[]): Promise<void> {
+    const rows = [...this.#tasks.values()].map(({ row }) => row)
+    const started = new Set(rows.map(({ jobId }) => jobId))
+    const waits = estimateWaits({
+      jobs: jobs.filter(({ id }) => !started.has(id)),
+      running: rows.map(({ team }) => team),
+      shares: this.#opts.configuration().shares,
+      capacity: sumOf(workers),
+      sizeOf: this.#sizeOf,
+      runMsOf: kind => this.#sizes.runMs(kind),
+    })
+    await this.#summary.save(waits)
+  }
+
   /** Starts what there is room for; returns the ids of the jobs that were claimed. */
   async #startSome(
     jobs: readonly QueuedJob[],
@@ -256,21 +271,7 @@
 
   readonly #sizeOf = (job: QueuedJob): WorkResources => {
     const size = this.#sizes.estimate(job.kind, job.request)
-    return canNeverRun(size, this.#workers) ? job.request : size
-  }
-
-  async #queuedJobs(queues: readonly string[]): Promise<QueuedJob[]> {
-    const runnable: QueuedJob[] = []
-    for (const queue of queues) {
-      const range = { ...queuedRange(queue), limit: jobsPerQueue }
-      const rows = await this.#opts.table.scan<QueuedJob>(queuedTable, range)
-      for (const { value: job } of rows) {
-        // Learned sizes carry a margin, so they alone must not park a job.
-        if (canNeverRun(job.request, this.#workers)) await this.#park(job)
-        else runnable.push(job)
-      }
-    }
-    return runnable
+    return exceedsAll(size, this.#summary.largest()) ? job.request : size
   }
 
   /** Permits for what runs and what could run soon, for each team of the configuration. */
@@ -282,15 +283,4 @@
     for (const { row } of this.#tasks.values()) add(row)
     for (const [team, total] of totals) await this.#opts.wishes.set(team, total)
   }
-
-  async #park(job: QueuedJob): Promise<void> {
-    const reason = 'it is larger than any worker of the pool'
-    await this.#rows.park(jobKey(job.team, job.id), reason)
-    this.#opts.onDecision?.({
-      subject: { kind: 'job', id: job.id },
-      rule: 'job-never-fits',
-      observed: { ...job.request },
-      action: 'park',
-    })
-  }
 }
--- /dev/null
+++ b/packages/placement/src/queued-jobs.ts
@@ -0,0 +1,79 @@
+import {
+  cancellingTable,
+  exceedsAll,
+  jobKey,
+  queuedRange,
+  queuedTable,
+  type QueuedJob,
+} from '@bulrushbridge/jobs'
+import type { TableService } from '@bulrushbridge/store'
+import type { LearnedSizes } from './learned-sizes.js'
+import type { PoolSummaryRow } from './pool-summary-row.js'
+import type { TaskRows } from './task-rows.js'
+import type { PlacementDecision } from './worker-visits.js'
+
+/** Queued jobs of each queue that one round considers. */
+const jobsPerQueue = 200
+
+/** Options of {@link QueuedJobs}. */
+export interface QueuedJobsOptions {
+  table: TableService
+  rows: TaskRows
+  sizes: LearnedSizes
+  summary: PoolSummaryRow
+  onDecision?(decision: PlacementDecision): void
+}
+
+/** Reads what waits in the queues, and parks what no worker can run. */
+export class QueuedJobs {
+  readonly #opts: QueuedJobsOptions
+
+  constructor(opts: QueuedJobsOptions) {
+    this.#opts = opts
+  }
+
+  /** The first jobs of each queue that can run. */
+  async read(queues: readonly string[]): Promise<QueuedJob[]> {
+    const runnable: QueuedJob[] = []
+    for (const queue of queues) {
+      const range = { ...queuedRange(queue), limit: jobsPerQueue }
+      const rows = await this.#opts.table.scan<QueuedJob>(queuedTable, range)
+      for (const { value: job } of rows) {
+        const reason = this.#whyNever(job)
+        if (reason === undefined) runnable.push(job)
+        else await this.#park(job, reason)
+      }
+    }
+    return runnable
+  }
+
+  /** Ids of the jobs that are being cancelled. */
+  async cancelling(queues: readonly string[]): Promise<Set<string>> {
+    const ids = new Set<string>()
+    for (const queue of queues) {
+      const rows = await this.#opts.table.scan<unknown>(cancellingTable, queuedRange(queue))
+      for (const { key } of rows) ids.add(key.slice(key.indexOf('/') + 1))
+    }
+    return ids
+  }
+
+  /** Why no worker can run the job. The margin of learned sizes alone must not park a job. */
+  #whyNever(job: QueuedJob): string | undefined {
+    const largest = this.#opts.summary.largest()
+    if (exceedsAll(job.request, largest)) return 'it is larger than any worker of the pool'
+    const mean = this.#opts.sizes.mean(job.kind)
+    const { accelerators } = job.request
+    if (mean === undefined || !exceedsAll({ ...mean, accelerators }, largest)) return undefined
+    return `jobs of the kind ${job.kind} use more than any worker of the pool has`
+  }
+
+  async #park(job: QueuedJob, reason: string): Promise<void> {
+    await this.#opts.rows.park(jobKey(job.team, job.id), reason)
+    this.#opts.onDecision?.({
+      subject: { kind: 'job', id: job.id },
+      rule: 'job-never-fits',
+      observed: { ...job.request, reason },
+      action: 'park',
+    })
+  }
+}
