--- a/packages/placement/src/placement-duty.ts
+++ b/packages/placement/src/placement-duty.ts
@@ -1,39 +1,31 @@
 import type { Clock } from '@bulrushbridge/errors'
-import { hostsTable, poolRange, type TaskRow, type WorkerRow } from '@bulrushbridge/host'
-import {
-  cancellingTable,
-  jobKey,
-  jobsTable,
-  payloadsTable,
-  queuedRange,
-  queuedTable,
-  type Job,
-  type QueuedJob,
-} from '@bulrushbridge/jobs'
+import { hostsTable, poolRange, type WorkerRow, type WorkResources } from '@bulrushbridge/host'
+import { exceedsAll, type QueuedJob } from '@bulrushbridge/jobs'
 import type { HeldDuty, TableService } from '@bulrushbridge/store'
 import type { TaskPermits, TaskWishWriter } from '@bulrushbridge/team-limit'
-import { createWorkerBlame } from './blame.js'
-import { canNeverRun, choosePlacements, type Placement } from './choose.js'
+import { sumOf } from './amounts.js'
+import { createWorkerBlame, type WorkerBlame } from './blame.js'
+import { choosePlacements, type Placement } from './choose.js'
+import { LearnedRow } from './learned-row.js'
 import { createLearnedSizes } from './learned-sizes.js'
-import { taskOf } from './task-of.js'
+import { PoolSummaryRow } from './pool-summary-row.js'
+import { QueuedJobs } from './queued-jobs.js'
+import { Reclaimer } from './reclaimer.js'
 import { TaskRows } from './task-rows.js'
+import { TaskStarter, taskLeaseMs } from './task-starter.js'
+import { TeamCaps } from './team-caps.js'
+import { estimateWaits } from './wait-estimate.js'
 import { WorkerFleet } from './worker-fleet.js'
 import { WorkerVisits, type KnownTask, type PlacementDecision } from './worker-visits.js'
 
-/** Queued jobs of each queue that one round considers. */
-const jobsPerQueue = 200
-
 /** Tasks that one round starts at most. */
 const startsPerRound = 100
 
 /** Interval of reading the workers' rows, in milliseconds. */
 const workersIntervalMs = 2_000
 
-/** Longest time of a start call, in milliseconds. */
-const startCallMs = 1_000
-
-/** Lifetime of a task's lease, in milliseconds: about ten rounds of renewal. */
-export const taskLeaseMs = 10_000
+/** Choices of one round; each but the first follows a team that turned out to be at its limit. */
+const maxPasses = 3
 
 /** The part of the configuration that placement needs. */
 export interface PlacementConfiguration {
@@ -50,6 +42,8 @@
   wishes: TaskWishWriter
   pool: string
   clock: Clock
+  /** Wall clock in milliseconds, for times that the next holder reads. */
+  wallClock?: () => number
   /** The lease of the duty `placement/<pool>`. */
   held: () => HeldDuty | undefined
   configuration: () => PlacementConfiguration
@@ -85,8 +79,14 @@
   readonly #rows: TaskRows
   readonly #fleet: WorkerFleet
   readonly #visits: WorkerVisits
+  readonly #starter: TaskStarter
+  readonly #reclaimer: Reclaimer
+  readonly #caps: TeamCaps
   readonly #sizes = createLearnedSizes()
-  readonly #blame = createWorkerBlame()
+  readonly #blame: WorkerBlame
+  readonly #learned: LearnedRow
+  readonly #summary: PoolSummaryRow
+  readonly #queue: QueuedJobs
   readonly #tasks = new Map<string, KnownTask>()
   #workers: WorkerRow[] = []
   #workersReadAt = -Infinity
@@ -95,6 +95,22 @@
   constructor(opts: PlacementDutyOptions) {
     this.#opts = opts
     this.#rows = new TaskRows(opts)
+    const { wallClock = Date.now } = opts
+    this.#blame = createWorkerBlame({ wallClock })
+    this.#learned = new LearnedRow({
+      ...opts,
+      rows: this.#rows,
+      sizes: this.#sizes,
+      blame: this.#blame,
+    })
+    this.#summary = new PoolSummaryRow({ ...opts, wallClock, rows: this.#rows })
+    this.#queue = new QueuedJobs({
+      ...opts,
+      rows: this.#rows,
+      sizes: this.#sizes,
+      summary: this.#summary,
+    })
+    this.#caps = new TeamCaps(opts.clock, this.#tasks)
     this.#fleet = new WorkerFleet(opts.clock)
     this.#visits = new WorkerVisits({
       ...opts,
@@ -105,15 +121,34 @@
       blame: this.#blame,
       poolSize: () => this.#workers.length,
     })
+    this.#starter = new TaskStarter({
+      ...opts,
+      rows: this.#rows,
+      fleet: this.#fleet,
+      tasks: this.#tasks,
+      visits: this.#visits,
+    })
+    this.#reclaimer = new Reclaimer({
+      ...opts,
+      tasks: this.#tasks,
+      visits: this.#visits,
+      sizes: this.#sizes,
+      onCapped: team => {
+        this.#caps.mark(team)
+      },
+    })
   }
 
   async round(): Promise<void> {
     if (this.#opts.held() === undefined) return
     try {
       await this.#readWorkers()
+      await this.#learned.load()
+      await this.#summary.load()
       if (!this.#isLoaded) await this.#load()
       await this.#visits.run(await this.#cancelling())
       await this.#startQueued()
+      await this.#learned.save()
     } catch (err) {
       // A transaction may have taken effect without an answer, so the rows are read again.
       this.#isLoaded = false
@@ -130,6 +165,8 @@
     if (now - this.#workersReadAt < workersIntervalMs) return
     const rows = await this.#opts.table.scan<WorkerRow>(hostsTable, poolRange(this.#opts.pool))
     this.#workers = rows.map(row => row.value)
+    this.#summary.seen(this.#workers)
+    if (rows.length > 0) this.#blame.keep(new Set(this.#workers.map(({ id }) => id)))
     this.#workersReadAt = now
   }
 
@@ -147,42 +184,68 @@
     this.#isLoaded = true
   }
 
-  /** Ids of the jobs that are being cancelled. */
-  async #cancelling(): Promise<Set<string>> {
-    const ids = new Set<string>()
-    if (this.#tasks.size === 0) return ids
-    for (const queue of this.#opts.configuration().queues) {
-      const rows = await this.#opts.table.scan<unknown>(cancellingTable, queuedRange(queue))
-      for (const { key } of rows) ids.add(key.slice(key.indexOf('/') + 1))
-    }
-    return ids
+  #cancelling(): Promise<Set<string>> {
+    // Without tasks nothing has to be stopped.
+    return this.#queue.cancelling(this.#tasks.size === 0 ? [] : this.#opts.configuration().queues)
   }
 
   async #startQueued(): Promise<void> {
     const { configuration, clock, confirmedUntil } = this.#opts
     if (clock.now() >= confirmedUntil()) return
-    const { queues, shares, zonesOut } = configuration()
-    const jobs = await this.#queuedJobs(queues)
+    const { queues, shares } = configuration()
+    const jobs = await this.#queue.read(queues)
     await this.#wish(jobs)
-    if (jobs.length === 0) return
-    const { leaving, gone } = this.#opts.listed()
-    const closedWorkers = new Set([
-      ...leaving,
-      ...gone,
-      ...this.#blame.quarantined(),
-      ...this.#visits.unreachable(),
-    ])
+    const closedWorkers = this.#closedWorkers()
+    let capped = this.#caps.capped()
+    let left = jobs.filter(({ team }) => !capped.has(team))
+    // What a team at its limit could not claim is offered to the others.
+    for (let pass = 0; pass < maxPasses && left.length > 0; pass++) {
+      const started = await this.#startSome(left, closedWorkers)
+      capped = this.#caps.capped()
+      const isCapped = left.some(({ team }) => capped.has(team))
+      left = left.filter(({ id, team }) => !started.has(id) && !capped.has(team))
+      if (!isCapped) break
+    }
+    const { zonesOut } = configuration()
+    const workers = this.#workers.filter(
+      ({ id, zone }) =>
+        !zonesOut.has(zone) && !closedWorkers.has(id) && !this.#blame.isQuarantined(id),
+    )
+    await this.#saveSummary(jobs, workers)
+    const ordered = left.sort((a, b) => Number(b.urgent) - Number(a.urgent))
+    await this.#reclaimer.run({ jobs: ordered, workers, shares, sizeOf: this.#sizeOf })
+  }
+
+  async #saveSummary(jobs: readonly QueuedJob[], workers: readonly WorkerRow[]): Promise<void> {
+    const rows = [...this.#tasks.values()].map(({ row }) => row)
+    const started = new Set(rows.map(({ jobId }) => jobId))
+    const waits = estimateWaits({
+      jobs: jobs.filter(({ id }) => !started.has(id)),
+      running: rows.map(({ team }) => team),
+      shares: this.#opts.configuration().shares,
+      capacity: sumOf(workers),
+      sizeOf: this.#sizeOf,
+      runMsOf: kind => this.#sizes.runMs(kind),
+    })
+    await this.#summary.save(waits)
+  }
+
+  /** Starts what there is room for; returns the ids of the jobs that were claimed. */
+  async #startSome(
+    jobs: readonly QueuedJob[],
+    closedWorkers: ReadonlySet<string>,
+  ): Promise<Set<string>> {
+    const { shares, zonesOut } = this.#opts.configuration()
     const placements = choosePlacements({
       jobs,
       workers: this.#workers,
       tasks: [...this.#tasks.values()].map(({ row }) => row),
       zonesOut,
       closedWorkers,
+      trialWorkers: new Set(this.#blame.onTrial()),
       shares,
-      sizeOf: job => {
-        const size = this.#sizes.estimate(job.kind, job.request)
-        return canNeverRun(size, this.#workers) ? job.request : size
-      },
+      reserved: this.#reclaimer.reserved(),
+      sizeOf: this.#sizeOf,
       limit: startsPerRound,
     })
     const teams = new Map<string, Placement[]>()
@@ -190,21 +253,25 @@
       const { team } = placement.job
       teams.set(team, [...(teams.get(team) ?? []), placement])
     }
-    for (const [team, chosen] of teams) await this.#startOf(team, chosen)
+    const started = new Set<string>()
+    for (const [team, chosen] of teams) {
+      const claimed = await this.#starter.start(team, chosen)
+      for (const { jobId } of claimed) started.add(jobId)
+      if (claimed.length < chosen.length) this.#caps.mark(team)
+    }
+    return started
   }
 
-  async #queuedJobs(queues: readonly string[]): Promise<QueuedJob[]> {
-    const runnable: QueuedJob[] = []
-    for (const queue of queues) {
-      const range = { ...queuedRange(queue), limit: jobsPerQueue }
-      const rows = await this.#opts.table.scan<QueuedJob>(queuedTable, range)
-      for (const { value: job } of rows) {
-        // Learned sizes carry a margin, so they alone must not park a job.
-        if (canNeverRun(job.request, this.#workers)) await this.#park(job)
-        else runnable.push(job)
-      }
-    }
-    return runnable
+  #closedWorkers(): Set<string> {
+    const { leaving, gone } = this.#opts.listed()
+    const onTrial = new Set(this.#blame.onTrial())
+    const paused = this.#blame.quarantined().filter(id => !onTrial.has(id))
+    return new Set([...leaving, ...gone, ...paused, ...this.#visits.unreachable()])
+  }
+
+  readonly #sizeOf = (job: QueuedJob): WorkResources => {
+    const size = this.#sizes.estimate(job.kind, job.request)
+    return exceedsAll(size, this.#summary.largest()) ? job.request : size
   }
 
   /** Permits for what runs and what could run soon, for each team of the configuration. */
@@ -216,64 +283,4 @@
     for (const { row } of this.#tasks.values()) add(row)
     for (const [team, total] of totals) await this.#opts.wishes.set(team, total)
   }
-
-  async #park(job: QueuedJob): Promise<void> {
-    const reason = 'it is larger than any worker of the pool'
-    await this.#rows.park(jobKey(job.team, job.id), reason)
-    this.#opts.onDecision?.({
-      subject: { kind: 'job', id: job.id },
-      rule: 'job-never-fits',
-      observed: { ...job.request },
-      action: 'park',
-    })
-  }
-
-  async #startOf(team: string, placements: readonly Placement[]): Promise<void> {
-    const token = this.#opts.held()?.token ?? 0
-    const tasks = placements.map(placement => taskOf(placement, this.#opts.pool, token))
-    const claimed = await this.#rows.claim(team, tasks)
-    for (const row of claimed) {
-      // Without a call the worker cannot have started it.
-      this.#tasks.set(row.taskId, { row, leaseUntil: -Infinity, mayRun: false })
-    }
-    await Promise.all(claimed.map(row => this.#start(row)))
-  }
-
-  async #start(row: TaskRow): Promise<void> {
-    const { table, clock, confirmedUntil, configuration, held } = this.#opts
-    const task = this.#tasks.get(row.taskId)
-    if (task === undefined) return
-    const stored = await table.read<{ payload: unknown }>(payloadsTable, row.jobKey)
-    const job = row.idempotent ? await table.read<Job>(jobsTable, row.jobKey) : undefined
-    const checkpoint = job?.value.checkpoint
-    // Checked last, because the claim and the reads may have taken long.
-    const now = clock.now()
-    const isCurrent = now < confirmedUntil() && held()?.token === row.token
-    if (!isCurrent || configuration().zonesOut.has(row.zone)) return
-    task.mayRun = true
-    const { taskId, jobId, team, cpus, memoryMb, accelerators, token } = row
-    const size = { cpus, memoryMb, accelerators }
-    try {
-      const answer = await this.#fleet.client(row.address).start(
-        {
-          taskId,
-          jobId,
-          team,
-          ...size,
-          fencingToken: token,
-          leaseDeadlineMs: taskLeaseMs,
-          payload: stored?.value.payload,
-          ...(checkpoint === undefined ? {} : { checkpoint }),
-        },
-        now + startCallMs,
-      )
-      if (answer === 'full') task.mayRun = false
-      if (answer !== 'started') return
-      task.leaseUntil = clock.now() + taskLeaseMs
-      await this.#visits.confirm(task)
-    } catch (err) {
-      // The next visit to the worker settles what the call has done.
-      this.#opts.onError?.(err)
-    }
-  }
 }
