--- /dev/null
+++ b/packages/entry/src/entry-core.ts
@@ -0,0 +1,167 @@
+import { randomBytes } from 'node:crypto'
+import { createConfigView, type ConfigView } from '@bulrushbridge/config-view'
+import type { Configuration, Member } from '@bulrushbridge/contract'
+import { normalizeError, type Clock } from '@bulrushbridge/errors'
+import { createPeerLinks, createPeerServer } from '@bulrushbridge/peer-link'
+import { createKeyring, type Keyring } from '@bulrushbridge/team-keys'
+import { createTeamPermits, type TeamPermits } from '@bulrushbridge/team-limit'
+import type { RoutingDecision } from '@bulrushbridge/upstream-routing'
+import type { Report } from '@bulrushbridge/wire'
+import type { EntryTelemetry } from './entry-telemetry.js'
+import { loadPeerTls } from './load-peer-tls.js'
+import { createPeerCalls } from './peer-calls.js'
+import { createPeerHandlers } from './peer-handlers.js'
+import { createPeerLoad, type LocalLoad } from './peer-load.js'
+import { createServices, type Services } from './services.js'
+import type { EntrySettings } from './settings.js'
+import { createSettlementCheck } from './settlement-check.js'
+import type { Storage } from './storage.js'
+
+/** Interval at which waiting requests and the confirmation reach the permits, in milliseconds. */
+const tickMs = 50
+
+/** Options of {@link createEntryCore}. */
+export interface EntryCoreOptions extends EntryTelemetry {
+  cfg: EntrySettings
+  clock: Clock
+  storage: Storage
+}
+
+/** What an entry host knows and decides with: configuration, permits, services and peers. */
+export interface EntryCore {
+  readonly member: Member
+  readonly view: ConfigView
+  readonly permits: TeamPermits
+  readonly services: Services
+  readonly peers: Awaited<ReturnType<typeof createPeerServer>>
+  /** The keys in force. */
+  keyring: () => Keyring
+  /** Stops following the configuration and closes the links to peers. */
+  close(): Promise<void>
+}
+
+/**
+ * Starts the core of an entry host: it serves peers and follows the configuration, and takes no
+ * requests of callers itself.
+ *
+ * @example
+ * const core = await createEntryCore({ cfg, clock, storage, log, metrics, tracing })
+ * await core.close()
+ */
+export async function createEntryCore(opts: EntryCoreOptions): Promise<EntryCore> {
+  const { cfg, clock, storage, log, tracing } = opts
+  const incarnation = randomBytes(6).toString('hex')
+  const tls = loadPeerTls(cfg, log)
+  const secret = cfg['peer-secret']
+  const links = createPeerLinks({ secret, tls })
+  const peerLoad = createPeerLoad({ clock })
+  // The parts refer to each other: peers report permits and services, which follow the view.
+  const readLocal = (): LocalLoad => ({
+    demand: services.demand(),
+    runners: services.load(),
+    spare: [...permits.spare()].map(([team, count]) => ({ team, count })),
+  })
+  const learn = (report: Report) => {
+    peerLoad.learn(report)
+    services.learn(report, peerLoad.byRunner())
+    const spare = new Map(report.spare.map(({ team, count }) => [team, count]))
+    permits.observePeer(report.member, spare)
+  }
+  const calls = createPeerCalls({
+    links,
+    clock,
+    member: { id: cfg.member, incarnation },
+    seeds: cfg.peers,
+    addressOf: id => view.committed().members[id],
+    readLocal,
+    learn,
+  })
+  const peers = await createPeerServer({
+    host: cfg.host,
+    port: cfg['peer-port'],
+    secret,
+    tls,
+    handlers: createPeerHandlers({ view: () => view, permits: () => permits, readLocal, learn }),
+  })
+  const member = { id: cfg.member, zone: cfg.zone, peerAddress: peers.address, incarnation }
+  const view = createConfigView({
+    member,
+    table: storage.table,
+    objects: storage.objects,
+    peers: calls.config,
+    clock,
+    onError: err => {
+      log.debug('view: a background call failed', { error: normalizeError(err).message })
+    },
+  })
+  const permits = createTeamPermits({
+    member: cfg.member,
+    incarnation,
+    table: storage.table,
+    peers: calls.permits,
+    isSettled: createSettlementCheck({ view }),
+    clock,
+    rng: Math.random,
+    onFree: () => {
+      services.pump()
+    },
+  })
+  const services = createServices({
+    member,
+    clock,
+    rng: Math.random,
+    permits,
+    tracing,
+    onDecision: recordRouting(opts),
+  })
+
+  let keyring = createKeyring({ keys: view.current() })
+  const applyConfiguration = (next: Configuration) => {
+    keyring = createKeyring({ keys: next })
+    services.configure(next)
+    services.refuseKeys(keyring)
+    permits.configure({
+      version: next.version,
+      limits: new Map(Object.values(next.teams).map(({ name, limit }) => [name, limit])),
+      members: Object.values(next.members),
+    })
+    links.retain(new Set(Object.keys(next.members)))
+  }
+  const stopListening = view.onChange(applyConfiguration)
+  applyConfiguration(view.current())
+  permits.start()
+  const ticker = setInterval(() => {
+    permits.setConfirmed(view.confirmedUntil())
+    for (const { team, waiting } of services.waiting()) permits.setWaiting(team, waiting)
+  }, tickMs)
+
+  return {
+    member,
+    view,
+    permits,
+    services,
+    peers,
+    keyring: () => keyring,
+    close: async () => {
+      clearInterval(ticker)
+      stopListening()
+      view.close()
+      await peers.close()
+      links.close()
+      tls?.close()
+    },
+  }
+}
+
+/** Logs and records what the routers decide. */
+function recordRouting({ log, storage }: EntryCoreOptions) {
+  return (service: string, { kind, runner, observed }: RoutingDecision) => {
+    log.info(`runner ${kind}`, { service, runner })
+    storage.decisions.record({
+      subject: { kind: 'runner', id: runner },
+      rule: `runner-${kind}`,
+      observed: { service, ...observed },
+      action: kind,
+    })
+  }
+}
