fix(upstream-link): leave connections to the health check and to settlement readings

With all other connections in use, readings could keep the health check out, so that a frozen runner was not reported as unreachable.

Ruled out: a priority of the health check, because a reading in progress holds its connection for up to 1 s.

Change: requests leave two connections, one for each. Requests are counted instead of connections, because idle connections opened by checks were used by requests too. A check destroys an idle connection when it needs a new one.

Tests: the test freezes the runner, so that both wait at the same time.

Conclusion: a runner never gets more than its connections, and its health is always known.

--- a/packages/upstream-link/__tests__/runner-links.test.ts
+++ b/packages/upstream-link/__tests__/runner-links.test.ts
@@ -235,15 +235,20 @@
   const onHealth = (): void => {
     checks++
   }
-  const { links } = await setUp(t, { connections: 3, onHealth })
-  const busy = [1, 2].map(() => links.send(request('/work?ms=2500')))
+  const { runner, links } = await setUp(t, { connections: 4, onHealth })
+  const busy = [1, 2].map(() => links.send(request('/work?ms=100')))
+  while (runner.running().length < 2) await sleep(5)
+  // While the runner answers nothing, a check and a reading of its list wait at the same time.
+  runner.switchFaults({ freeze: true })
   const settled = ['m1-1-x', 'm1-1-y'].map(id => links.settled(id))
   let most = 0
   while (checks < 2) {
     most = Math.max(most, links.size())
     await sleep(5)
   }
-  t.equal(most, 3)
+  t.equal(most, 4)
+  t.match(await failure(links.send(request())), { kind: 'no-upstream' })
+  runner.switchFaults({ freeze: false })
   await Promise.all(settled)
   for (const sent of busy) await text((await sent).body)
 })
--- a/packages/upstream-link/src/runner-links.ts
+++ b/packages/upstream-link/src/runner-links.ts
@@ -10,6 +10,8 @@
 const healthMs = 1_000
 /** Limit of a health check or a reading of `/running`, in milliseconds. */
 const probeMs = 1_000
+/** Connections that requests leave to the health check and to the reading of `/running`. */
+const reservedConnections = 2
 /** Connections idle for longer are closed, but for one that serves the health checks. */
 const idleMs = 10_000
 
@@ -19,7 +21,7 @@
 /** Options of {@link createRunnerLinks}. */
 export interface RunnerLinksOptions {
   runner: { id: string; address: string }
-  /** Most connections open to this runner, including the one of a health check. */
+  /** Most connections open to this runner, two of which are for checks. */
   connections: number
   clock: Clock
   /** Called after each health check. */
@@ -80,7 +82,7 @@
     if (req.signal?.aborted) throw new RequestError('caller-left')
     const left = Math.ceil(req.deadline - this.opts.clock.now())
     if (left <= 0) throw new RequestError('deadline-passed')
-    const conn = this.#take(this.opts.connections - 1)
+    const conn = this.#take()
     if (!conn) throw new RequestError('no-upstream')
     return new Promise((resolve, reject) => {
       this.#start(conn, req, hooks, left, { resolve, reject })
@@ -117,12 +119,11 @@
     void this.#probe(full ? exchange.req.id : undefined)
   }
 
-  #take(limit: number): Connection | undefined {
-    let conn = this.#idle.pop()
-    if (!conn) {
-      if (this.#all.size >= limit) return undefined
-      conn = this.#open()
-    }
+  #take(): Connection | undefined {
+    const limit = Math.max(1, this.opts.connections - reservedConnections)
+    if (this.#exchanges.size >= limit) return undefined
+    const conn = this.#idle.pop() ?? (this.#hasRoom ? this.#open() : undefined)
+    if (!conn) return undefined
     conn.busy = true
     conn.usedAt = this.opts.clock.now()
     return conn
@@ -170,7 +171,7 @@
       let found = old ? await this.#check(old) : 'unreachable'
       if (!isAnswer(found) || lateId !== undefined) {
         const wasSilent = found === 'silent'
-        // Without room the requests in progress show how the runner is.
+        if (!this.#hasRoom) this.#idle.shift()?.destroy()
         if (!this.#hasRoom) return
         const fresh = this.#open()
         found = await this.#check(fresh)
