--- a/packages/upstream-link/src/runner-links.ts
+++ b/packages/upstream-link/src/runner-links.ts
@@ -16,6 +16,8 @@
  * sends: no work may start 3 s after a shutdown began.
  */
 const healthValidMs = 2_500
+/** Connections that requests leave to the health check and to the reading of `/running`. */
+const reservedConnections = 2
 /** Connections idle for longer are closed, but for one that serves the health checks. */
 const idleMs = 10_000
 
@@ -25,7 +27,7 @@
 /** Options of {@link createRunnerLinks}. */
 export interface RunnerLinksOptions {
   runner: { id: string; address: string }
-  /** Most connections open to this runner, including the one of a health check. */
+  /** Most connections open to this runner, two of which are for checks. */
   connections: number
   clock: Clock
   /** Called after each health check. */
@@ -95,7 +97,7 @@
     if (this.#health === 'shutting-down' || now - this.#checkedAt > healthValidMs) {
       throw new RequestError('no-upstream')
     }
-    const conn = this.#take(this.opts.connections - 1)
+    const conn = this.#take()
     if (!conn) throw new RequestError('no-upstream')
     return new Promise((resolve, reject) => {
       this.#start(conn, req, hooks, left, { resolve, reject })
@@ -132,12 +134,11 @@
     void this.#probe(full ? exchange.req.id : undefined)
   }
 
-  #take(limit: number): Connection | undefined {
-    let conn = this.#idle.pop()
-    if (!conn) {
-      if (this.#all.size >= limit) return undefined
-      conn = this.#open()
-    }
+  #take(): Connection | undefined {
+    const limit = Math.max(1, this.opts.connections - reservedConnections)
+    if (this.#exchanges.size >= limit) return undefined
+    const conn = this.#idle.pop() ?? (this.#hasRoom ? this.#open() : undefined)
+    if (!conn) return undefined
     conn.busy = true
     conn.usedAt = this.opts.clock.now()
     return conn
@@ -185,7 +186,7 @@
       let found = old ? await this.#check(old) : 'unreachable'
       if (!isAnswer(found) || lateId !== undefined) {
         const wasSilent = found === 'silent'
-        // Without room the requests in progress show how the runner is.
+        if (!this.#hasRoom) this.#idle.shift()?.destroy()
         if (!this.#hasRoom) return
         const fresh = this.#open()
         found = await this.#check(fresh)
