fix(upstream-routing): keep an earlier attempt's outcome when the last one is refused

An idempotent request whose first attempt may have run was sent again; the second attempt was refused before its first byte (the key was withdrawn meanwhile), and its outcome 'not-run' became that of the request. Ruled out: a start after the check of the key; read in the code, every attempt is checked. Change: once an attempt may have run, the request ends as finished or unknown, whatever the last refusal says.

--- a/packages/upstream-routing/__tests__/dispatch.test.ts
+++ b/packages/upstream-routing/__tests__/dispatch.test.ts
@@ -44,8 +44,8 @@
     createLinks: createRunnerLinks,
   })
   const retryBudget = createRetryBudget({ clock, ratio: 10 })
-  const send = (req: UpstreamRequest, idempotent = false) =>
-    dispatch({ router, req, idempotent, retryBudget, clock })
+  const send = (req: UpstreamRequest, idempotent = false, beforeWrite?: () => void) =>
+    dispatch({ router, req, idempotent, retryBudget, clock, beforeWrite })
   t.teardown(async () => {
     router.setGone(runners.map(each => each.host))
     await router.close()
@@ -149,3 +149,27 @@
     { seed: 4_711, numRuns: 15 },
   )
 })
+
+// Seen as five requests that were refused as not run after a withdrawal of their key, although an
+// earlier attempt of each had started.
+void t.test(
+  'a refusal of the second attempt does not hide that the first may have run',
+  async t => {
+    const { send, starts, switchAll } = await setUp(t)
+    switchAll({ cutBefore: true })
+    const req = request('/work?ms=50', { method: 'GET' })
+    let attempts = 0
+    const { answer, settled } = send(req, true, () => {
+      attempts += 1
+      if (attempts > 1) throw new RequestError('key-invalid')
+    })
+    const err = await answer.then(
+      () => undefined,
+      (thrown: unknown) => thrown as RequestError,
+    )
+    await settled
+    t.equal(attempts, 2)
+    t.equal(starts(req.id), 1)
+    t.match(err, { kind: 'key-invalid', outcome: 'unknown' })
+  },
+)
--- a/packages/upstream-routing/src/dispatch.ts
+++ b/packages/upstream-routing/src/dispatch.ts
@@ -34,6 +34,7 @@
 
 async function run(opts: DispatchOptions, first: Reservation, runs: Runs): Promise<UpstreamAnswer> {
   const tried = new Set<string>()
+  let mayHaveRun = false
   let reservation = first
   let req = opts.req
   for (;;) {
@@ -52,7 +53,8 @@
       const next = move.next
         ? afterMove(req, err, current, move.next, runs, opts.clock.now() - began)
         : await retry(opts, req, err, current, tried, runs, opts.clock.now() - began)
-      if (!next) throw err
+      if (!next) throw mayHaveRun ? afterEarlierRun(err) : err
+      mayHaveRun ||= err.outcome !== 'not-run'
       reservation = next
     } finally {
       move.end()
@@ -60,6 +62,14 @@
   }
 }
 
+/** The last attempt may not have run, but the request has been sent before. */
+function afterEarlierRun(cause: RequestError): RequestError {
+  if (cause.outcome !== 'not-run') return cause
+  const { kind, message, retryAfterMs } = cause
+  const hint = retryAfterMs === undefined ? {} : { retryAfterMs }
+  return new RequestError(kind, { outcome: 'unknown', message, cause, ...hint })
+}
+
 /** After a move: the slot of the second run, or undefined when the caller has left as well. */
 function afterMove(
   req: UpstreamRequest,
