--- /dev/null
+++ b/packages/control/__tests__/fleet-round.test.ts
@@ -0,0 +1,127 @@
+import t, { type Test } from 'tap'
+import { fleetHostsTable, type FleetHostRow } from '@bulrushbridge/fleet'
+import { hostsTable } from '@bulrushbridge/host'
+import { createWorkerStandin, type ListedHost } from '@bulrushbridge/standins'
+import { createHttpTableService, type DutyRow } from '@bulrushbridge/store'
+import { createTestbed, launch, until, type Testbed } from '@bulrushbridge/testbed'
+import { stringify } from 'yaml'
+
+/** Longest wait for a round: nine hosts, a few at a time, and a lease that must expire. */
+const roundMs = 240_000
+
+const rack = 'batch-rack'
+
+/** Longer than the first workers are away, so that the last one drains while it works. */
+const jobMs = 15_000
+
+async function startControl(t: Test, bed: Testbed, member: string) {
+  const settings = {
+    member,
+    zone: 'a',
+    host: '127.0.0.1',
+    'table-url': bed.table.url,
+    'object-url': bed.objects.url,
+    'hosts-url': bed.hosts.url,
+  }
+  const args = Object.entries(settings).flatMap(([name, value]) => [`--${name}`, value])
+  const program = await launch('bulrush-control', args, {
+    BULRUSH_PEER_SECRET: 'testbed-peer-secret',
+  })
+  t.teardown(() => {
+    program.kill('SIGKILL')
+  })
+  return { member, program }
+}
+
+async function startWorkers(t: Test, bed: Testbed) {
+  const workers = await Promise.all(
+    ['w1', 'w2', 'w3'].map((id, n) =>
+      createWorkerStandin({ id, rack, zone: ['a', 'b', 'c'][n] ?? '' }),
+    ),
+  )
+  t.teardown(() => Promise.all(workers.map(worker => worker.close())))
+  const finders = bed.runnerEntries.map(({ host, zone, address }, n): ListedHost => {
+    return { id: host, zone, address, rack: `rack-${n % 2}`, state: 'live' }
+  })
+  bed.hosts.hostFaults.rebootMs = 500
+  bed.hosts.set([
+    ...finders,
+    ...workers.map(({ listed }) => ({ ...listed, state: 'live' as const })),
+  ])
+  const pools = [
+    { name: 'finder' },
+    { name: 'batch', racks: [rack] },
+    { name: 'reserve', spare: true },
+  ]
+  const promoted = await bed.operator().promote(stringify({ ...bed.sample.data, pools }))
+  t.equal(promoted.status, 200)
+  return workers
+}
+
+async function acceptJobs(bed: Testbed, count: number): Promise<string[]> {
+  const job = {
+    request: { cpus: 1, memoryMb: 64, accelerators: 0, runMs: jobMs },
+    idempotent: false,
+    kind: 'merge',
+    payload: { runMs: jobMs },
+  }
+  const url = `http://${bed.entries[0]?.callers ?? ''}/queues/lamps-jobs/jobs`
+  const headers = { authorization: `Bearer ${bed.sample.keys.lamps ?? ''}`, connection: 'close' }
+  const accepted = Array.from({ length: count }, async () => {
+    const res = await fetch(url, { method: 'POST', headers, body: JSON.stringify(job) })
+    return ((await res.json()) as { id: string }).id
+  })
+  return Promise.all(accepted)
+}
+
+void t.test('a round ends with one boot per host when the holder is killed', async t => {
+  const bed = await createTestbed({ entryHosts: 2, runners: 6 })
+  t.teardown(() => bed.close())
+  const table = createHttpTableService({ url: bed.table.url })
+  t.teardown(() => table.close())
+  const workers = await startWorkers(t, bed)
+  const controls = [await startControl(t, bed, 'e1'), await startControl(t, bed, 'e2')]
+  const started = Date.now()
+  const rows = async () =>
+    (await table.scan<FleetHostRow>(fleetHostsTable)).map(({ value }) => value)
+  await until(async () => (await rows()).length === 9)
+  const interrupted: string[] = []
+  bed.hosts.onOrder = ({ id, action }) => {
+    const worker = workers.find(({ listed }) => listed.id === id)
+    const isBusy = worker?.tasks().some(({ state }) => state === 'running') === true
+    if (action === 'reboot' && isBusy) interrupted.push(id)
+  }
+  const jobs = await acceptJobs(bed, 6)
+
+  await until(async () => (await rows()).some(({ state }) => state === 'maintenance'), roundMs)
+  const holder = (await table.read<DutyRow>('duties', 'fleet'))?.value.holder
+  controls.find(({ member }) => member === holder)?.program.kill('SIGKILL')
+  const left = controls.find(({ member }) => member !== holder)?.program
+
+  await until(async () => {
+    const all = await rows()
+    return all.every(row => row.state === 'serving' && row.maintainedAt >= started)
+  }, roundMs)
+  const boots = bed.hosts.actual().map(({ bootId = '' }) => Number(bootId.split('-').at(-1)))
+  t.same(
+    boots.sort((a, b) => a - b),
+    [1, 2, 3, 4, 5, 6, 7, 8, 9],
+    'each host booted once',
+  )
+  const projected = (await table.scan(hostsTable)).map(({ key }) => key)
+  t.same(projected.sort(), (await rows()).map(({ pool, id }) => `${pool}/${id}`).sort())
+  const starts = (id: string) =>
+    workers.reduce((sum, worker) => sum + (worker.counters().startsByJob[id] ?? 0), 0)
+  await until(() => jobs.every(id => starts(id) > 0))
+  t.ok(
+    jobs.every(id => starts(id) === 1),
+    'no job was started twice',
+  )
+  t.same(interrupted, [], 'workers that were rebooted at work')
+  const explained = await bed.operator().get('explain/host/w1')
+  t.equal(explained.status, 200)
+  t.match(JSON.stringify(explained.body), /maintenance-due/)
+  t.match(JSON.stringify(explained.body), /healthy-return/)
+  left?.kill('SIGTERM')
+  t.equal(await left?.ended(), 0, 'graceful close')
+})
--- a/packages/standins/src/host-list.ts
+++ b/packages/standins/src/host-list.ts
@@ -31,8 +31,7 @@
   rebootMs?: number
   /** Clock of the lag and of reboots, in milliseconds. */
   now?: () => number
-  /** Called for each order that is executed. */
-  onOrder?: (order: { id: string; action: string; generation: number }) => void
+  onOrder?: (order: ExecutedOrder) => void
 }
 
 /**
@@ -45,6 +44,15 @@
   /** The hosts as they are now, without the lag. */
   actual(): ListedHost[]
   readonly hostFaults: HostFaults
+  /** Called for each order that is executed; may be replaced. */
+  onOrder: (order: ExecutedOrder) => void
+}
+
+/** An order that was executed. */
+export interface ExecutedOrder {
+  id: string
+  action: string
+  generation: number
 }
 
 /** Capacity of a host that states none. */
@@ -92,7 +100,7 @@
       return { status: 400, body: { error: 'the generation is missing' } }
     }
     const answer = orders.execute(id, action, generation)
-    if (answer.executed) opts.onOrder?.({ id, action, generation })
+    if (answer.executed) result.onOrder({ id, action, generation })
     return { status: answer.status, body: answer }
   }
   const standin = await createFaultServer(opts, req => {
@@ -106,5 +114,11 @@
     set((JSON.parse(req.body) as { hosts: ListedHost[] }).hosts)
     return { status: 200, body: {} }
   })
-  return Object.assign(standin, { set, actual: () => orders.hosts(), hostFaults })
+  const result: HostListStandin = Object.assign(standin, {
+    set,
+    actual: () => orders.hosts(),
+    hostFaults,
+    onOrder: opts.onOrder ?? (() => undefined),
+  })
+  return result
 }
