--- /dev/null
+++ b/packages/fleet/__tests__/host-probe.test.ts
@@ -0,0 +1,44 @@
+import t from 'tap'
+import { createRunnerStandin, createWorkerStandin, until } from '@bulrushbridge/standins'
+import { createHostProbe } from '../src/index.js'
+
+const task = {
+  taskId: 't1',
+  jobId: 'j1',
+  team: 'lamps',
+  fencingToken: 1,
+  leaseDeadlineMs: 60_000,
+  ...{ cpus: 1, memoryMb: 64, accelerators: 0 },
+  payload: { runMs: 60_000 },
+}
+
+void t.test('a host is empty only when its worker and its runners say so', async t => {
+  const probe = createHostProbe()
+  const worker = await createWorkerStandin({ id: 'w1', rack: 'r1', zone: 'a' })
+  t.teardown(() => worker.close())
+  const runner = await createRunnerStandin({
+    host: '127.0.0.1',
+    port: 0,
+    id: 'r1',
+    zone: 'a',
+    seed: 1,
+  })
+  t.teardown(() => runner.close())
+  const both = { address: worker.address, runners: [runner.address] }
+  t.ok(await probe.isEmpty(both))
+  t.equal(await probe.health(both), 'healthy')
+
+  await fetch(`http://${worker.address}/tasks`, { method: 'POST', body: JSON.stringify(task) })
+  t.notOk(await probe.isEmpty(both), 'a task runs')
+  t.ok(await probe.isEmpty({ address: runner.address, runners: [runner.address] }))
+
+  worker.faults.freeze = true
+  t.notOk(await probe.isEmpty(both), 'a worker that does not answer may still work')
+  t.equal(await probe.health(both), 'silent')
+  worker.faults.freeze = false
+
+  await worker.close()
+  // The first call may still use a connection that the worker has closed; it says nothing.
+  await until(() => probe.isEmpty(both))
+  t.equal(await probe.health(both), 'silent')
+})
