--- /dev/null
+++ b/packages/admission/__tests__/refusals.test.ts
@@ -0,0 +1,119 @@
+import { RequestError } from '@bulrushbridge/errors'
+import { createFairQueue } from '@bulrushbridge/team-share'
+import t from 'tap'
+import { createAdmission, type EntryRequest, type StartRefusal } from '../src/index.js'
+
+/** An admission of one team whose slots and permits the test sets. */
+function setup(slots: number) {
+  const state = {
+    now: 0,
+    rng: 0,
+    slots,
+    free: slots,
+    refusal: undefined as StartRefusal | undefined,
+  }
+  const shares = new Map([['a', 1]])
+  const clock = { now: () => state.now }
+  const admission = createAdmission<object>({
+    pool: 'p',
+    clock,
+    rng: () => state.rng,
+    slots: () => state.slots,
+    free: () => state.free,
+    tryStart: () => {
+      if (state.refusal !== undefined) return state.refusal
+      state.free -= 1
+      return {}
+    },
+    queue: createFairQueue({ shares, clock, initialCostMs: 10 }),
+    shares: () => shares,
+    timers: { set: () => 0, clear: () => undefined },
+  })
+  const enter = (req: Partial<EntryRequest> = {}) =>
+    admission.enter({ team: 'a', requestId: 'r', deadline: 1e6, ...req })
+  const refusalOf = async (req: Partial<EntryRequest> = {}): Promise<RequestError> => {
+    const err = await enter(req).then(
+      () => undefined,
+      (cause: unknown) => cause,
+    )
+    if (!(err instanceof RequestError)) throw new Error('the request was not refused')
+    return err
+  }
+  /** Queues requests until one is refused. */
+  const fill = async (): Promise<RequestError> => {
+    const refused: RequestError[] = []
+    for (let n = 0; n < 100 && refused.length === 0; n++) {
+      void enter().catch((err: unknown) => refused.push(err as RequestError))
+      await new Promise(resolve => setImmediate(resolve))
+    }
+    const [first] = refused
+    if (first === undefined) throw new Error('nothing was refused')
+    return first
+  }
+  return { state, admission, refusalOf, fill }
+}
+
+void t.test('guards against refused callers that return at the same moment', async t => {
+  const { state, refusalOf, fill } = setup(2)
+  t.equal((await fill()).kind, 'queue-full')
+  const hints: number[] = []
+  for (const rng of [0, 0.25, 0.5, 0.999]) {
+    state.rng = rng
+    const { kind, outcome, retryAfterMs = 0 } = await refusalOf()
+    t.same([kind, outcome], ['queue-full', 'not-run'])
+    hints.push(retryAfterMs)
+  }
+  const [least = 0] = hints
+  t.ok(least > 0)
+  t.same(
+    hints,
+    [1, 1.25, 1.5, 1.999].map(factor => Math.ceil(least * factor)),
+    'spread between one and two estimated waits',
+  )
+})
+
+void t.test('guards against a hint that does not grow with the wait', async t => {
+  const { state, admission, refusalOf, fill } = setup(1)
+  await fill()
+  const before = (await refusalOf()).retryAfterMs ?? 0
+  for (let n = 0; n < 2; n++) {
+    state.now += 1_000
+    state.free = 1
+    admission.pump('slot')
+  }
+  await fill()
+  t.ok(((await refusalOf()).retryAfterMs ?? 0) > before, 'starts a second apart')
+})
+
+void t.test('guards against a queue in front of no runners', async t => {
+  const { state, refusalOf } = setup(1)
+  state.slots = 0
+  t.equal((await refusalOf()).kind, 'no-upstream')
+})
+
+void t.test('guards against requests queued after their deadline or their caller', async t => {
+  const { state, refusalOf, admission } = setup(1)
+  state.now = 500
+  t.equal((await refusalOf({ deadline: 500 })).kind, 'deadline-passed')
+  t.equal((await refusalOf({ signal: AbortSignal.abort() })).kind, 'caller-left')
+  t.same(admission.demand(), [])
+})
+
+void t.test('guards against a team at its limit that is told the pool is full', async t => {
+  const { state, fill } = setup(2)
+  state.refusal = 'no-permit'
+  const err = await fill()
+  t.same([err.kind, err.outcome], ['team-limit-reached', 'not-run'])
+})
+
+void t.test('guards against requests taken that cannot start in time', async t => {
+  const { state, admission, refusalOf, fill } = setup(1)
+  await fill()
+  for (let n = 0; n < 2; n++) {
+    state.now += 1_000
+    state.free = 1
+    admission.pump('slot')
+  }
+  const err = await refusalOf({ deadline: state.now + 500 })
+  t.same([err.kind, err.outcome], ['deadline-too-short', 'not-run'])
+})
