feat(host,standins,placement): renew the leases of a worker's tasks in one call

Cause: each task had a renewal call of its own. Found on the way: a lease counted from the arrival of a renewal, so a frozen worker that read it late ran a task longer than the holder assumed; and a renewal whose answer was lost counted as not made, so the permit of a task could return while it still ran.

Ruled out: keeping the single call beside the new one (two protocols to prove); a longer margin after the end of a lease (a worker may be frozen for longer).

Change: `PUT /leases` with all task ids of a worker and a time on the worker's clock, which `GET /tasks` now reports; the old `PUT /tasks/{id}/lease` is gone. The holder counts a renewal or a start from before the call, answered or not. The stand-in has the switches `loseRenewals` and `cut` and counts renewals.

Observed: 8 tasks cost one renewal per 3 s of the manual clock. On a scratch copy with one rule switched off at a time these tests failed: one call (with a call per task, and with none), counting before the call (a renewal without an answer counts as made), time on the worker's clock (a renewal that arrives late; its first version did not fail and was made stricter). The check for an expired lease in the stand-in's calls is as before and was not shown failing: a test in the same process cannot pause the timer alone.

Conclusion: one call per worker every 3 s, whatever the number of tasks.

--- a/packages/host/src/worker-client.ts
+++ b/packages/host/src/worker-client.ts
@@ -16,6 +16,8 @@
   checkpoint: z.unknown().optional(),
 })
 
+const listSchema = z.object({ tasks: z.array(taskSchema), now: z.number() })
+
 /** A task as the worker reports it. */
 export type ReportedTask = z.infer<typeof taskSchema>
 
@@ -45,19 +47,22 @@
 /** The task service of one worker. Each call ends by its deadline. */
 export interface WorkerClient {
   start(task: StartTask, deadline: number): Promise<StartAnswer>
-  /** False when the worker does not know the task. */
+  /**
+   * Renews the leases of tasks up to a time on the worker's clock; returns the ids of those that
+   * still run. A call that arrives late therefore cannot prolong a lease.
+   */
   renew(
-    taskId: string,
-    lease: { fencingToken: number; leaseDeadlineMs: number },
+    lease: { taskIds: string[]; until: number; fencingToken: number },
     deadline: number,
-  ): Promise<boolean>
+  ): Promise<string[]>
   /** Ends the task; an id that never started is fenced, so that a late start is refused. */
   stop(taskId: string, fencingToken: number, deadline: number): Promise<ReportedTask>
   /** Saves the task's progress; without `checkpoint` in the report the task has saved nothing. */
   checkpoint(taskId: string, fencingToken: number, deadline: number): Promise<ReportedTask>
   /** Slows the task down, or ends that. */
   throttle(taskId: string, opts: { on: boolean; token: number }, deadline: number): Promise<void>
-  list(deadline: number): Promise<ReportedTask[]>
+  /** The tasks, and the worker's clock at the time of the report in milliseconds. */
+  list(deadline: number): Promise<{ tasks: ReportedTask[]; now: number }>
   close(): Promise<void>
 }
 
@@ -66,7 +71,7 @@
  *
  * @example
  * const worker = createWorkerClient({ address: '10.0.0.7:7300', clock })
- * const tasks = await worker.list(clock.now() + 2_000)
+ * const { tasks } = await worker.list(clock.now() + 2_000)
  */
 export function createWorkerClient(opts: { address: string; clock: Clock }): WorkerClient {
   const pool = new Pool(`http://${opts.address}`, { connections: connectionsPerWorker })
@@ -107,11 +112,11 @@
       if (status !== 409) throw unexpected(status)
       return taskSchema.safeParse(body).success ? 'ended' : 'stale'
     },
-    renew: async (taskId, lease, deadline) => {
-      const path = `/tasks/${encodeURIComponent(taskId)}/lease`
-      const { status } = await call('PUT', path, deadline, lease)
-      if (status !== 200 && status !== 404) throw unexpected(status)
-      return status === 200
+    renew: async (lease, deadline) => {
+      const { status, body } = await call('PUT', '/leases', deadline, lease)
+      const parsed = z.object({ renewed: z.array(z.string()) }).safeParse(body)
+      if (status !== 200 || !parsed.success) throw unexpected(status)
+      return parsed.data.renewed
     },
     stop: (taskId, fencingToken, deadline) => act(taskId, 'stop', { fencingToken }, deadline),
     checkpoint: (taskId, fencingToken, deadline) =>
@@ -121,9 +126,9 @@
     },
     list: async deadline => {
       const { status, body } = await call('GET', '/tasks', deadline)
-      const parsed = z.object({ tasks: z.array(taskSchema) }).safeParse(body)
+      const parsed = listSchema.safeParse(body)
       if (status !== 200 || !parsed.success) throw unexpected(status)
-      return parsed.data.tasks
+      return parsed.data
     },
     close: () => pool.destroy(),
   }
--- /dev/null
+++ b/packages/placement/__tests__/leases.test.ts
@@ -0,0 +1,85 @@
+import t from 'tap'
+import { createWorkerClient } from '@bulrushbridge/host'
+import { createWorkerStandin } from '@bulrushbridge/standins'
+import { createFixture } from './fixture.js'
+
+const long = { runMs: 600_000 }
+
+void t.test('the leases of all tasks of a worker are renewed by one call', async t => {
+  const { accept, holder, workers } = await createFixture(t, { workers: 1, limit: 20 })
+  const [worker] = workers
+  for (let n = 0; n < 8; n++) await accept({ payload: long })
+  const control = holder('c1')
+  await control.take()
+  await control.rounds(() => worker?.tasks().length === 8)
+  const calls = () => worker?.counters().renewalCalls ?? 0
+  const before = calls()
+  const begin = control.clock.now()
+  for (let n = 0; n < 60; n++) {
+    await control.pass(250)
+    await control.placement.round()
+  }
+  const passed = control.clock.now() - begin
+  const made = calls() - before
+  t.ok(made >= 3 && made <= passed / 3_000 + 1, `${made} calls in ${passed} ms for 8 tasks`)
+  t.ok(worker?.tasks().every(({ state }) => state === 'running'))
+})
+
+// A lease that counts from the arrival of a call would be prolonged by a worker that was frozen.
+void t.test('a renewal that arrives late does not prolong a lease', async t => {
+  const worker = await createWorkerStandin({ id: 'w1', rack: 'r1', zone: 'a' })
+  t.teardown(() => worker.close())
+  const clock = { now: () => performance.now() }
+  const client = createWorkerClient({ address: worker.address, clock })
+  t.teardown(() => client.close())
+  const soon = () => clock.now() + 2_000
+  const size = { cpus: 1, memoryMb: 1, accelerators: 0 }
+  const task = { jobId: 'j', team: 'lamps', fencingToken: 1, payload: long, ...size }
+  await client.start({ ...task, taskId: 't1', leaseDeadlineMs: 60_000 }, soon())
+  await client.start({ ...task, taskId: 't2', leaseDeadlineMs: 100 }, soon())
+  await client.start({ ...task, taskId: 't3', leaseDeadlineMs: 400 }, soon())
+  const { now } = await client.list(soon())
+  worker.faults.freeze = true
+  const lease = { taskIds: ['t1', 't2', 't3', 't4'], until: now + 150, fencingToken: 1 }
+  const late = client.renew(lease, soon())
+  await new Promise(resolve => setTimeout(resolve, 250))
+  worker.faults.freeze = false
+  t.same(await late, ['t1', 't3'])
+  await new Promise(resolve => setTimeout(resolve, 400))
+  const { tasks } = await client.list(soon())
+  t.same(
+    tasks.map(({ taskId, state }) => [taskId, state]),
+    [
+      ['t1', 'running'],
+      ['t2', 'lapsed'],
+      ['t3', 'lapsed'],
+    ],
+  )
+  await t.rejects(client.renew({ ...lease, fencingToken: 0 }, soon()), { name: 'WorkerError' })
+})
+
+// Permits of tasks that run on must not return because an answer to a renewal was lost.
+void t.test('a renewal without an answer counts as made', async t => {
+  const { accept, holder, isIn, permitsInUse, workers } = await createFixture(t, { workers: 1 })
+  const [worker] = workers
+  if (worker === undefined) return
+  const id = await accept({ idempotent: false, payload: long })
+  const control = holder('c1')
+  await control.take()
+  await control.rounds(() => isIn(id, 'running'))
+  const calls = worker.counters().renewalCalls
+  await control.rounds(() => worker.counters().renewalCalls > calls)
+  const begin = control.clock.now()
+  // The report is answered and the renewal is not; after it the worker cannot be reached.
+  await control.pass(2_750)
+  const renewed = worker.counters().renewalCalls
+  worker.faults.loseRenewals = 1
+  await control.rounds(() => worker.counters().renewalCalls > renewed)
+  const lostAt = control.clock.now()
+  t.ok(lostAt - begin < 8_000)
+  worker.faults.cut = true
+  await control.rounds(() => control.clock.now() >= lostAt + 10_500)
+  t.equal(await permitsInUse(), 1, 'the task may run for 10 s after the renewal')
+  await control.rounds(() => isIn(id, 'lost'))
+  t.equal(await permitsInUse(), 0)
+})
--- a/packages/placement/src/placement-duty.ts
+++ b/packages/placement/src/placement-duty.ts
@@ -179,7 +179,13 @@
     for (const row of rows) {
       const known = this.#tasks.get(row.taskId)
       if (known === undefined) this.#tasks.set(row.taskId, { row, leaseUntil, mayRun: true })
-      else known.row = row
+      else {
+        // It was confirmed by a transaction with a lost answer; its lease began before that.
+        if (known.row.state === 'starting' && row.state === 'running') {
+          known.leaseUntil = Math.max(known.leaseUntil, leaseUntil)
+        }
+        known.row = row
+      }
     }
     this.#isLoaded = true
   }
--- a/packages/placement/src/task-starter.ts
+++ b/packages/placement/src/task-starter.ts
@@ -63,6 +63,7 @@
     const isCurrent = now < confirmedUntil() && held()?.token === row.token
     if (!isCurrent || configuration().zonesOut.has(row.zone)) return
     task.mayRun = true
+    task.leaseUntil = now + startCallMs + taskLeaseMs
     const { taskId, jobId, team, cpus, memoryMb, accelerators, token } = row
     const size = { cpus, memoryMb, accelerators }
     try {
--- a/packages/placement/src/worker-visits.ts
+++ b/packages/placement/src/worker-visits.ts
@@ -140,10 +140,9 @@
     const address = called[0]?.row.address
     if (address === undefined) return
     const client = fleet.client(address)
-    let reports: Map<string, ReportedTask>
+    let listed: Awaited<ReturnType<WorkerClient['list']>>
     try {
-      const listed = await client.list(clock.now() + callMs)
-      reports = new Map(listed.map(report => [report.taskId, report]))
+      listed = await client.list(clock.now() + callMs)
       this.#unreachable.delete(worker)
     } catch (err) {
       if (!(err instanceof WorkerError)) throw err
@@ -151,14 +150,40 @@
       for (const task of called) if (this.#hasLapsed(task)) await this.#end(task, 'stopped')
       return
     }
+    const listedAt = clock.now()
+    const reports = new Map(listed.tasks.map(report => [report.taskId, report]))
+    const kept: KnownTask[] = []
     for (const task of called) {
-      try {
-        await this.#settle(client, task, reports.get(task.row.taskId), cancelling)
-      } catch (err) {
-        if (!(err instanceof WorkerError)) throw err
-        this.#opts.onError?.(err)
-      }
+      // A lease that a start gave began before the report, whenever the start arrived.
+      if (task.row.state === 'starting') extendLease(task, listedAt)
+      await this.#settle(client, task, reports.get(task.row.taskId), cancelling)
+        .then(isKept => isKept && kept.push(task))
+        .catch(this.#onCallError)
     }
+    await this.#renew(client, kept, { now: listed.now, listedAt }).catch(this.#onCallError)
+  }
+
+  /** One call renews the leases of all tasks of the worker. */
+  async #renew(
+    client: WorkerClient,
+    tasks: readonly KnownTask[],
+    { now, listedAt }: { now: number; listedAt: number },
+  ): Promise<void> {
+    const { clock, held } = this.#opts
+    const token = held()?.token
+    const isDue = tasks.some(({ leaseUntil }) => leaseUntil - clock.now() <= renewBeforeMs)
+    if (token === undefined || !isDue) return
+    // The call may take effect without an answer.
+    for (const task of tasks) extendLease(task, listedAt)
+    const taskIds = tasks.map(({ row }) => row.taskId)
+    const lease = { taskIds, until: now + taskLeaseMs, fencingToken: token }
+    await client.renew(lease, clock.now() + callMs)
+  }
+
+  /** Calls to workers may fail; other errors end the round. */
+  readonly #onCallError = (err: unknown) => {
+    if (!(err instanceof WorkerError)) throw err
+    this.#opts.onError?.(err)
   }
 
   /**
@@ -170,23 +195,24 @@
     return row.state !== 'starting' || this.#opts.listed().gone.has(row.worker)
   }
 
+  /** Returns whether the task goes on. */
   async #settle(
     client: WorkerClient,
     task: KnownTask,
     report: ReportedTask | undefined,
     cancelling: ReadonlySet<string>,
-  ): Promise<void> {
+  ): Promise<boolean> {
     if (report === undefined) {
       await this.#settleUnlisted(client, task)
-      return
+      return false
     }
     if (report.state === 'running') {
       task.ranMs = report.runMs
       await this.confirm(task)
-      await this.#keepOrStop(client, task, cancelling)
-      return
+      return !(await this.#stopIfDue(client, task, cancelling))
     }
     await this.#endAs(task, report)
+    return false
   }
 
   /** A worker that does not list a task fences its id, so that a late start is refused. */
@@ -199,29 +225,23 @@
     await this.#end(task, hasRun ? 'stopped' : 'never-started')
   }
 
-  async #keepOrStop(
+  /** Stops a task that is cancelled or in a zone taken out; returns whether it did. */
+  async #stopIfDue(
     client: WorkerClient,
     task: KnownTask,
     cancelling: ReadonlySet<string>,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const { clock, held, configuration } = this.#opts
     const token = held()?.token
-    if (token === undefined) return
+    if (token === undefined) return true
     const { taskId, jobId, zone, idempotent } = task.row
-    if (cancelling.has(jobId)) {
-      await this.#endAs(task, await client.stop(taskId, token, clock.now() + callMs))
-      return
-    }
+    const isCancelled = cancelling.has(jobId)
     // A non-idempotent job cannot be started elsewhere, so it stays until it ends.
-    if (configuration().zonesOut.has(zone) && idempotent) {
-      await client.checkpoint(taskId, token, clock.now() + callMs)
-      await this.#endAs(task, await client.stop(taskId, token, clock.now() + callMs))
-      return
-    }
-    if (task.leaseUntil - clock.now() > renewBeforeMs) return
-    const lease = { fencingToken: token, leaseDeadlineMs: taskLeaseMs }
-    const isKnown = await client.renew(taskId, lease, clock.now() + callMs)
-    if (isKnown) task.leaseUntil = clock.now() + taskLeaseMs
+    const mustLeave = configuration().zonesOut.has(zone) && idempotent
+    if (!isCancelled && !mustLeave) return false
+    if (!isCancelled) await client.checkpoint(taskId, token, clock.now() + callMs)
+    await this.#endAs(task, await client.stop(taskId, token, clock.now() + callMs))
+    return true
   }
 
   async #endAs(task: KnownTask, report: ReportedTask): Promise<void> {
@@ -270,3 +290,8 @@
     })
   }
 }
+
+/** The lease ends at the latest so long after the worker's report that it is based on. */
+function extendLease(task: KnownTask, reportedAt: number): void {
+  task.leaseUntil = Math.max(task.leaseUntil, reportedAt + taskLeaseMs)
+}
--- a/packages/standins/src/worker-tasks.ts
+++ b/packages/standins/src/worker-tasks.ts
@@ -21,6 +21,13 @@
   checkpoint?: unknown
 }
 
+/** Body of `PUT /leases`; `until` is on the worker's clock, as `GET /tasks` reports it. */
+export interface LeaseRequest {
+  taskIds: string[]
+  until: number
+  fencingToken: number
+}
+
 /** State of a task; `fenced` was stopped before it ever started. */
 export type TaskState = 'running' | 'finished' | 'failed' | 'stopped' | 'lapsed' | 'fenced'
 
@@ -63,6 +70,7 @@
   readonly #runningByTeam: Record<string, number> = {}
   readonly #maxRunningByTeam: Record<string, number> = {}
   #token = 0
+  #renewalCalls = 0
 
   constructor(capacity: WorkerResources, faults: WorkerFaults) {
     this.#capacity = capacity
@@ -99,13 +107,16 @@
     return { status: 201, body: this.#listed(entry) }
   }
 
-  renew(
-    id: string,
-    { fencingToken, leaseDeadlineMs }: Pick<TaskRequest, 'fencingToken' | 'leaseDeadlineMs'>,
-  ) {
-    return this.#onRunning(id, fencingToken, entry => {
-      entry.leaseUntil = performance.now() + leaseDeadlineMs
+  /** Renews leases up to a time on this worker's clock; a time in the past ends the tasks. */
+  renew({ taskIds, until, fencingToken }: LeaseRequest) {
+    this.#renewalCalls += 1
+    if (!this.#admits(fencingToken)) return this.#stale()
+    const renewed = taskIds.filter(id => {
+      const entry = this.#running(id)
+      if (entry !== undefined) entry.leaseUntil = Math.max(entry.leaseUntil, until)
+      return entry !== undefined
     })
+    return { status: 200, body: { renewed } }
   }
 
   throttle(id: string, { fencingToken, on }: { fencingToken: number; on: boolean }) {
@@ -146,6 +157,7 @@
       startsByJob: this.#startsByJob,
       runningByTeam: this.#runningByTeam,
       maxRunningByTeam: this.#maxRunningByTeam,
+      renewalCalls: this.#renewalCalls,
     }
   }
 
@@ -185,12 +197,17 @@
     if (!this.#admits(token)) return this.#stale()
     const entry = this.#entries.get(id)
     if (entry === undefined) return { status: 404, body: { error: 'no such task' } }
-    // After a pause of the process a renewal may be handled before the timer of the lease.
-    if (performance.now() >= entry.leaseUntil) this.#end(entry, 'lapsed')
-    if (entry.state === 'running') act(entry)
+    if (this.#running(id) !== undefined) act(entry)
     return { status: 200, body: this.#listed(entry) }
   }
 
+  /** After a pause of the process a call may be handled before the timer of the lease. */
+  #running(id: string): Entry | undefined {
+    const entry = this.#entries.get(id)
+    if (entry !== undefined && performance.now() >= entry.leaseUntil) this.#end(entry, 'lapsed')
+    return entry?.state === 'running' ? entry : undefined
+  }
+
   #fits(req: WorkerResources): boolean {
     const running = [...this.#entries.values()].filter(({ state }) => state === 'running')
     return (['cpus', 'memoryMb', 'accelerators'] as const).every(name => {
--- a/packages/standins/src/worker.ts
+++ b/packages/standins/src/worker.ts
@@ -16,6 +16,10 @@
   slowMs: number
   /** The next requests take effect and their connections are closed without an answer. */
   loseAnswers: number
+  /** The next renewals take effect and their connections are closed without an answer. */
+  loseRenewals: number
+  /** Closes each connection before the request takes effect, as a broken network does. */
+  cut: boolean
   /** Age of the usage that is reported, in milliseconds. */
   usageLagMs: number
   /** Refuses to start tasks with 507. */
@@ -49,7 +53,11 @@
 })
 
 /** Body of a renewal. */
-const leaseSchema = z.object({ fencingToken: z.int().min(0), leaseDeadlineMs: z.number().min(0) })
+const leaseSchema = z.object({
+  taskIds: z.array(z.string()),
+  until: z.number(),
+  fencingToken: z.int().min(0),
+})
 
 /** Body of the other calls on a task. */
 const fencedSchema = z.object({ fencingToken: z.int().min(0) })
@@ -75,6 +83,8 @@
     freeze: false,
     slowMs: 0,
     loseAnswers: 0,
+    loseRenewals: 0,
+    cut: false,
     usageLagMs: 0,
     reject: false,
   }
@@ -96,11 +106,13 @@
       return { status: 200, body: setFaults(JSON.parse(body) as Record<string, unknown>) }
     }
     if (root === 'counters') return { status: 200, body: tasks.counters() }
+    if (root === 'leases') return tasks.renew(leaseSchema.parse(JSON.parse(body)))
     if (root !== 'tasks') return { status: 404, body: { error: 'not found' } }
-    if (id === undefined && method === 'GET') return { status: 200, body: { tasks: tasks.list() } }
+    if (id === undefined && method === 'GET') {
+      return { status: 200, body: { tasks: tasks.list(), now: performance.now() } }
+    }
     if (id === undefined) return tasks.start(taskSchema.parse(JSON.parse(body)))
     if (method === 'GET') return tasks.get(id)
-    if (action === 'lease') return tasks.renew(id, leaseSchema.parse(JSON.parse(body)))
     if (action === 'throttle') return tasks.throttle(id, throttleSchema.parse(JSON.parse(body)))
     const { fencingToken } = fencedSchema.parse(JSON.parse(body))
     if (action === 'stop') return tasks.stop(id, fencingToken)
@@ -113,6 +125,7 @@
     for await (const chunk of req) chunks.push(chunk as Buffer)
     const path = (req.url ?? '').split('/').slice(1).map(decodeURIComponent)
     const isControl = path[0] === 'faults' || path[0] === 'counters'
+    if (!isControl && faults.cut) return void req.socket.destroy()
     if (!isControl) {
       while (faults.freeze) await sleep(10)
       if (faults.slowMs > 0) await sleep(faults.slowMs)
@@ -123,8 +136,9 @@
     } catch (err) {
       answer = { status: 400, body: { error: String(err) } }
     }
-    if (!isControl && faults.loseAnswers > 0) {
-      faults.loseAnswers -= 1
+    const lost = path[0] === 'leases' && faults.loseRenewals > 0 ? 'loseRenewals' : 'loseAnswers'
+    if (!isControl && faults[lost] > 0) {
+      faults[lost] -= 1
       req.socket.destroy()
       return
     }
