fix(placement,host,standins): end tasks whose start was never answered

Cause: a task whose start got no answer from a worker that cannot be reached kept its row and permit until the host list called the worker gone, which it never did for a worker that it had not named in this term, or without a list. Found on the way: after a restart a worker lists nothing, so an unanswered start that had run was taken for one that never arrived, and a non-idempotent job ran twice.

Ruled out: counting hosts that were never listed as gone after a time (a frozen worker still reads the start afterwards); keeping the task until an operator removes it.

Change: before a claim the worker's boot and clock are read (at most every 2 s per worker). The start is refused, and its id fenced, more than 8 s after that on the worker's clock or on another boot. The end of an unanswered start is therefore known to any holder; then the permit returns, an idempotent job is queued again, a non-idempotent one is lost. The boot is in the task's row. Workers that do not answer the reading are given no task in that round.

Conclusion: the host list is no longer needed for this; it only closes workers.

--- a/packages/host/src/index.ts
+++ b/packages/host/src/index.ts
@@ -16,4 +16,5 @@
   type StartAnswer,
   type StartTask,
   type WorkerClient,
+  type WorkerClock,
 } from './worker-client.js'
--- a/packages/host/src/rows.ts
+++ b/packages/host/src/rows.ts
@@ -47,6 +47,8 @@
   kind: string
   /** Fencing token of the duty that claimed the task. */
   token: number
+  /** Boot of the worker at the claim; another boot has forgotten whether it ran the task. */
+  boot: string
 }
 
 /** Key of a worker's row. */
--- a/packages/host/src/worker-client.ts
+++ b/packages/host/src/worker-client.ts
@@ -16,7 +16,11 @@
   checkpoint: z.unknown().optional(),
 })
 
-const listSchema = z.object({ tasks: z.array(taskSchema), now: z.number() })
+const clockSchema = z.object({ now: z.number(), boot: z.string() })
+const listSchema = clockSchema.extend({ tasks: z.array(taskSchema) })
+
+/** A worker's clock in milliseconds, which starts anew with each boot. */
+export type WorkerClock = z.infer<typeof clockSchema>
 
 /** A task as the worker reports it. */
 export type ReportedTask = z.infer<typeof taskSchema>
@@ -27,6 +31,9 @@
   jobId: string
   team: string
   fencingToken: number
+  /** Boot and time on the worker's clock after which it refuses the start and fences the id. */
+  boot: string
+  startBefore: number
   /** Lifetime of the lease from the arrival of the call, in milliseconds. */
   leaseDeadlineMs: number
   payload: unknown
@@ -62,7 +69,8 @@
   /** Slows the task down, or ends that. */
   throttle(taskId: string, opts: { on: boolean; token: number }, deadline: number): Promise<void>
   /** The tasks, and the worker's clock at the time of the report in milliseconds. */
-  list(deadline: number): Promise<{ tasks: ReportedTask[]; now: number }>
+  list(deadline: number): Promise<WorkerClock & { tasks: ReportedTask[] }>
+  clock(deadline: number): Promise<WorkerClock>
   close(): Promise<void>
 }
 
@@ -130,6 +138,12 @@
       if (status !== 200 || !parsed.success) throw unexpected(status)
       return parsed.data
     },
+    clock: async deadline => {
+      const { status, body } = await call('GET', '/clock', deadline)
+      const parsed = clockSchema.safeParse(body)
+      if (status !== 200 || !parsed.success) throw unexpected(status)
+      return parsed.data
+    },
     close: () => pool.destroy(),
   }
 }
--- a/packages/placement/__tests__/leases.test.ts
+++ b/packages/placement/__tests__/leases.test.ts
@@ -34,7 +34,9 @@
   t.teardown(() => client.close())
   const soon = () => clock.now() + 2_000
   const size = { cpus: 1, memoryMb: 1, accelerators: 0 }
-  const task = { jobId: 'j', team: 'lamps', fencingToken: 1, payload: long, ...size }
+  const { boot } = await client.clock(soon())
+  const fields = { boot, startBefore: Number.MAX_SAFE_INTEGER }
+  const task = { ...fields, jobId: 'j', team: 'lamps', fencingToken: 1, payload: long, ...size }
   await client.start({ ...task, taskId: 't1', leaseDeadlineMs: 60_000 }, soon())
   await client.start({ ...task, taskId: 't2', leaseDeadlineMs: 100 }, soon())
   await client.start({ ...task, taskId: 't3', leaseDeadlineMs: 400 }, soon())
@@ -83,3 +85,72 @@
   await control.rounds(() => isIn(id, 'lost'))
   t.equal(await permitsInUse(), 0)
 })
+
+// Without an end of its own the task would keep its permit forever when no host list names it.
+void t.test('an unanswered start of a lost worker ends and runs at most once', async t => {
+  const { accept, holder, isIn, permitsInUse, workers, starts } = await createFixture(t, {
+    workers: 1,
+  })
+  const [worker] = workers
+  if (worker === undefined) return
+  const control = holder('c1')
+  await control.take()
+  const once = await accept({ idempotent: false, payload: long })
+  const often = await accept({ payload: long })
+  // The clock is answered; the starts are not, and then nothing is.
+  worker.faults.loseStarts = 2
+  await control.rounds(() => worker.faults.loseStarts === 0 || starts(once) > 0)
+  worker.faults.cut = true
+  const begin = control.clock.now()
+  await control.rounds(() => control.clock.now() >= begin + 16_000)
+  t.equal(await permitsInUse(), 2, 'the tasks may run until their leases end')
+  await control.rounds(async () => (await isIn(once, 'lost')) && (await isIn(often, 'queued')))
+  t.equal(await permitsInUse(), 0)
+  t.equal(starts(once), 1)
+})
+
+void t.test('a worker refuses a start that it reads late or that was for another boot', async t => {
+  const worker = await createWorkerStandin({ id: 'w1', rack: 'r1', zone: 'a' })
+  t.teardown(() => worker.close())
+  const clock = { now: () => performance.now() }
+  const client = createWorkerClient({ address: worker.address, clock })
+  t.teardown(() => client.close())
+  const soon = () => clock.now() + 2_000
+  const { now, boot } = await client.clock(soon())
+  const size = { cpus: 1, memoryMb: 1, accelerators: 0 }
+  const lease = { fencingToken: 1, leaseDeadlineMs: 60_000, payload: long }
+  const task = { ...size, ...lease, boot, jobId: 'j', team: 'lamps', startBefore: now + 50 }
+  worker.faults.freeze = true
+  const late = client.start({ ...task, taskId: 't1' }, soon())
+  await new Promise(resolve => setTimeout(resolve, 120))
+  worker.faults.freeze = false
+  t.equal(await late, 'ended')
+  const again = { ...task, startBefore: now + 60_000 }
+  t.equal(await client.start({ ...again, taskId: 't1' }, soon()), 'ended', 'the id is fenced')
+  t.equal(await client.start({ ...again, taskId: 't2', boot: 'other' }, soon()), 'ended')
+  t.equal(await client.start({ ...again, taskId: 't3' }, soon()), 'started')
+  t.same(worker.counters().startsByJob, { j: 1 })
+})
+
+// A restarted worker lists nothing, which must not be taken for a start that never arrived.
+void t.test('an unanswered start of a worker that restarts runs at most once', async t => {
+  const { accept, holder, isIn, permitsInUse, workers, starts } = await createFixture(t, {
+    workers: 1,
+  })
+  const [worker] = workers
+  if (worker === undefined) return
+  const control = holder('c1')
+  await control.take()
+  const id = await accept({ idempotent: false, payload: long })
+  worker.faults.loseStarts = 1
+  await control.placement.round()
+  t.equal(starts(id), 1)
+  const port = Number(worker.address.split(':')[1])
+  await worker.close()
+  const { listed } = worker
+  const again = await createWorkerStandin({ ...listed, port })
+  t.teardown(() => again.close())
+  await control.rounds(() => isIn(id, 'lost'))
+  t.equal(again.counters().startsByJob[id], undefined)
+  t.equal(await permitsInUse(), 0)
+})
--- a/packages/placement/src/placement-duty.ts
+++ b/packages/placement/src/placement-duty.ts
@@ -15,8 +15,9 @@
 import { TaskStarter, taskLeaseMs } from './task-starter.js'
 import { TeamCaps } from './team-caps.js'
 import { estimateWaits } from './wait-estimate.js'
-import { WorkerFleet } from './worker-fleet.js'
-import { WorkerVisits, type KnownTask, type PlacementDecision } from './worker-visits.js'
+import { WorkerFleet, startWindowMs } from './worker-fleet.js'
+import type { KnownTask } from './known-task.js'
+import { WorkerVisits, type PlacementDecision } from './worker-visits.js'
 
 /** Tasks that one round starts at most. */
 const startsPerRound = 100
@@ -175,11 +176,16 @@
     const rows = await this.#rows.load()
     const ids = new Set(rows.map(row => row.taskId))
     for (const id of this.#tasks.keys()) if (!ids.has(id)) this.#tasks.delete(id)
-    const leaseUntil = this.#opts.clock.now() + taskLeaseMs
+    const now = this.#opts.clock.now()
+    const leaseUntil = now + taskLeaseMs
+    // A start may still arrive; its worker's clock was read before the claim.
+    const startUntil = now + startWindowMs + taskLeaseMs
     for (const row of rows) {
       const known = this.#tasks.get(row.taskId)
-      if (known === undefined) this.#tasks.set(row.taskId, { row, leaseUntil, mayRun: true })
-      else {
+      if (known === undefined) {
+        const until = row.state === 'starting' ? startUntil : leaseUntil
+        this.#tasks.set(row.taskId, { row, leaseUntil: until, mayRun: true })
+      } else {
         // It was confirmed by a transaction with a lost answer; its lease began before that.
         if (known.row.state === 'starting' && row.state === 'running') {
           known.leaseUntil = Math.max(known.leaseUntil, leaseUntil)
--- a/packages/placement/src/reclaimer.ts
+++ b/packages/placement/src/reclaimer.ts
@@ -7,7 +7,8 @@
 import { chooseReclaim, type ReclaimableTask } from './choose-reclaim.js'
 import type { LearnedSizes } from './learned-sizes.js'
 import { TeamLevels } from './team-levels.js'
-import type { KnownTask, PlacementDecision, WorkerVisits } from './worker-visits.js'
+import type { KnownTask } from './known-task.js'
+import type { PlacementDecision, WorkerVisits } from './worker-visits.js'
 
 /** How long a job that is not urgent waits before it may reclaim, in milliseconds. */
 const patienceMs = 2_000
--- a/packages/placement/src/task-of.ts
+++ b/packages/placement/src/task-of.ts
@@ -4,7 +4,10 @@
 import type { Placement } from './choose.js'
 
 /** The row of a task that is about to be claimed. */
-export function taskOf({ job, worker, size }: Placement, pool: string, token: number): TaskRow {
+export function taskOf(
+  { job, worker, size }: Placement,
+  { pool, token, boot }: Pick<TaskRow, 'pool' | 'token' | 'boot'>,
+): TaskRow {
   return {
     taskId: randomUUID(),
     jobId: job.id,
@@ -21,6 +24,7 @@
     urgent: job.urgent,
     kind: job.kind,
     token,
+    boot,
     cpus: size.cpus,
     memoryMb: size.memoryMb,
     accelerators: size.accelerators,
--- a/packages/placement/src/task-starter.ts
+++ b/packages/placement/src/task-starter.ts
@@ -6,8 +6,9 @@
 import type { PlacementConfiguration } from './placement-duty.js'
 import { taskOf } from './task-of.js'
 import type { TaskRows } from './task-rows.js'
-import type { WorkerFleet } from './worker-fleet.js'
-import type { KnownTask, WorkerVisits } from './worker-visits.js'
+import { startWindowMs, type ClockReading, type WorkerFleet } from './worker-fleet.js'
+import type { KnownTask } from './known-task.js'
+import type { WorkerVisits } from './worker-visits.js'
 
 /** Longest time of a start call, in milliseconds. */
 const startCallMs = 1_000
@@ -27,7 +28,7 @@
   held: () => HeldDuty | undefined
   configuration: () => PlacementConfiguration
   confirmedUntil: () => number
-  onError?(err: unknown): void
+  onError?: (err: unknown) => void
 }
 
 /** Claims jobs and starts them on their workers. */
@@ -41,20 +42,41 @@
   /** Claims jobs of one team and calls their workers; returns the tasks that were claimed. */
   async start(team: string, placements: readonly Placement[]): Promise<TaskRow[]> {
     const token = this.#opts.held()?.token ?? 0
-    const tasks = placements.map(placement => taskOf(placement, this.#opts.pool, token))
-    const claimed = await this.#opts.rows.claim(team, tasks)
+    const readings = await this.#readClocks(placements)
+    const reachable = placements.flatMap(placement => {
+      const boot = readings.get(placement.worker.id)?.boot
+      return boot === undefined ? [] : [taskOf(placement, { pool: this.#opts.pool, token, boot })]
+    })
+    const claimed = await this.#opts.rows.claim(team, reachable)
     for (const row of claimed) {
       // Without a call the worker cannot have started it.
       this.#opts.tasks.set(row.taskId, { row, leaseUntil: -Infinity, mayRun: false })
     }
-    await Promise.all(claimed.map(row => this.#call(row)))
+    await Promise.all(claimed.map(row => this.#call(row, readings.get(row.worker))))
     return claimed
   }
 
-  async #call(row: TaskRow): Promise<void> {
+  /** Reads the clocks before the claim, so that a claimed start has an end known to any holder. */
+  async #readClocks(placements: readonly Placement[]): Promise<Map<string, ClockReading>> {
+    const { fleet, clock, visits, onError } = this.#opts
+    const readings = new Map<string, ClockReading>()
+    const workers = new Map(placements.map(({ worker }) => [worker.id, worker.address]))
+    const reads = [...workers].map(async ([id, address]) => {
+      try {
+        readings.set(id, await fleet.clockOf(address, clock.now() + startCallMs))
+      } catch (err) {
+        visits.missed(id)
+        onError?.(err)
+      }
+    })
+    await Promise.all(reads)
+    return readings
+  }
+
+  async #call(row: TaskRow, reading: ClockReading | undefined): Promise<void> {
     const { table, clock, confirmedUntil, configuration, held } = this.#opts
     const task = this.#opts.tasks.get(row.taskId)
-    if (task === undefined) return
+    if (task === undefined || reading === undefined) return
     const stored = await table.read<{ payload: unknown }>(payloadsTable, row.jobKey)
     const job = row.idempotent ? await table.read<Job>(jobsTable, row.jobKey) : undefined
     const checkpoint = job?.value.checkpoint
@@ -63,7 +85,7 @@
     const isCurrent = now < confirmedUntil() && held()?.token === row.token
     if (!isCurrent || configuration().zonesOut.has(row.zone)) return
     task.mayRun = true
-    task.leaseUntil = now + startCallMs + taskLeaseMs
+    task.leaseUntil = reading.readAt + startWindowMs + taskLeaseMs
     const { taskId, jobId, team, cpus, memoryMb, accelerators, token } = row
     const size = { cpus, memoryMb, accelerators }
     try {
@@ -74,6 +96,8 @@
           team,
           ...size,
           fencingToken: token,
+          boot: row.boot,
+          startBefore: reading.now + startWindowMs,
           leaseDeadlineMs: taskLeaseMs,
           payload: stored?.value.payload,
           ...(checkpoint === undefined ? {} : { checkpoint }),
--- a/packages/placement/src/team-caps.ts
+++ b/packages/placement/src/team-caps.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@bulrushbridge/errors'
-import type { KnownTask } from './worker-visits.js'
+import type { KnownTask } from './known-task.js'
 
 /** How long a team counts as being at its limit, in milliseconds; entry hosts may return permits. */
 const capMs = 1_000
--- a/packages/placement/src/worker-fleet.ts
+++ b/packages/placement/src/worker-fleet.ts
@@ -1,10 +1,22 @@
 import type { Clock } from '@bulrushbridge/errors'
-import { createWorkerClient, type WorkerClient } from '@bulrushbridge/host'
+import { createWorkerClient, type WorkerClient, type WorkerClock } from '@bulrushbridge/host'
 
-/** Clients of the workers, created on first use. */
+/** Age up to which a worker's clock is used without asking again, in milliseconds. */
+const clockAgeMs = 2_000
+
+/** A start is refused by the worker so long after the reading of its clock, in milliseconds. */
+export const startWindowMs = 8_000
+
+/** A reading of a worker's clock, and when its answer arrived. */
+export interface ClockReading extends WorkerClock {
+  readAt: number
+}
+
+/** Clients of the workers, created on first use, and the last readings of their clocks. */
 export class WorkerFleet {
   readonly #clock: Clock
   readonly #clients = new Map<string, WorkerClient>()
+  readonly #readings = new Map<string, ClockReading>()
 
   constructor(clock: Clock) {
     this.#clock = clock
@@ -16,6 +28,20 @@
     return client
   }
 
+  /** Keeps a reading that came with a report. */
+  read(address: string, { now, boot }: WorkerClock): void {
+    this.#readings.set(address, { now, boot, readAt: this.#clock.now() })
+  }
+
+  /** A recent reading of the worker's clock; rejects with WorkerError when it does not answer. */
+  async clockOf(address: string, deadline: number): Promise<ClockReading> {
+    const known = this.#readings.get(address)
+    if (known !== undefined && this.#clock.now() - known.readAt < clockAgeMs) return known
+    const reading = { ...(await this.client(address).clock(deadline)), readAt: this.#clock.now() }
+    this.#readings.set(address, reading)
+    return reading
+  }
+
   async close(): Promise<void> {
     await Promise.all([...this.#clients.values()].map(client => client.close()))
   }
--- a/packages/placement/src/worker-visits.ts
+++ b/packages/placement/src/worker-visits.ts
@@ -1,8 +1,9 @@
 import type { Clock } from '@bulrushbridge/errors'
-import type { ReportedTask, TaskRow, WorkerClient } from '@bulrushbridge/host'
+import type { ReportedTask, WorkerClient } from '@bulrushbridge/host'
 import { WorkerError } from '@bulrushbridge/host'
 import type { HeldDuty } from '@bulrushbridge/store'
 import type { WorkerBlame } from './blame.js'
+import { extendLease, hasLapsed, type KnownTask } from './known-task.js'
 import type { LearnedSizes } from './learned-sizes.js'
 import type { PlacementConfiguration } from './placement-duty.js'
 import type { TaskEnd } from './task-end.js'
@@ -16,27 +17,9 @@
 /** A lease is renewed when less than this is left, in milliseconds. */
 const renewBeforeMs = 7_000
 
-/** Time after the end of a lease by which the worker has stopped the task, in milliseconds. */
-const lapseMarginMs = 2_000
-
 /** Workers that are visited at the same time. */
 const parallelVisits = 16
 
-/** A task in the memory of the holder. */
-export interface KnownTask {
-  row: TaskRow
-  /** When the worker stops it without a renewal. */
-  leaseUntil: number
-  /** False while the worker is known not to have started it. */
-  mayRun: boolean
-  /** How long it has run by the last report, in milliseconds. */
-  ranMs?: number
-  /** True once the worker saved nothing when it was asked to; such a task runs to its end. */
-  hasNoCheckpoint?: boolean
-  /** What the worker saved before the task was stopped. */
-  checkpoint?: unknown
-}
-
 /** A decision for the records. */
 export interface PlacementDecision {
   subject: { kind: string; id: string }
@@ -56,7 +39,6 @@
   poolSize: () => number
   held: () => HeldDuty | undefined
   configuration: () => PlacementConfiguration
-  listed(): { gone: ReadonlySet<string> }
   onDecision?(decision: PlacementDecision): void
   onError?(err: unknown): void
 }
@@ -75,6 +57,11 @@
     return this.#unreachable
   }
 
+  /** A call to the worker got no answer. */
+  missed(worker: string): void {
+    this.#unreachable.add(worker)
+  }
+
   /** Visits every worker that has tasks. */
   async run(cancelling: ReadonlySet<string>): Promise<void> {
     const byWorker = new Map<string, KnownTask[]>()
@@ -147,16 +134,20 @@
     } catch (err) {
       if (!(err instanceof WorkerError)) throw err
       this.#unreachable.add(worker)
-      for (const task of called) if (this.#hasLapsed(task)) await this.#end(task, 'stopped')
+      for (const task of called) if (hasLapsed(task, clock.now())) await this.#end(task, 'stopped')
       return
     }
+    fleet.read(address, listed)
     const listedAt = clock.now()
     const reports = new Map(listed.tasks.map(report => [report.taskId, report]))
     const kept: KnownTask[] = []
     for (const task of called) {
       // A lease that a start gave began before the report, whenever the start arrived.
       if (task.row.state === 'starting') extendLease(task, listedAt)
-      await this.#settle(client, task, reports.get(task.row.taskId), cancelling)
+      await this.#settle(client, task, reports.get(task.row.taskId), {
+        cancelling,
+        boot: listed.boot,
+      })
         .then(isKept => isKept && kept.push(task))
         .catch(this.#onCallError)
     }
@@ -186,24 +177,15 @@
     this.#opts.onError?.(err)
   }
 
-  /**
-   * Whether the task of an unreachable worker has ended. A start without an answer may still be
-   * read by a worker that was paused, so it counts only once the host list no longer names it.
-   */
-  #hasLapsed({ row, leaseUntil }: KnownTask): boolean {
-    if (this.#opts.clock.now() < leaseUntil + lapseMarginMs) return false
-    return row.state !== 'starting' || this.#opts.listed().gone.has(row.worker)
-  }
-
   /** Returns whether the task goes on. */
   async #settle(
     client: WorkerClient,
     task: KnownTask,
     report: ReportedTask | undefined,
-    cancelling: ReadonlySet<string>,
+    { cancelling, boot }: { cancelling: ReadonlySet<string>; boot: string },
   ): Promise<boolean> {
     if (report === undefined) {
-      await this.#settleUnlisted(client, task)
+      await this.#settleUnlisted(client, task, boot)
       return false
     }
     if (report.state === 'running') {
@@ -216,12 +198,12 @@
   }
 
   /** A worker that does not list a task fences its id, so that a late start is refused. */
-  async #settleUnlisted(client: WorkerClient, task: KnownTask): Promise<void> {
+  async #settleUnlisted(client: WorkerClient, task: KnownTask, boot: string): Promise<void> {
     const token = this.#opts.held()?.token
     if (token === undefined) return
     const report = await client.stop(task.row.taskId, token, this.#opts.clock.now() + callMs)
-    // A task that was confirmed has run; the worker has lost its memory in a restart.
-    const hasRun = report.started || task.row.state !== 'starting'
+    // A worker that has restarted has forgotten its tasks, so a start without an answer may have run.
+    const hasRun = report.started || task.row.state !== 'starting' || task.row.boot !== boot
     await this.#end(task, hasRun ? 'stopped' : 'never-started')
   }
 
@@ -290,8 +272,3 @@
     })
   }
 }
-
-/** The lease ends at the latest so long after the worker's report that it is based on. */
-function extendLease(task: KnownTask, reportedAt: number): void {
-  task.leaseUntil = Math.max(task.leaseUntil, reportedAt + taskLeaseMs)
-}
--- a/packages/standins/src/worker-tasks.ts
+++ b/packages/standins/src/worker-tasks.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from 'node:crypto'
 import type { WorkerFaults } from './worker.js'
 
 /** Ended tasks that are still listed; an older one is forgotten. */
@@ -16,6 +17,9 @@
   jobId: string
   team: string
   fencingToken: number
+  boot: string
+  /** On the worker's clock; a later start is refused and its id fenced. */
+  startBefore: number
   leaseDeadlineMs: number
   payload: unknown
   checkpoint?: unknown
@@ -69,6 +73,7 @@
   readonly #startsByJob: Record<string, number> = {}
   readonly #runningByTeam: Record<string, number> = {}
   readonly #maxRunningByTeam: Record<string, number> = {}
+  readonly #boot = randomUUID()
   #token = 0
   #renewalCalls = 0
 
@@ -83,6 +88,9 @@
     if (known?.state === 'running') return { status: 200, body: this.#listed(known) }
     // An id that has ended, or that was fenced before its start arrived, never starts again.
     if (known !== undefined) return { status: 409, body: this.#listed(known) }
+    if (req.boot !== this.#boot || performance.now() > req.startBefore) {
+      return { status: 409, body: this.#listed(this.#fence(req.taskId)) }
+    }
     if (this.#faults.reject || !this.#fits(req)) {
       return { status: 507, body: { error: 'resources are lacking' } }
     }
@@ -134,12 +142,13 @@
   /** Ends a task. An id that never started is fenced: a start that arrives later is refused. */
   stop(id: string, fencingToken: number) {
     if (!this.#admits(fencingToken)) return this.#stale()
-    let entry = this.#entries.get(id)
-    if (entry === undefined) {
-      entry = { ...this.#newEntry(id, '', '', noResources), state: 'fenced', started: false }
-      this.#entries.set(id, entry)
-    } else this.#end(entry, 'stopped')
-    return { status: 200, body: this.#listed(entry) }
+    const entry = this.#entries.get(id)
+    if (entry !== undefined) this.#end(entry, 'stopped')
+    return { status: 200, body: this.#listed(entry ?? this.#fence(id)) }
+  }
+
+  clock() {
+    return { now: performance.now(), boot: this.#boot }
   }
 
   get(id: string) {
@@ -183,6 +192,13 @@
     }
   }
 
+  #fence(id: string): Entry {
+    const fenced = { state: 'fenced', started: false } as const
+    const entry = { ...this.#newEntry(id, '', '', noResources), ...fenced }
+    this.#entries.set(id, entry)
+    return entry
+  }
+
   #admits(token: number): boolean {
     if (token < this.#token) return false
     this.#token = token
--- a/packages/standins/src/worker.ts
+++ b/packages/standins/src/worker.ts
@@ -16,6 +16,8 @@
   slowMs: number
   /** The next requests take effect and their connections are closed without an answer. */
   loseAnswers: number
+  /** The next starts take effect and their connections are closed without an answer. */
+  loseStarts: number
   /** The next renewals take effect and their connections are closed without an answer. */
   loseRenewals: number
   /** Closes each connection before the request takes effect, as a broken network does. */
@@ -44,6 +46,8 @@
   jobId: z.string().min(1),
   team: z.string().min(1),
   fencingToken: z.int().min(0),
+  boot: z.string(),
+  startBefore: z.number(),
   leaseDeadlineMs: z.number().min(0),
   cpus: z.number().min(0),
   memoryMb: z.number().min(0),
@@ -83,6 +87,7 @@
     freeze: false,
     slowMs: 0,
     loseAnswers: 0,
+    loseStarts: 0,
     loseRenewals: 0,
     cut: false,
     usageLagMs: 0,
@@ -106,10 +111,11 @@
       return { status: 200, body: setFaults(JSON.parse(body) as Record<string, unknown>) }
     }
     if (root === 'counters') return { status: 200, body: tasks.counters() }
+    if (root === 'clock') return { status: 200, body: tasks.clock() }
     if (root === 'leases') return tasks.renew(leaseSchema.parse(JSON.parse(body)))
     if (root !== 'tasks') return { status: 404, body: { error: 'not found' } }
     if (id === undefined && method === 'GET') {
-      return { status: 200, body: { tasks: tasks.list(), now: performance.now() } }
+      return { status: 200, body: { tasks: tasks.list(), ...tasks.clock() } }
     }
     if (id === undefined) return tasks.start(taskSchema.parse(JSON.parse(body)))
     if (method === 'GET') return tasks.get(id)
@@ -136,8 +142,8 @@
     } catch (err) {
       answer = { status: 400, body: { error: String(err) } }
     }
-    const lost = path[0] === 'leases' && faults.loseRenewals > 0 ? 'loseRenewals' : 'loseAnswers'
-    if (!isControl && faults[lost] > 0) {
+    const lost = lostAnswer(faults, req.method, path)
+    if (!isControl && lost !== undefined) {
       faults[lost] -= 1
       req.socket.destroy()
       return
@@ -176,6 +182,14 @@
   }
 }
 
+/** The switch by which the answer to a call is lost. */
+function lostAnswer(faults: WorkerFaults, method: string | undefined, path: string[]) {
+  if (faults.loseAnswers > 0) return 'loseAnswers'
+  if (path[0] === 'leases' && faults.loseRenewals > 0) return 'loseRenewals'
+  const isStart = method === 'POST' && path[0] === 'tasks' && path[1] === undefined
+  return isStart && faults.loseStarts > 0 ? 'loseStarts' : undefined
+}
+
 /** A running stand-in of a worker. */
 export type WorkerStandin = Awaited<ReturnType<typeof createWorkerStandin>>
 
