--- a/packages/control/src/settings.ts
+++ b/packages/control/src/settings.ts
@@ -1,3 +1,4 @@
+import { z } from 'zod'
 import { entrySettings } from '@bulrushbridge/entry'
 import type { Settings } from '@bulrushbridge/settings'
 
@@ -10,6 +11,11 @@
   'object-url': entrySettings['object-url'],
   'hosts-url': entrySettings['hosts-url'],
   'peer-secret': entrySettings['peer-secret'],
+  retention: {
+    schema: z.coerce.number().int().min(1).max(8_760),
+    description: 'hours for which ended jobs and decision records are kept',
+    default: '168',
+  },
   'log-level': entrySettings['log-level'],
 } as const
 
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -2,6 +2,7 @@
 export {
   cancellingTable,
   jobKey,
+  jobKeysTable,
   jobsTable,
   jobStates,
   jobTransition,
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -71,6 +71,8 @@
   member: string
   /** Wall clock in milliseconds. */
   acceptedAt: number
+  /** Wall clock of its end in milliseconds. */
+  endedAt?: number
   /** Why the job is in its state, for parked, failed and lost jobs. */
   reason?: string
 }
@@ -162,6 +164,7 @@
   const next: Job = { ...job, ...changes, state: to }
   delete next.reason
   if (reason !== undefined) next.reason = reason
+  if (nextStates[to].length === 0) next.endedAt = Date.now()
   const writes: Write[] = [{ table: jobsTable, key: row.key, value: next }]
   if (from === 'queued') writes.push({ table: queuedTable, key: queuedKey(job), value: null })
   const cancellation = { table: cancellingTable, key: cancellingKey(job) }
