feat(bench): measure the choice of a placement round and the bytes of task rows

Cause: docs/CAPACITY.md has no slopes for the placement duty.

Ruled out: timing whole rounds against a stand-in in the same process, whose processor time cannot be told from that of the duty.

Change: `placement` under `--capacity`: processor time of one choice against workers and queued jobs at four sizes each, and bytes of task rows.

Store reads and writes per round and the calls to workers are not measured yet.

--- a/bench/measurements.ts
+++ b/bench/measurements.ts
@@ -9,6 +9,7 @@
 import { measureInForce } from './in-force.js'
 import { measureNodeOverhead } from './node-overhead.js'
 import { measurePermits } from './permits.js'
+import { measurePlacement } from './placement-cost.js'
 import { measureShares } from './share-and-burst.js'
 
 /** All measurements in the order in which they run; the fleet policies add theirs here. */
@@ -40,4 +41,5 @@
   { name: 'in-force', run: measureInForce },
   { name: 'node', run: measureNodeOverhead },
   { name: 'capacity', capacity: true, run: measureCapacity },
+  { name: 'placement', capacity: true, run: measurePlacement },
 ]
