--- a/bench/measurements.ts
+++ b/bench/measurements.ts
@@ -9,6 +9,7 @@
 import { measureInForce } from './in-force.js'
 import { measureNodeOverhead } from './node-overhead.js'
 import { measurePermits } from './permits.js'
+import { measurePlacement } from './placement-cost.js'
 import { measurePolicies } from './policy-figures.js'
 import { measureShares } from './share-and-burst.js'
 
@@ -42,4 +43,5 @@
   { name: 'policy', run: measurePolicies },
   { name: 'node', run: measureNodeOverhead },
   { name: 'capacity', capacity: true, run: measureCapacity },
+  { name: 'placement', capacity: true, run: measurePlacement },
 ]
--- a/packages/placement/src/worker-visits.ts
+++ b/packages/placement/src/worker-visits.ts
@@ -1,8 +1,9 @@
 import type { Clock } from '@bulrushbridge/errors'
-import type { ReportedTask, TaskRow, WorkerClient } from '@bulrushbridge/host'
+import type { ReportedTask, WorkerClient } from '@bulrushbridge/host'
 import { WorkerError } from '@bulrushbridge/host'
 import type { HeldDuty } from '@bulrushbridge/store'
 import type { WorkerBlame } from './blame.js'
+import { extendLease, hasLapsed, type KnownTask } from './known-task.js'
 import type { LearnedSizes } from './learned-sizes.js'
 import type { PlacementConfiguration } from './placement-duty.js'
 import type { TaskEnd } from './task-end.js'
@@ -16,27 +17,9 @@
 /** A lease is renewed when less than this is left, in milliseconds. */
 const renewBeforeMs = 7_000
 
-/** Time after the end of a lease by which the worker has stopped the task, in milliseconds. */
-const lapseMarginMs = 2_000
-
 /** Workers that are visited at the same time. */
 const parallelVisits = 16
 
-/** A task in the memory of the holder. */
-export interface KnownTask {
-  row: TaskRow
-  /** When the worker stops it without a renewal. */
-  leaseUntil: number
-  /** False while the worker is known not to have started it. */
-  mayRun: boolean
-  /** How long it has run by the last report, in milliseconds. */
-  ranMs?: number
-  /** True once the worker saved nothing when it was asked to; such a task runs to its end. */
-  hasNoCheckpoint?: boolean
-  /** What the worker saved before the task was stopped. */
-  checkpoint?: unknown
-}
-
 /** A decision for the records. */
 export interface PlacementDecision {
   subject: { kind: string; id: string }
@@ -56,7 +39,6 @@
   poolSize: () => number
   held: () => HeldDuty | undefined
   configuration: () => PlacementConfiguration
-  listed(): { gone: ReadonlySet<string> }
   onDecision?(decision: PlacementDecision): void
   onError?(err: unknown): void
 }
@@ -75,6 +57,11 @@
     return this.#unreachable
   }
 
+  /** A call to the worker got no answer. */
+  missed(worker: string): void {
+    this.#unreachable.add(worker)
+  }
+
   /** Visits every worker that has tasks. */
   async run(cancelling: ReadonlySet<string>): Promise<void> {
     const byWorker = new Map<string, KnownTask[]>()
@@ -140,88 +127,103 @@
     const address = called[0]?.row.address
     if (address === undefined) return
     const client = fleet.client(address)
-    let reports: Map<string, ReportedTask>
+    let listed: Awaited<ReturnType<WorkerClient['list']>>
     try {
-      const listed = await client.list(clock.now() + callMs)
-      reports = new Map(listed.map(report => [report.taskId, report]))
+      listed = await client.list(clock.now() + callMs)
       this.#unreachable.delete(worker)
     } catch (err) {
       if (!(err instanceof WorkerError)) throw err
       this.#unreachable.add(worker)
-      for (const task of called) if (this.#hasLapsed(task)) await this.#end(task, 'stopped')
+      for (const task of called) if (hasLapsed(task, clock.now())) await this.#end(task, 'stopped')
       return
     }
+    fleet.read(address, listed)
+    const listedAt = clock.now()
+    const reports = new Map(listed.tasks.map(report => [report.taskId, report]))
+    const kept: KnownTask[] = []
     for (const task of called) {
-      try {
-        await this.#settle(client, task, reports.get(task.row.taskId), cancelling)
-      } catch (err) {
-        if (!(err instanceof WorkerError)) throw err
-        this.#opts.onError?.(err)
-      }
+      // A lease that a start gave began before the report, whenever the start arrived.
+      if (task.row.state === 'starting') extendLease(task, listedAt)
+      await this.#settle(client, task, reports.get(task.row.taskId), {
+        cancelling,
+        boot: listed.boot,
+      })
+        .then(isKept => isKept && kept.push(task))
+        .catch(this.#onCallError)
     }
+    await this.#renew(client, kept, { now: listed.now, listedAt }).catch(this.#onCallError)
   }
 
-  /**
-   * Whether the task of an unreachable worker has ended. A start without an answer may still be
-   * read by a worker that was paused, so it counts only once the host list no longer names it.
-   */
-  #hasLapsed({ row, leaseUntil }: KnownTask): boolean {
-    if (this.#opts.clock.now() < leaseUntil + lapseMarginMs) return false
-    return row.state !== 'starting' || this.#opts.listed().gone.has(row.worker)
+  /** One call renews the leases of all tasks of the worker. */
+  async #renew(
+    client: WorkerClient,
+    tasks: readonly KnownTask[],
+    { now, listedAt }: { now: number; listedAt: number },
+  ): Promise<void> {
+    const { clock, held } = this.#opts
+    const token = held()?.token
+    const isDue = tasks.some(({ leaseUntil }) => leaseUntil - clock.now() <= renewBeforeMs)
+    if (token === undefined || !isDue) return
+    // The call may take effect without an answer.
+    for (const task of tasks) extendLease(task, listedAt)
+    const taskIds = tasks.map(({ row }) => row.taskId)
+    const lease = { taskIds, until: now + taskLeaseMs, fencingToken: token }
+    await client.renew(lease, clock.now() + callMs)
   }
 
+  /** Calls to workers may fail; other errors end the round. */
+  readonly #onCallError = (err: unknown) => {
+    if (!(err instanceof WorkerError)) throw err
+    this.#opts.onError?.(err)
+  }
+
+  /** Returns whether the task goes on. */
   async #settle(
     client: WorkerClient,
     task: KnownTask,
     report: ReportedTask | undefined,
-    cancelling: ReadonlySet<string>,
-  ): Promise<void> {
+    { cancelling, boot }: { cancelling: ReadonlySet<string>; boot: string },
+  ): Promise<boolean> {
     if (report === undefined) {
-      await this.#settleUnlisted(client, task)
-      return
+      await this.#settleUnlisted(client, task, boot)
+      return false
     }
     if (report.state === 'running') {
       task.ranMs = report.runMs
       await this.confirm(task)
-      await this.#keepOrStop(client, task, cancelling)
-      return
+      return !(await this.#stopIfDue(client, task, cancelling))
     }
     await this.#endAs(task, report)
+    return false
   }
 
   /** A worker that does not list a task fences its id, so that a late start is refused. */
-  async #settleUnlisted(client: WorkerClient, task: KnownTask): Promise<void> {
+  async #settleUnlisted(client: WorkerClient, task: KnownTask, boot: string): Promise<void> {
     const token = this.#opts.held()?.token
     if (token === undefined) return
     const report = await client.stop(task.row.taskId, token, this.#opts.clock.now() + callMs)
-    // A task that was confirmed has run; the worker has lost its memory in a restart.
-    const hasRun = report.started || task.row.state !== 'starting'
+    // A worker that has restarted has forgotten its tasks, so a start without an answer may have run.
+    const hasRun = report.started || task.row.state !== 'starting' || task.row.boot !== boot
     await this.#end(task, hasRun ? 'stopped' : 'never-started')
   }
 
-  async #keepOrStop(
+  /** Stops a task that is cancelled or in a zone taken out; returns whether it did. */
+  async #stopIfDue(
     client: WorkerClient,
     task: KnownTask,
     cancelling: ReadonlySet<string>,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const { clock, held, configuration } = this.#opts
     const token = held()?.token
-    if (token === undefined) return
+    if (token === undefined) return true
     const { taskId, jobId, zone, idempotent } = task.row
-    if (cancelling.has(jobId)) {
-      await this.#endAs(task, await client.stop(taskId, token, clock.now() + callMs))
-      return
-    }
+    const isCancelled = cancelling.has(jobId)
     // A non-idempotent job cannot be started elsewhere, so it stays until it ends.
-    if (configuration().zonesOut.has(zone) && idempotent) {
-      await client.checkpoint(taskId, token, clock.now() + callMs)
-      await this.#endAs(task, await client.stop(taskId, token, clock.now() + callMs))
-      return
-    }
-    if (task.leaseUntil - clock.now() > renewBeforeMs) return
-    const lease = { fencingToken: token, leaseDeadlineMs: taskLeaseMs }
-    const isKnown = await client.renew(taskId, lease, clock.now() + callMs)
-    if (isKnown) task.leaseUntil = clock.now() + taskLeaseMs
+    const mustLeave = configuration().zonesOut.has(zone) && idempotent
+    if (!isCancelled && !mustLeave) return false
+    if (!isCancelled) await client.checkpoint(taskId, token, clock.now() + callMs)
+    await this.#endAs(task, await client.stop(taskId, token, clock.now() + callMs))
+    return true
   }
 
   async #endAs(task: KnownTask, report: ReportedTask): Promise<void> {
--- a/packages/standins/src/worker-tasks.ts
+++ b/packages/standins/src/worker-tasks.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from 'node:crypto'
 import type { WorkerFaults } from './worker.js'
 
 /** Ended tasks that are still listed; an older one is forgotten. */
@@ -16,6 +17,9 @@
   jobId: string
   team: string
   fencingToken: number
+  boot: string
+  /** On the worker's clock; a later start is refused and its id fenced. */
+  startBefore: number
   leaseDeadlineMs: number
   payload: unknown
   checkpoint?: unknown
@@ -24,6 +28,13 @@
 /** Told of each start of a task; what it returns is called at the end of the task. */
 export type OnTaskStart = (task: TaskRequest) => () => void
 
+/** Body of `PUT /leases`; `until` is on the worker's clock, as `GET /tasks` reports it. */
+export interface LeaseRequest {
+  taskIds: string[]
+  until: number
+  fencingToken: number
+}
+
 /** State of a task; `fenced` was stopped before it ever started. */
 export type TaskState = 'running' | 'finished' | 'failed' | 'stopped' | 'lapsed' | 'fenced'
 
@@ -67,7 +78,9 @@
   readonly #startsByJob: Record<string, number> = {}
   readonly #runningByTeam: Record<string, number> = {}
   readonly #maxRunningByTeam: Record<string, number> = {}
+  readonly #boot = randomUUID()
   #token = 0
+  #renewalCalls = 0
 
   constructor(capacity: WorkerResources, faults: WorkerFaults, onStart?: OnTaskStart) {
     this.#capacity = capacity
@@ -81,6 +94,9 @@
     if (known?.state === 'running') return { status: 200, body: this.#listed(known) }
     // An id that has ended, or that was fenced before its start arrived, never starts again.
     if (known !== undefined) return { status: 409, body: this.#listed(known) }
+    if (req.boot !== this.#boot || performance.now() > req.startBefore) {
+      return { status: 409, body: this.#listed(this.#fence(req.taskId)) }
+    }
     if (this.#faults.reject || !this.#fits(req)) {
       return { status: 507, body: { error: 'resources are lacking' } }
     }
@@ -106,13 +122,16 @@
     return { status: 201, body: this.#listed(entry) }
   }
 
-  renew(
-    id: string,
-    { fencingToken, leaseDeadlineMs }: Pick<TaskRequest, 'fencingToken' | 'leaseDeadlineMs'>,
-  ) {
-    return this.#onRunning(id, fencingToken, entry => {
-      entry.leaseUntil = performance.now() + leaseDeadlineMs
+  /** Renews leases up to a time on this worker's clock; a time in the past ends the tasks. */
+  renew({ taskIds, until, fencingToken }: LeaseRequest) {
+    this.#renewalCalls += 1
+    if (!this.#admits(fencingToken)) return this.#stale()
+    const renewed = taskIds.filter(id => {
+      const entry = this.#running(id)
+      if (entry !== undefined) entry.leaseUntil = Math.max(entry.leaseUntil, until)
+      return entry !== undefined
     })
+    return { status: 200, body: { renewed } }
   }
 
   throttle(id: string, { fencingToken, on }: { fencingToken: number; on: boolean }) {
@@ -130,12 +149,13 @@
   /** Ends a task. An id that never started is fenced: a start that arrives later is refused. */
   stop(id: string, fencingToken: number) {
     if (!this.#admits(fencingToken)) return this.#stale()
-    let entry = this.#entries.get(id)
-    if (entry === undefined) {
-      entry = { ...this.#newEntry(id, '', '', noResources), state: 'fenced', started: false }
-      this.#entries.set(id, entry)
-    } else this.#end(entry, 'stopped')
-    return { status: 200, body: this.#listed(entry) }
+    const entry = this.#entries.get(id)
+    if (entry !== undefined) this.#end(entry, 'stopped')
+    return { status: 200, body: this.#listed(entry ?? this.#fence(id)) }
+  }
+
+  clock() {
+    return { now: performance.now(), boot: this.#boot }
   }
 
   get(id: string) {
@@ -153,6 +173,7 @@
       startsByJob: this.#startsByJob,
       runningByTeam: this.#runningByTeam,
       maxRunningByTeam: this.#maxRunningByTeam,
+      renewalCalls: this.#renewalCalls,
     }
   }
 
@@ -179,6 +200,13 @@
     }
   }
 
+  #fence(id: string): Entry {
+    const fenced = { state: 'fenced', started: false } as const
+    const entry = { ...this.#newEntry(id, '', '', noResources), ...fenced }
+    this.#entries.set(id, entry)
+    return entry
+  }
+
   #admits(token: number): boolean {
     if (token < this.#token) return false
     this.#token = token
@@ -193,12 +221,17 @@
     if (!this.#admits(token)) return this.#stale()
     const entry = this.#entries.get(id)
     if (entry === undefined) return { status: 404, body: { error: 'no such task' } }
-    // After a pause of the process a renewal may be handled before the timer of the lease.
-    if (performance.now() >= entry.leaseUntil) this.#end(entry, 'lapsed')
-    if (entry.state === 'running') act(entry)
+    if (this.#running(id) !== undefined) act(entry)
     return { status: 200, body: this.#listed(entry) }
   }
 
+  /** After a pause of the process a call may be handled before the timer of the lease. */
+  #running(id: string): Entry | undefined {
+    const entry = this.#entries.get(id)
+    if (entry !== undefined && performance.now() >= entry.leaseUntil) this.#end(entry, 'lapsed')
+    return entry?.state === 'running' ? entry : undefined
+  }
+
   #fits(req: WorkerResources): boolean {
     const running = [...this.#entries.values()].filter(({ state }) => state === 'running')
     return (['cpus', 'memoryMb', 'accelerators'] as const).every(name => {
--- a/packages/standins/src/worker.ts
+++ b/packages/standins/src/worker.ts
@@ -16,6 +16,12 @@
   slowMs: number
   /** The next requests take effect and their connections are closed without an answer. */
   loseAnswers: number
+  /** The next starts take effect and their connections are closed without an answer. */
+  loseStarts: number
+  /** The next renewals take effect and their connections are closed without an answer. */
+  loseRenewals: number
+  /** Closes each connection before the request takes effect, as a broken network does. */
+  cut: boolean
   /** Age of the usage that is reported, in milliseconds. */
   usageLagMs: number
   /** Refuses to start tasks with 507. */
@@ -41,6 +47,8 @@
   jobId: z.string().min(1),
   team: z.string().min(1),
   fencingToken: z.int().min(0),
+  boot: z.string(),
+  startBefore: z.number(),
   leaseDeadlineMs: z.number().min(0),
   cpus: z.number().min(0),
   memoryMb: z.number().min(0),
@@ -50,7 +58,11 @@
 })
 
 /** Body of a renewal. */
-const leaseSchema = z.object({ fencingToken: z.int().min(0), leaseDeadlineMs: z.number().min(0) })
+const leaseSchema = z.object({
+  taskIds: z.array(z.string()),
+  until: z.number(),
+  fencingToken: z.int().min(0),
+})
 
 /** Body of the other calls on a task. */
 const fencedSchema = z.object({ fencingToken: z.int().min(0) })
@@ -76,6 +88,9 @@
     freeze: false,
     slowMs: 0,
     loseAnswers: 0,
+    loseStarts: 0,
+    loseRenewals: 0,
+    cut: false,
     usageLagMs: 0,
     reject: false,
   }
@@ -97,11 +112,14 @@
       return { status: 200, body: setFaults(JSON.parse(body) as Record<string, unknown>) }
     }
     if (root === 'counters') return { status: 200, body: tasks.counters() }
+    if (root === 'clock') return { status: 200, body: tasks.clock() }
+    if (root === 'leases') return tasks.renew(leaseSchema.parse(JSON.parse(body)))
     if (root !== 'tasks') return { status: 404, body: { error: 'not found' } }
-    if (id === undefined && method === 'GET') return { status: 200, body: { tasks: tasks.list() } }
+    if (id === undefined && method === 'GET') {
+      return { status: 200, body: { tasks: tasks.list(), ...tasks.clock() } }
+    }
     if (id === undefined) return tasks.start(taskSchema.parse(JSON.parse(body)))
     if (method === 'GET') return tasks.get(id)
-    if (action === 'lease') return tasks.renew(id, leaseSchema.parse(JSON.parse(body)))
     if (action === 'throttle') return tasks.throttle(id, throttleSchema.parse(JSON.parse(body)))
     const { fencingToken } = fencedSchema.parse(JSON.parse(body))
     if (action === 'stop') return tasks.stop(id, fencingToken)
@@ -114,6 +132,7 @@
     for await (const chunk of req) chunks.push(chunk as Buffer)
     const path = (req.url ?? '').split('/').slice(1).map(decodeURIComponent)
     const isControl = path[0] === 'faults' || path[0] === 'counters'
+    if (!isControl && faults.cut) return void req.socket.destroy()
     if (!isControl) {
       while (faults.freeze) await sleep(10)
       if (faults.slowMs > 0) await sleep(faults.slowMs)
@@ -124,8 +143,9 @@
     } catch (err) {
       answer = { status: 400, body: { error: String(err) } }
     }
-    if (!isControl && faults.loseAnswers > 0) {
-      faults.loseAnswers -= 1
+    const lost = lostAnswer(faults, req.method, path)
+    if (!isControl && lost !== undefined) {
+      faults[lost] -= 1
       req.socket.destroy()
       return
     }
@@ -163,6 +183,14 @@
   }
 }
 
+/** The switch by which the answer to a call is lost. */
+function lostAnswer(faults: WorkerFaults, method: string | undefined, path: string[]) {
+  if (faults.loseAnswers > 0) return 'loseAnswers'
+  if (path[0] === 'leases' && faults.loseRenewals > 0) return 'loseRenewals'
+  const isStart = method === 'POST' && path[0] === 'tasks' && path[1] === undefined
+  return isStart && faults.loseStarts > 0 ? 'loseStarts' : undefined
+}
+
 /** A running stand-in of a worker. */
 export type WorkerStandin = Awaited<ReturnType<typeof createWorkerStandin>>
 
