fix(upstream-routing): keep "not run" true after an earlier run of the request

A request that moved from an ejected runner, or was retried, got the outcome of its last attempt, and that one was refused before a byte left.

Ruled out: requests that start after the withdrawal; the starts were those of the first attempts.

Change: once an attempt of a request may have run, an error of a later one has the outcome unknown.

The new test covers moves and retries.

--- a/packages/upstream-routing/__tests__/move.test.ts
+++ b/packages/upstream-routing/__tests__/move.test.ts
@@ -145,3 +145,19 @@
     t.ok(log.includes('r1 released'))
   }
 })
+
+void t.test(
+  'guards against "not run" said of a request whose earlier attempt has started',
+  async t => {
+    for (const isMove of [true, false]) {
+      const { state, answered, fail } = setUp()
+      await turn()
+      if (isMove) state.eject()
+      else fail.get('r1')?.(new RequestError('upstream-failed', { outcome: 'unknown' }))
+      await turn()
+      fail.get('r2')?.(new RequestError('key-invalid', { outcome: 'not-run' }))
+      const err: unknown = await answered.catch((thrown: unknown) => thrown)
+      t.match(err, { kind: 'key-invalid', outcome: 'unknown' })
+    }
+  },
+)
--- a/packages/upstream-routing/src/dispatch.ts
+++ b/packages/upstream-routing/src/dispatch.ts
@@ -36,6 +36,7 @@
   const tried = new Set<string>()
   let reservation = first
   let req = opts.req
+  let mayHaveRun = false
   for (;;) {
     const current = reservation
     tried.add(current.runner.id)
@@ -52,7 +53,8 @@
       const next = move.next
         ? afterMove(req, err, current, move.next, runs, opts.clock.now() - began)
         : await retry(opts, req, err, current, tried, runs, opts.clock.now() - began)
-      if (!next) throw err
+      mayHaveRun ||= err.outcome !== 'not-run'
+      if (!next) throw mayHaveRun ? withUnknownOutcome(err) : err
       reservation = next
     } finally {
       move.end()
@@ -60,6 +62,12 @@
   }
 }
 
+/** An earlier run of the request may have started, whatever its last attempt says of itself. */
+function withUnknownOutcome(err: RequestError): RequestError {
+  if (err.outcome !== 'not-run') return err
+  return new RequestError(err.kind, { outcome: 'unknown', message: err.message, cause: err })
+}
+
 /** After a move: the slot of the second run, or undefined when the caller has left as well. */
 function afterMove(
   req: UpstreamRequest,
