--- a/packages/placement/__tests__/worker-left.test.ts
+++ b/packages/placement/__tests__/worker-left.test.ts
@@ -51,7 +51,7 @@
     held: () => ({ token: 1, check: { table: 'duty-fences', key: 'none', version: 0 } }),
   })
   const placement = { job: { ...job, queue }, worker: worker.value, size: job.request }
-  t.same(await rows.claim('lamps', [taskOf(placement, pool, 1)]), [])
+  t.same(await rows.claim('lamps', [taskOf(placement, { pool, token: 1, boot: 'b1' })]), [])
   t.same(await taskRows(), [])
   t.equal((await jobOf(job.id)).state, 'queued')
 })
