docs(config-view,team-limit): correct the reasons of two intervals

Cause: two comments and a sentence of the design page claimed more than holds: late timers shorten the second before a confirmation ends, and the permits duty has a round every second. Ruled out: a shorter limit for the age of the last read, which would return to 500 ms whenever a timer is a little late. Change: wording only. Conclusion: no behaviour changes.

--- a/packages/config-view/src/timing.ts
+++ b/packages/config-view/src/timing.ts
@@ -9,8 +9,8 @@
 
 /**
  * Age up to which a read that confirmed the view shows that the store answers: one interval and
- * the time that a timer may be late. The next unanswered read then returns the exchanges to 500 ms
- * at least 1 s before that confirmation ends.
+ * the time that a timer may be late. An unanswered read then returns the exchanges to 500 ms in the
+ * next round, 1 s before the confirmation ends when the timers are on time.
  */
 export const storeAnswersMs = 750
 
--- a/packages/team-limit/src/holder-registration.ts
+++ b/packages/team-limit/src/holder-registration.ts
@@ -17,7 +17,7 @@
 
 /**
  * Time after a change in which a request is likely, in milliseconds: a request follows the removal
- * of a holder, which is a change, and the reclaimer runs at least every few seconds.
+ * of a holder, which is a change, and the permits duty, which makes it, has a round every second.
  */
 const watchMs = 30_000
 
