--- a/packages/testbed/src/job-fleet.ts
+++ b/packages/testbed/src/job-fleet.ts
@@ -70,6 +70,7 @@
       return bed.entries.findIndex(({ id }) => id === row?.value.holder)
     },
     heal: async () => {
+      for (const { faults } of workers) faults.slowMs = 0
       for (const [n, control] of controls.entries()) {
         control.kill('SIGCONT')
         const entry = bed.entries[n]
--- a/packages/testbed/src/steps/faults.ts
+++ b/packages/testbed/src/steps/faults.ts
@@ -56,6 +56,15 @@
     const { bed } = await world.system()
     bed.table.faults.loseAnswers = { probability: percent / 100, seed: world.spec.seed }
   },
+  'the store loses {int} percent of its answers for {float} second(s)': async (
+    world,
+    percent: number,
+    seconds: number,
+  ) => {
+    const { faults } = (await world.system()).bed.table
+    faults.loseAnswers = { probability: percent / 100, seed: world.spec.seed }
+    endAfter(world, seconds, () => (faults.loseAnswers = { next: 0 }))
+  },
 }
 
 /** Faults of entry hosts and links. */
--- a/packages/testbed/src/steps/jobs.ts
+++ b/packages/testbed/src/steps/jobs.ts
@@ -60,6 +60,9 @@
     if (program === undefined) throw new RangeError(`there is no control program ${n}`)
     await kill(program)
   },
+  'workers answer late by {int} ms': async (world, slowMs: number) => {
+    for (const { faults } of (await fleetOf(world)).workers) faults.slowMs = slowMs
+  },
   'every accepted job was started': async world => {
     const { calls, starts } = await results(world)
     const accepted = calls.filter(({ kind, answer }) => kind === 'jobs' && answer.status === 202)
