test(control): show duties, changes and logs when a killed host is not removed

The reports hold no trace of the cause. Change: the error names the holders of the duties, the changes, what the holders have cleared and the last log lines of the control programs.

--- a/packages/control/__tests__/removed-host.test.ts
+++ b/packages/control/__tests__/removed-host.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap'
 import type { ChangeRow } from '@bulrushbridge/contract'
-import { createHttpTableService } from '@bulrushbridge/store'
+import { createHttpTableService, type DutyRow } from '@bulrushbridge/store'
 import { ledgerTable, type LedgerRow } from '@bulrushbridge/team-limit'
 import { createTestbed, launch, until } from '@bulrushbridge/testbed'
 
@@ -21,18 +21,31 @@
     }),
   )
   t.teardown(() => {
-    for (const program of programs) {
-      if (!t.passing()) t.comment(program.log())
-      program.kill('SIGKILL')
-    }
+    for (const program of programs) program.kill('SIGKILL')
   })
   const holders = async () => {
     const row = await table.read<LedgerRow>(ledgerTable, 'lamps')
     return Object.keys(row?.value.holders ?? {}).map(id => id.split('/')[0])
   }
+  // This test failed in two runs of the whole set without a trace of the cause.
+  const describe = async () => {
+    const duties = await table.scan<DutyRow>('duties')
+    const changes = await table.scan<ChangeRow>('changes')
+    const rows = await table.scan<{ clearedThrough: number }>('permit-holders')
+    return JSON.stringify({
+      duties: duties.map(({ key, value }) => `${key} ${value.holder ?? ''} ${value.token}`),
+      changes: changes.map(({ value }) => value.change.kind),
+      cleared: rows.map(({ key, value }) => `${key} ${value.clearedThrough}`),
+      logs: programs.map(program => program.log().split('\n').slice(-3)),
+    })
+  }
   await until(async () => (await holders()).includes('e3'), removalMs)
   bed.entries[2]?.program.kill('SIGKILL')
-  await until(async () => !(await holders()).includes('e3'), removalMs)
+  await until(async () => !(await holders()).includes('e3'), removalMs).catch(
+    async (cause: unknown) => {
+      throw new Error(`e3 is still listed: ${await describe()}`, { cause })
+    },
+  )
   const changes = (await table.scan<ChangeRow>('changes')).map(row => row.value.change)
   const leaves = changes.filter(change => change.kind === 'member-leave')
   t.same(
