fix(upstream-link): close a connection whose end is being sent

Cause: a reset of a socket whose end is being sent fails with EINVAL in Node 20, emits no 'close' and leaves the handle open (shown with two sockets). Test processes with such handles of the runner stand-in spun until their time limit. Ruled out: closing every connection without a reset. A reset drops bytes that have not been sent, which would otherwise still reach the runner. Change: such a socket is destroyed without a reset. Checked: the new test fails without the rule ('reset EINVAL', then its time limit) and passes with it.

--- a/packages/upstream-link/src/connection.ts
+++ b/packages/upstream-link/src/connection.ts
@@ -59,7 +59,9 @@
   destroy(): void {
     if (this.closed) return
     this.closed = true
-    this.socket?.resetAndDestroy()
+    // While the end of a socket is being sent, a reset fails with EINVAL and leaves its handle open.
+    if (this.socket?.writableEnded === true) this.socket.destroy()
+    else this.socket?.resetAndDestroy()
     this.client.destroy().catch(() => undefined)
     this.#onClosed(this)
   }
