test(admission,fleet): follow the learned wait and the worker's start protocol

Cause: two tests of refusals measured the wait by gaps between starts, which the admission no longer does since, and the test of the host probe started a task without the boot and latest time that workers require since. Change: the requests of the refusal tests now run for a second and end, so that the learned work time makes hint and estimate grow; the assertions are the same. The probe's test reads the worker's clock first and also checks that the task has started.

--- a/packages/admission/__tests__/refusals.test.ts
+++ b/packages/admission/__tests__/refusals.test.ts
@@ -1,7 +1,7 @@
 import { RequestError } from '@bulrushbridge/errors'
 import { createFairQueue } from '@bulrushbridge/team-share'
 import t from 'tap'
-import { createAdmission, type EntryRequest, type StartRefusal } from '../src/index.js'
+import { createAdmission, type EntryRequest, type Start, type StartRefusal } from '../src/index.js'
 
 /** An admission of one team whose slots and permits the test sets. */
 function setup(slots: number) {
@@ -39,18 +39,30 @@
     if (!(err instanceof RequestError)) throw new Error('the request was not refused')
     return err
   }
+  const started: Start<object>[] = []
+  /** Ends a request that has run for a second, so that another one starts. */
+  const endOne = async () => {
+    state.now += 1_000
+    started.shift()?.end()
+    state.free = 1
+    admission.pump('slot')
+    await new Promise(resolve => setImmediate(resolve))
+  }
   /** Queues requests until one is refused. */
   const fill = async (): Promise<RequestError> => {
     const refused: RequestError[] = []
     for (let n = 0; n < 100 && refused.length === 0; n++) {
-      void enter().catch((err: unknown) => refused.push(err as RequestError))
+      void enter().then(
+        start => started.push(start),
+        (err: unknown) => refused.push(err as RequestError),
+      )
       await new Promise(resolve => setImmediate(resolve))
     }
     const [first] = refused
     if (first === undefined) throw new Error('nothing was refused')
     return first
   }
-  return { state, admission, refusalOf, fill }
+  return { state, admission, refusalOf, fill, endOne }
 }
 
 void t.test('guards against refused callers that return at the same moment', async t => {
@@ -73,16 +85,12 @@
 })
 
 void t.test('guards against a hint that does not grow with the wait', async t => {
-  const { state, admission, refusalOf, fill } = setup(1)
+  const { refusalOf, fill, endOne } = setup(1)
   await fill()
   const before = (await refusalOf()).retryAfterMs ?? 0
-  for (let n = 0; n < 2; n++) {
-    state.now += 1_000
-    state.free = 1
-    admission.pump('slot')
-  }
+  for (let n = 0; n < 2; n++) await endOne()
   await fill()
-  t.ok(((await refusalOf()).retryAfterMs ?? 0) > before, 'starts a second apart')
+  t.ok(((await refusalOf()).retryAfterMs ?? 0) > before, 'requests of a second each')
 })
 
 void t.test('guards against a queue in front of no runners', async t => {
@@ -107,13 +115,9 @@
 })
 
 void t.test('guards against requests taken that cannot start in time', async t => {
-  const { state, admission, refusalOf, fill } = setup(1)
+  const { state, refusalOf, fill, endOne } = setup(1)
   await fill()
-  for (let n = 0; n < 2; n++) {
-    state.now += 1_000
-    state.free = 1
-    admission.pump('slot')
-  }
+  for (let n = 0; n < 2; n++) await endOne()
   const err = await refusalOf({ deadline: state.now + 500 })
   t.same([err.kind, err.outcome], ['deadline-too-short', 'not-run'])
 })
--- a/packages/fleet/__tests__/host-probe.test.ts
+++ b/packages/fleet/__tests__/host-probe.test.ts
@@ -1,4 +1,5 @@
 import t from 'tap'
+import type { WorkerClock } from '@bulrushbridge/host'
 import { createRunnerStandin, createWorkerStandin, until } from '@bulrushbridge/standins'
 import { createHostProbe } from '../src/index.js'
 
@@ -28,7 +29,10 @@
   t.ok(await probe.isEmpty(both))
   t.equal(await probe.health(both), 'healthy')
 
-  await fetch(`http://${worker.address}/tasks`, { method: 'POST', body: JSON.stringify(task) })
+  const url = `http://${worker.address}`
+  const { boot, now } = (await (await fetch(`${url}/clock`)).json()) as WorkerClock
+  const body = JSON.stringify({ ...task, boot, startBefore: now + 5_000 })
+  t.equal((await fetch(`${url}/tasks`, { method: 'POST', body })).status, 201)
   t.notOk(await probe.isEmpty(both), 'a task runs')
   t.ok(await probe.isEmpty({ address: runner.address, runners: [runner.address] }))
 
