fix(config-view): settle a membership change once every majority knows it

Cause: packages/control/__tests__/removed-host.test.ts failed in three whole runs. The error of the last one shows it: e3 joined before e2, so the votes before the last change were e1 and e3, the settle rule asked for a majority of these two, and e3 was killed before the membership duty had heard from it. Every later membership change was refused for good. Whether the test failed depended on the order in which e2 and e3 had registered. Ruled out: load (the test passed 10 times at loads of 5 to 35 with the other order), lost duties, permits that are not cleared, an address that another process took over. Change: at least half of the votes must know the previous change, instead of more than half. Of an even number, one half leaves no majority among the others, so a host that missed two changes still meets one that knows the first. Acceptance of changes still asks for a majority.

--- a/packages/config-view/__tests__/config-view.test.ts
+++ b/packages/config-view/__tests__/config-view.test.ts
@@ -134,6 +134,19 @@
   },
 )
 
+// Seen as a killed entry host that stayed registered: it was one of the two hosts before the last
+// join, and the observer that removes vanished hosts had never heard from it.
+void t.test('a host that vanished right after the third one joined can be removed', async t => {
+  const fleet = await registered()
+  fleet.stop('b')
+  const observer = fleet.start('o', ['a', 'c'])
+  await fleet.runUntil(fleet.now + 3_000)
+  const { members } = observer.committed()
+  t.same(Object.keys(members).sort(), ['a', 'b', 'c'])
+  const removal = observer.removeMember('b', members.b?.incarnation ?? '')
+  t.match(await fleet.drive(removal), { accepted: true })
+})
+
 void t.test('a snapshot is written each 100 versions and a new view starts from it', async t => {
   const fleet = await registered()
   for (let i = viewOf(fleet, 'a').committed().version; i < 103; i++) {
--- a/packages/config-view/src/acknowledgements.ts
+++ b/packages/config-view/src/acknowledgements.ts
@@ -1,5 +1,5 @@
 import type { Configuration } from '@bulrushbridge/contract'
-import { isMajority, voteOf, votesOf } from './membership.js'
+import { isMajority, meetsEveryMajority, voteOf, votesOf } from './membership.js'
 
 interface Known {
   version: number
@@ -46,7 +46,16 @@
 
   /** Whether a majority of `votes` acknowledges the condition or has ended. */
   hasMajority(votes: readonly string[], condition: Acknowledged): boolean {
-    return isMajority(new Set([...this.votes(condition), ...this.ended(votes)]), votes)
+    return isMajority(this.#acknowledging(votes, condition), votes)
+  }
+
+  /** Whether no majority of `votes` can be found that neither acknowledges nor has ended. */
+  meetsEveryMajority(votes: readonly string[], condition: Acknowledged): boolean {
+    return meetsEveryMajority(this.#acknowledging(votes, condition), votes)
+  }
+
+  #acknowledging(votes: readonly string[], condition: Acknowledged): Set<string> {
+    return new Set([...this.votes(condition), ...this.ended(votes)])
   }
 
   /** Ids of the registered entry hosts that do and that do not acknowledge the condition. */
--- a/packages/config-view/src/membership.ts
+++ b/packages/config-view/src/membership.ts
@@ -18,6 +18,14 @@
   return all.filter(vote => votes.has(vote)).length > all.length / 2
 }
 
+/**
+ * Whether every majority of `all` contains one of `votes`; never true of an empty set. Of an even
+ * number one half is enough, which leaves no majority among the others.
+ */
+export function meetsEveryMajority(votes: ReadonlySet<string>, all: readonly string[]): boolean {
+  return all.length > 0 && all.filter(vote => votes.has(vote)).length >= all.length / 2
+}
+
 /** Whether a change alters the set of registered entry hosts. */
 export function isMembershipChange(
   change: Change,
--- a/packages/config-view/src/propose.ts
+++ b/packages/config-view/src/propose.ts
@@ -116,9 +116,10 @@
 }
 
 /**
- * The settle rule: the previous membership change must be known to a majority of the entry hosts
- * before and after it. Otherwise a host that missed two changes could find a majority of hosts
- * that missed them too.
+ * The settle rule: the previous membership change must be known to one entry host of every majority
+ * of those before and after it. Otherwise a host that missed two changes could find a majority of
+ * hosts that missed them too. Asking for a majority itself would refuse every later change when one
+ * of two hosts vanishes right after a third has joined.
  */
 async function checkMembership(
   view: View,
@@ -130,11 +131,11 @@
   if (change.kind === 'member-join' && !view.isConfirmed()) throw new RequestError('view-expired')
   const holds = (known: { version: number }) => known.version >= head.membership.version
   const sets = [head.membership.previous, votesOf(view.committed())].filter(set => set.length > 0)
-  const isSettled = () => sets.every(set => view.acknowledgements.hasMajority(set, holds))
+  const isSettled = () => sets.every(set => view.acknowledgements.meetsEveryMajority(set, holds))
   if (!isSettled()) await meet(view, deadline, isSettled)
   if (isSettled()) return
   throw new RequestError('version-conflict', {
-    message: 'The previous membership change is not yet known to a majority of the entry hosts.',
+    message: 'The previous membership change is not yet known to enough of the entry hosts.',
   })
 }
 
--- a/packages/control/__tests__/removed-host.test.ts
+++ b/packages/control/__tests__/removed-host.test.ts
@@ -27,7 +27,6 @@
     const row = await table.read<LedgerRow>(ledgerTable, 'lamps')
     return Object.keys(row?.value.holders ?? {}).map(id => id.split('/')[0])
   }
-  // This test failed in two runs of the whole set without a trace of the cause.
   const describe = async () => {
     const duties = await table.scan<DutyRow>('duties')
     const changes = await table.scan<ChangeRow>('changes')
--- a/packages/testbed/src/scenario-system.ts
+++ b/packages/testbed/src/scenario-system.ts
@@ -110,14 +110,24 @@
   recorder.clear()
 }
 
+/** Zones that some entry host takes for out of service, provisionally or by its configuration. */
+async function zonesOutAnywhere({ bed }: ScenarioSystem): Promise<Set<string>> {
+  const answers = await Promise.all(bed.entries.map((_, n) => bed.operator(n).get('status')))
+  return new Set(answers.flatMap(({ body }) => body.zonesOut as string[]))
+}
+
 /** Brings zones back and grants new keys for withdrawn ones. */
 async function restoreConfiguration(system: ScenarioSystem): Promise<void> {
   const { bed, keys, withdrawn } = system
   const operator = bed.operator()
-  const status = await operator.get('status')
-  for (const zone of status.body.zonesOut as string[]) {
-    await until(async () => (await operator.post(`zones/${zone}/back`)).status === 200)
-  }
+  // A host that was cut off may still hold or commit a restriction, so all are asked each time.
+  await until(async () => {
+    const zones = await zonesOutAnywhere(system).catch(() => undefined)
+    for (const zone of zones ?? []) {
+      await operator.post(`zones/${zone}/back`).catch(() => undefined)
+    }
+    return zones?.size === 0
+  })
   for (const team of withdrawn) {
     const id = `${team}-${Number(keys[team]?.id.split('-')[1]) + 1}`
     const { key, digest } = generateKey(id)
