refactor(store,placement,fleet,control): share the paged scan and the check for a lost fence

Cause: placement and fleet each had a loop over the pages of a table, and these two and the fenced table of control each had a check whether a transaction failed by its fence. The fleet duty also read a pool's tasks in one scan without a limit. Ruled out: one class for fenced writes. The three callers throw different errors and treat a lost race differently. Change: scanAll() and hasFenceFailed() in store; the fleet duty reads tasks by pages too.

--- a/packages/control/src/fenced-table.ts
+++ b/packages/control/src/fenced-table.ts
@@ -1,4 +1,4 @@
-import { StoreError, type HeldDuty, type TableService } from '@bulrushbridge/store'
+import { hasFenceFailed, StoreError, type HeldDuty, type TableService } from '@bulrushbridge/store'
 
 /**
  * A table service whose transactions all check the duty's fence, for code that does not know of
@@ -19,10 +19,7 @@
       const check = held()?.check
       if (check === undefined) throw new StoreError('the duty is not held')
       const result = await table.commit({ ...tx, checks: [...tx.checks, check] }, opts)
-      const isFenced =
-        !result.committed &&
-        result.failed.some(failed => failed.table === check.table && failed.key === check.key)
-      if (isFenced) throw new StoreError('the duty was taken over')
+      if (hasFenceFailed(result, check)) throw new StoreError('the duty was taken over')
       return result
     },
     close: () => Promise.resolve(),
--- a/packages/fleet/src/fleet-rows.ts
+++ b/packages/fleet/src/fleet-rows.ts
@@ -1,4 +1,12 @@
-import type { Check, HeldDuty, Row, TableService, Write } from '@bulrushbridge/store'
+import {
+  hasFenceFailed,
+  scanAll,
+  type Check,
+  type HeldDuty,
+  type Row,
+  type TableService,
+  type Write,
+} from '@bulrushbridge/store'
 import {
   fleetHostsTable,
   fleetZonesTable,
@@ -7,9 +15,6 @@
   type FleetZoneRow,
 } from './rows.js'
 
-/** Rows read by one scan. */
-const pageRows = 500
-
 /** The duty's lease has ended; its former holder changes nothing. */
 export class FleetDutyLostError extends Error {
   override readonly name = 'FleetDutyLostError'
@@ -38,9 +43,10 @@
 
   /** Reads all rows. A round starts with it, because a write without an answer may have taken effect. */
   async load(): Promise<void> {
+    const { table } = this.#opts
     const [hosts, zones] = await Promise.all([
-      this.#scan<FleetHostRow>(fleetHostsTable),
-      this.#scan<FleetZoneRow>(fleetZonesTable),
+      scanAll<FleetHostRow>(table, fleetHostsTable),
+      scanAll<FleetZoneRow>(table, fleetZonesTable),
     ])
     this.#hosts = new Map(hosts.map(row => [row.key, row]))
     this.#zones = new Map(zones.map(row => [row.key, row]))
@@ -88,21 +94,7 @@
     if (fence === undefined) throw new FleetDutyLostError('the fleet duty is not held')
     const result = await this.#opts.table.commit({ checks: [fence, check], writes })
     if (result.committed) return
-    const isFenced = result.failed.some(
-      ({ table, key }) => table === fence.table && key === fence.key,
-    )
-    if (isFenced) throw new FleetDutyLostError('the fleet duty was taken over')
+    if (hasFenceFailed(result, fence)) throw new FleetDutyLostError('the fleet duty was taken over')
     throw new FleetRowChangedError(`the row ${check.table}/${check.key} has changed`)
   }
-
-  async #scan<T>(table: string): Promise<Row<T>[]> {
-    const found: Row<T>[] = []
-    for (let from = ''; ;) {
-      const rows = await this.#opts.table.scan<T>(table, { from, limit: pageRows })
-      found.push(...rows)
-      const last = rows.at(-1)
-      if (rows.length < pageRows || last === undefined) return found
-      from = `${last.key}\0`
-    }
-  }
 }
--- a/packages/fleet/src/host-round.ts
+++ b/packages/fleet/src/host-round.ts
@@ -1,5 +1,6 @@
 import { poolRange, tasksTable, type TaskRow } from '@bulrushbridge/host'
 import { poolAfterMaintenance } from '@bulrushbridge/maintenance'
+import { scanAll } from '@bulrushbridge/store'
 import { roundStart } from './fleet-configuration.js'
 import type { FleetTerm } from './fleet-term.js'
 import { nextStep } from './host-steps.js'
@@ -49,7 +50,8 @@
   waiting: readonly FleetHostRow[],
 ): Promise<Set<string>> {
   const pools = new Set(waiting.flatMap(row => (row.state === 'draining' ? row.pool : [])))
-  const scans = [...pools].map(pool => term.opts.table.scan<TaskRow>(tasksTable, poolRange(pool)))
+  const { table } = term.opts
+  const scans = [...pools].map(pool => scanAll<TaskRow>(table, tasksTable, poolRange(pool)))
   return new Set((await Promise.all(scans)).flat().map(({ value }) => value.worker))
 }
 
--- a/packages/placement/src/task-rows.ts
+++ b/packages/placement/src/task-rows.ts
@@ -8,16 +8,22 @@
   type WorkerRow,
 } from '@bulrushbridge/host'
 import { jobsTable, jobTransition, type Job } from '@bulrushbridge/jobs'
-import type { Check, HeldDuty, Row, TableService, Transaction, Write } from '@bulrushbridge/store'
+import {
+  hasFenceFailed,
+  scanAll,
+  type Check,
+  type HeldDuty,
+  type Row,
+  type TableService,
+  type Transaction,
+  type Write,
+} from '@bulrushbridge/store'
 import type { TaskPermits } from '@bulrushbridge/team-limit'
 import { jobAfterTask, type JobAfterTask, type TaskEnd } from './task-end.js'
 
 /** Attempts of a transaction whose rows keep changing; the ledger row is shared with entry hosts. */
 const maxAttempts = 8
 
-/** Rows read by one scan. */
-const pageRows = 500
-
 /** What the transactions of one placement duty work on. */
 export interface TaskRowsOptions {
   table: TableService
@@ -41,15 +47,8 @@
 
   /** All tasks of the pool. */
   async load(): Promise<TaskRow[]> {
-    const tasks: TaskRow[] = []
-    const { to, ...start } = poolRange(this.#opts.pool)
-    for (let { from } = start; ;) {
-      const rows = await this.#opts.table.scan<TaskRow>(tasksTable, { from, to, limit: pageRows })
-      tasks.push(...rows.map(row => row.value))
-      const last = rows.at(-1)
-      if (rows.length < pageRows || last === undefined) return tasks
-      from = `${last.key}\0`
-    }
+    const rows = await scanAll<TaskRow>(this.#opts.table, tasksTable, poolRange(this.#opts.pool))
+    return rows.map(({ value }) => value)
   }
 
   /**
@@ -168,10 +167,7 @@
     if (fence === undefined) throw new DutyLostError('the placement duty is not held')
     const result = await this.#opts.table.commit({ ...tx, checks: [...tx.checks, fence] })
     if (result.committed) return true
-    const isFenced = result.failed.some(({ table, key }) => {
-      return table === fence.table && key === fence.key
-    })
-    if (isFenced) throw new DutyLostError('the placement duty was taken over')
+    if (hasFenceFailed(result, fence)) throw new DutyLostError('the placement duty was taken over')
     return false
   }
 }
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,4 +1,5 @@
 export { createDuty, type Duty, type DutyOptions, type DutyRow, type HeldDuty } from './duty.js'
+export { hasFenceFailed } from './fence-failed.js'
 export {
   createGroupCommitter,
   type Committer,
@@ -7,6 +8,7 @@
 } from './group-committer.js'
 export { createHttpObjectStore } from './http-object-store.js'
 export { createHttpTableService, type HttpTableServiceOptions } from './http-table-service.js'
+export { scanAll } from './scan-all.js'
 export { StoreError } from './store-error.js'
 export type {
   CallOptions,
