refactor(team-keys,cli,testbed): generate operators' credentials in one place

Cause: the command line and the testbed each made a credential and its digest. Change: generateOperatorCredential() in team-keys serves both; the length of the secret stands once.

--- a/packages/cli/src/offline.ts
+++ b/packages/cli/src/offline.ts
@@ -1,4 +1,3 @@
-import { createHash, randomBytes } from 'node:crypto'
 import { readFileSync } from 'node:fs'
 import {
   applyChange,
@@ -11,7 +10,10 @@
   type DocumentFault,
   type EntryChange,
 } from '@bulrushbridge/contract'
-import { generateKey as generateTeamKey } from '@bulrushbridge/team-keys'
+import {
+  generateKey as generateTeamKey,
+  generateOperatorCredential,
+} from '@bulrushbridge/team-keys'
 import { CommandError } from './command-error.js'
 import { cell, formatTable } from './table.js'
 
@@ -22,9 +24,6 @@
   exit?: 'partial'
 }
 
-/** Random bytes of an operator's secret. */
-const secretBytes = 32
-
 /** Ids that entry hosts accept in keys and credentials. */
 const idPattern = /^[a-z][a-z0-9-]{0,62}$/
 
@@ -95,7 +94,7 @@
       `'${name}' cannot be an id; use lower-case letters, digits and hyphens.`,
     )
   }
-  const { key, digest } = kind === 'team' ? generateTeamKey(name) : generateCredential(name)
+  const { key, digest } = kind === 'team' ? generateTeamKey(name) : operatorKey(name)
   const text = formatTable(
     ['field', 'value'],
     [
@@ -106,7 +105,7 @@
   return { text: `${text}\nThe key is shown only once.`, json: { name, key, digest } }
 }
 
-function generateCredential(name: string): { key: string; digest: string } {
-  const key = `blro_${name}_${randomBytes(secretBytes).toString('base64url')}`
-  return { key, digest: createHash('sha256').update(key).digest('hex') }
+function operatorKey(name: string): { key: string; digest: string } {
+  const { credential, digest } = generateOperatorCredential(name)
+  return { key: credential, digest }
 }
--- a/packages/team-keys/src/generate-key.ts
+++ b/packages/team-keys/src/generate-key.ts
@@ -1,7 +1,7 @@
 import { createHash, randomBytes } from 'node:crypto'
 
-/** Bytes of randomness in a generated key; 32 bytes are 43 base64 characters. */
-const secretBytes = 32
+/** Bytes of randomness in a generated key or credential; 32 bytes are 43 base64 characters. */
+export const secretBytes = 32
 
 const idPattern = /^[a-z][a-z0-9-]{0,62}$/
 
@@ -12,7 +12,7 @@
   digest: string
 }
 
-/** SHA-256 of a whole key. */
+/** SHA-256 of a whole key or credential. */
 export function digestOf(key: string): Buffer {
   return createHash('sha256').update(key).digest()
 }
--- a/packages/team-keys/src/index.ts
+++ b/packages/team-keys/src/index.ts
@@ -1,2 +1,6 @@
 export { generateKey, type GeneratedKey } from './generate-key.js'
+export {
+  generateOperatorCredential,
+  type GeneratedCredential,
+} from './generate-operator-credential.js'
 export { createKeyring, type Keyring, type KeyringOptions, type KeyOwner } from './keyring.js'
--- a/packages/testbed/src/index.ts
+++ b/packages/testbed/src/index.ts
@@ -4,7 +4,6 @@
 export { createLoopback, type Loopback } from './loopback.js'
 export { createOperator, type Operator, type OperatorAnswer } from './operator.js'
 export {
-  createOperatorCredential,
   createSampleDocument,
   type SampleDocument,
   type SampleDocumentOptions,
--- a/packages/testbed/src/sample-document.ts
+++ b/packages/testbed/src/sample-document.ts
@@ -1,5 +1,4 @@
-import { generateKey } from '@bulrushbridge/team-keys'
-import { createHash, randomBytes } from 'node:crypto'
+import { generateKey, generateOperatorCredential } from '@bulrushbridge/team-keys'
 import { stringify } from 'yaml'
 
 /** A runner as the document lists it. */
@@ -40,12 +39,6 @@
   data: Record<string, unknown>
 }
 
-/** An operator's credential and its digest. */
-export function createOperatorCredential(name: string): { credential: string; digest: string } {
-  const credential = `blro_${name}_${randomBytes(32).toString('base64url')}`
-  return { credential, digest: createHash('sha256').update(credential).digest('hex') }
-}
-
 /**
  * Creates a small document for tests. The key of team `lamps` has the id `lamps-1`, its queue is
  * `lamps`, the open queue is `open`, the job queue of the pool `batch` is `lamps-jobs`.
@@ -54,7 +47,7 @@
  * const sample = createSampleDocument({ zones: ['a', 'b'], teams, runners })
  */
 export function createSampleDocument(opts: SampleDocumentOptions): SampleDocument {
-  const operator = createOperatorCredential('ops')
+  const operator = generateOperatorCredential('ops')
   const generated = opts.teams.map(({ name }) => ({ team: name, ...generateKey(`${name}-1`) }))
   const data = {
     environment: 'test',
