refactor(bench,team-limit): use the seeded generator of the stand-ins

Cause: the same generator stood four times. The one of bench/permits.ts is another one and stays, as its draws would change. Change: seededRandom() serves all of them.

--- a/bench/policy-fleet.ts
+++ b/bench/policy-fleet.ts
@@ -1,5 +1,6 @@
 import { readFileSync } from 'node:fs'
 import { parseEnvironment, type EnvironmentDocument } from '../packages/contract/src/index.js'
+import { seededRandom } from '../packages/standins/src/index.js'
 import { budgetsOf, type FleetHost, type ServiceBudget } from '../packages/host-pools/src/index.js'
 
 export type User = 'lumenfit' | 'kivikoja'
@@ -20,17 +21,6 @@
 export const stepMs = 10_000
 const hourMs = 3_600_000
 
-/** Mulberry32. */
-export function random(seed: number): () => number {
-  let state = seed | 0
-  return () => {
-    state = (state + 0x6d2b79f5) | 0
-    let x = Math.imul(state ^ (state >>> 15), 1 | state)
-    x = (x + Math.imul(x ^ (x >>> 7), 61 | x)) ^ x
-    return ((x ^ (x >>> 14)) >>> 0) / 4_294_967_296
-  }
-}
-
 /** Fleet of a user's example document: one host per runner. */
 export function settingOf(user: User): Setting {
   const text = readFileSync(`packages/contract/examples/${user}.yaml`, 'utf8')
@@ -70,7 +60,7 @@
   pools: readonly string[],
   seed: number,
 ): (step: number) => Map<string, number> {
-  const rng = random(seed)
+  const rng = seededRandom(seed)
   const bursting: string[] = []
   let turn = 0
   return step => {
@@ -97,7 +87,7 @@
   seed: number,
   factor: number,
 ): () => string[] {
-  const rng = random(seed)
+  const rng = seededRandom(seed)
   const perStep = (factor * stepMs) / hourMs
   const racks = [...new Set(hosts.map(({ rack }) => rack))]
   const pick = <T>(list: readonly T[]) => list[Math.floor(rng() * list.length)]
--- a/bench/policy-run.ts
+++ b/bench/policy-run.ts
@@ -1,8 +1,9 @@
+import { seededRandom } from '../packages/standins/src/index.js'
 import { isReturned, mayEndLoans } from '../packages/zone-withdrawal/src/index.js'
 import { createAccount, type Account } from './policy-account.js'
 import { hourMs, minuteMs, outMs, windowMs, type PolicyContext } from './policy-context.js'
 import { maintain, moveHosts, progress } from './policy-decisions.js'
-import { failures, random, stepMs, type Setting } from './policy-fleet.js'
+import { failures, stepMs, type Setting } from './policy-fleet.js'
 import { createState } from './policy-state.js'
 import type { Policy, RunResult } from './policy-types.js'
 import { bringBack, withdraw } from './policy-zone.js'
@@ -42,7 +43,7 @@
 
 function createContext(setting: Setting, policy: Policy, seed: number): PolicyContext {
   const state = createState(setting, seed * 7 + 1)
-  const rng = random(seed * 7 + 5)
+  const rng = seededRandom(seed * 7 + 5)
   const zone = setting.doc.zones[Math.floor(rng() * setting.doc.zones.length)] ?? ''
   return {
     setting,
--- a/bench/policy-service.ts
+++ b/bench/policy-service.ts
@@ -1,6 +1,7 @@
+import { seededRandom } from '../packages/standins/src/index.js'
 import { hostsForZoneLoss } from '../packages/host-pools/src/index.js'
 import { allocate, type Allocation } from '../packages/team-share/src/index.js'
-import { random, type Setting } from './policy-fleet.js'
+import { type Setting } from './policy-fleet.js'
 
 /** How a pool's slots are divided over teams. */
 export type Division = 'shares' | 'demand'
@@ -34,7 +35,7 @@
 /** Serves demand in slots and keeps the backlog per pool; the teams' parts vary with each burst. */
 export function createService(setting: Setting, division: Division, seed: number): Service {
   const { doc } = setting
-  const rng = random(seed)
+  const rng = seededRandom(seed)
   const shares = new Map(doc.teams.map(({ name, share }) => [name, share]))
   const limits = new Map(doc.teams.map(({ name, limit }) => [name, limit]))
   const sizes = new Map(doc.services.map(({ pool, runners }) => [pool, runners.length]))
--- a/bench/policy-state.ts
+++ b/bench/policy-state.ts
@@ -1,3 +1,4 @@
+import { seededRandom } from '../packages/standins/src/index.js'
 import {
   moveHost,
   poolMargin,
@@ -7,7 +8,7 @@
   type HostRow,
 } from '../packages/host-pools/src/index.js'
 import { drainDeadline, type WaveHost } from '../packages/maintenance/src/index.js'
-import { random, type Setting } from './policy-fleet.js'
+import { type Setting } from './policy-fleet.js'
 
 const minuteMs = 60_000
 const maintenanceMs = 20 * minuteMs
@@ -49,7 +50,7 @@
 }
 
 export function createState(setting: Setting, seed: number): FleetState {
-  const rng = random(seed)
+  const rng = seededRandom(seed)
   const rows = new Map<string, HostRow>(setting.hosts.map(h => [h.id, { version: 1, host: h }]))
   const waits = new Map<string, Wait>()
   const state: FleetState = {
--- a/bench/share-and-burst.ts
+++ b/bench/share-and-burst.ts
@@ -1,3 +1,4 @@
+import { seededRandom } from '../packages/standins/src/index.js'
 import {
   createAdmission,
   type Admission,
@@ -75,18 +76,8 @@
   exchange: () => void
 }
 
-function random(seed: number): () => number {
-  let state = seed | 0
-  return () => {
-    state = (state + 0x6d2b79f5) | 0
-    let mixed = Math.imul(state ^ (state >>> 15), 1 | state)
-    mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32
-  }
-}
-
 async function run(opts: Options): Promise<Outcome> {
-  const rng = random(opts.seed)
+  const rng = seededRandom(opts.seed)
   const events = new IndexedHeap<{ at: number; seq: number; act: () => void }>(
     (a, b) => a.at < b.at || (a.at === b.at && a.seq < b.seq),
   )
--- a/packages/team-limit/__tests__/fleet.ts
+++ b/packages/team-limit/__tests__/fleet.ts
@@ -1,3 +1,4 @@
+import { seededRandom } from '@bulrushbridge/standins'
 import { StoreError, type Row, type TableService, type Transaction } from '@bulrushbridge/store'
 import {
   createPermitReclaimer,
@@ -18,17 +19,6 @@
 /** A host that cannot confirm its view is removed after this; the confirmation lasts 2 s. */
 const removalMs = 4_000
 
-/** Small deterministic generator (mulberry32). */
-export function createRng(seed: number): () => number {
-  let state = seed | 0
-  return () => {
-    state = (state + 0x6d2b79f5) | 0
-    let x = Math.imul(state ^ (state >>> 15), 1 | state)
-    x = (x + Math.imul(x ^ (x >>> 7), 61 | x)) ^ x
-    return ((x ^ (x >>> 14)) >>> 0) / 4_294_967_296
-  }
-}
-
 export interface Host {
   id: string
   incarnation: string
@@ -84,7 +74,7 @@
   readonly #confirmation: boolean
 
   constructor(opts: FleetOptions) {
-    this.rng = createRng(opts.seed)
+    this.rng = seededRandom(opts.seed)
     this.loss = opts.loss
     this.#confirmation = opts.confirmation ?? true
     this.#commitConfiguration(opts.limit)
--- a/packages/team-limit/__tests__/moved-demand.test.ts
+++ b/packages/team-limit/__tests__/moved-demand.test.ts
@@ -2,7 +2,8 @@
 import { LenderChoice } from '../src/lender-choice.js'
 import { TeamAccount } from '../src/team-account.js'
 import type { PermitContext } from '../src/team-permits.js'
-import { createRng, Fleet, team } from './fleet.js'
+import { seededRandom } from '@bulrushbridge/standins'
+import { Fleet, team } from './fleet.js'
 
 const limit = 18
 const hosts = 9
@@ -53,7 +54,7 @@
   const state = { now: 0 }
   const members = new Map(Array.from({ length: 9 }, (_, i) => [i === 8 ? 'o' : `p${i}`, 'i']))
   const clock = { now: () => state.now }
-  const ctx = { member: 'o', members, clock, rng: createRng(seed) } as unknown as PermitContext
+  const ctx = { member: 'o', members, clock, rng: seededRandom(seed) } as unknown as PermitContext
   const account = new TeamAccount()
   account.owners = [...members.keys()].map(id => `${id}/i`)
   const choice = new LenderChoice(ctx)
