--- a/packages/entry/src/service-path.ts
+++ b/packages/entry/src/service-path.ts
@@ -3,7 +3,7 @@
 import { RequestError, type Clock } from '@bulrushbridge/errors'
 import type { Permit, TeamPermits } from '@bulrushbridge/team-limit'
 import { createFairQueue, createFleetShare, type FleetShare } from '@bulrushbridge/team-share'
-import { failSpan, formatTraceparent, type Tracing } from '@bulrushbridge/telemetry'
+import type { Tracing } from '@bulrushbridge/telemetry'
 import {
   createRunnerLinks,
   type UpstreamAnswer,
@@ -15,12 +15,12 @@
   dispatch,
   divideRunners,
   requestsPerRunner,
-  type AttemptTrace,
   type Reservation,
   type Router,
   type RoutingDecision,
 } from '@bulrushbridge/upstream-routing'
 import type { PoolDemand } from './peer-load.js'
+import { traceAttempt } from './trace-attempt.js'
 
 /** Interval of the recomputation of this entry host's part of the slots, in milliseconds. */
 const shareUpdateMs = 100
@@ -186,7 +186,7 @@
           clock,
           reservation: slot,
           takePermit,
-          startAttempt: runner => this.#startAttempt(runner, sent.traceparent),
+          startAttempt: runner => traceAttempt(tracing, runner, sent.traceparent),
         })
         void settled.then(giveBack)
         return answer
@@ -194,19 +194,6 @@
     }
   }
 
-  #startAttempt(runner: string, traceparent: string | undefined): AttemptTrace | undefined {
-    const span = this.#opts.tracing.startSampled('client', 'upstream', traceparent)
-    if (span === undefined) return undefined
-    span.setAttribute('bulrush.runner', runner)
-    return {
-      traceparent: formatTraceparent(span),
-      end: errorKind => {
-        if (errorKind === undefined) span.end()
-        else failSpan(span, errorKind)
-      },
-    }
-  }
-
   configure(cfg: Configuration): void {
     const service = cfg.services[this.#service.name]
     if (service === undefined) return
