feat(platform,scheduler,dispatcher,job-front): serve jobs on the users' platform

Change: platform/ decodes the wire; every host accepts jobs into the store by one transaction; the holder of one lease places all tasks. Each transaction of the holder replaces the head row of its part, so a late one fails. The server for callers moves to a package of its own, used by both programs.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,7 +1,7 @@
 import tseslint from 'typescript-eslint'
 
 export default tseslint.config(
-  { ignores: ['dist/**', '.tap/**', 'packages/wire/src/gen/**', 'node_modules/**'] },
+  { ignores: ['dist/**', 'target/**', '.tap/**', 'packages/wire/src/gen/**', 'node_modules/**'] },
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
   {
--- a/packages/entry/__tests__/caller-server.test.ts
+++ b/packages/caller-server/__tests__/caller-server.test.ts
@@ -10,17 +10,18 @@
     host: '127.0.0.1',
     port: 0,
     nextRequestId: () => 'id',
-    call: (req, res) => {
-      const end = res.end.bind(res)
-      res.end = ((...args: Parameters<typeof end>) => {
-        ends.push(req.url ?? '')
-        return end(...args)
-      }) as typeof res.end
-      if (req.url?.endsWith('/fails')) return Promise.reject(new RequestError('queue-full'))
-      res.end('done')
-      return Promise.resolve()
+    routes: {
+      '/queues/:queue/call/**': (req, res) => {
+        const end = res.end.bind(res)
+        res.end = ((...args: Parameters<typeof end>) => {
+          ends.push(req.url ?? '')
+          return end(...args)
+        }) as typeof res.end
+        if (req.url?.endsWith('/fails')) return Promise.reject(new RequestError('queue-full'))
+        res.end('done')
+        return Promise.resolve()
+      },
     },
-    jobs: () => Promise.reject(new RequestError('unknown-path')),
     onError: () => undefined,
   })
   t.teardown(() => server.close())
--- a/packages/entry/src/caller-server.ts
+++ b/packages/caller-server/src/caller-server.ts
@@ -32,10 +32,8 @@
   host: string
   port: number
   nextRequestId: () => string
-  /** Requests to `/queues/{queue}/call/...`. */
-  call: CallerHandler
-  /** Requests to `/queues/{queue}/jobs...`. */
-  jobs: CallerHandler
+  /** Handlers by pattern of the path; other paths are answered with `unknown-path`. */
+  routes: Record<string, CallerHandler>
   /** Told of each failed request. */
   onError: (err: RequestError, req: IncomingMessage, requestId: string) => void
 }
@@ -56,7 +54,8 @@
  * Serves callers.
  *
  * @example
- * const server = await createCallerServer({ host, port, nextRequestId, call, jobs, onError })
+ * const routes = { '/queues/:queue/call/**': handleCall }
+ * const server = await createCallerServer({ host, port, nextRequestId, routes, onError })
  */
 export async function createCallerServer(opts: CallerServerOptions): Promise<CallerServer> {
   const inProgress = new Set<ServerResponse>()
@@ -88,11 +87,8 @@
       return new Promise(() => undefined)
     }
   const app = new H3()
-  app.all('/queues/:queue/call/**', route(opts.call))
-  app.all('/queues/:queue/call', route(opts.call))
-  app.all('/queues/:queue/jobs/**', route(opts.jobs))
-  app.all('/queues/:queue/jobs', route(opts.jobs))
-  app.all('/**', route(notFound))
+  for (const [pattern, handler] of Object.entries(opts.routes)) app.all(pattern, route(handler))
+  if (!('/**' in opts.routes)) app.all('/**', route(notFound))
   const server = createServer(
     {
       maxHeaderSize: maxHeaderBytes,
--- /dev/null
+++ b/packages/dispatcher/src/index.ts
@@ -0,0 +1,6 @@
+export {
+  createDispatcher,
+  type Dispatcher,
+  type DispatcherOptions,
+  type DispatcherTiming,
+} from './dispatcher.js'
--- /dev/null
+++ b/packages/dispatcher/src/runner-session.ts
@@ -0,0 +1,491 @@
+import {
+  addAmounts,
+  type Amounts,
+  type CallResult,
+  type ListedEnd,
+  type OrderAnswer,
+  type RunnerApi,
+  type RunnerEntry,
+  type RunnerReport,
+} from '@bulrushbridge/scheduler'
+import { wait } from '@bulrushbridge/store'
+import type { Logger } from '@bulrushbridge/telemetry'
+import { occupantKey, type Occupant } from './occupant.js'
+import { createRunnerClock } from './runner-clock.js'
+
+/** Pause after a look that failed, in milliseconds. */
+const failedLookPauseMs = 150
+
+/** A failed look does not say more than this often. */
+const idleCheckMs = 60_000
+
+/** Time for which ends are waited to be stored before the lease is renewed without them. */
+const storeWaitMs = 400
+
+/** Pause between looks while ends cannot be acknowledged, in milliseconds. */
+const unstoredPauseMs = 250
+
+/** Pause before an order without a known result is repeated, in milliseconds. */
+const orderRetryPauseMs = 60
+
+/** Attempts of a start before it is taken back by a stop. */
+const startAttempts = 3
+
+/** Why a run is over without an end that its runner listed. */
+export type DeathCause = 'reborn' | 'lease-ended' | 'vanished' | 'not-started' | 'machine-gone'
+
+/** What a session tells its dispatcher. */
+export interface SessionEvents {
+  /** A runner listed an end; resolves when it is stored and may be acknowledged. */
+  onEnd(session: RunnerSession, end: ListedEnd, occupant: Occupant | undefined): Promise<void>
+  /** A run is over without a listed end. */
+  onDeath(session: RunnerSession, occupant: Occupant, cause: DeathCause): void
+  /** A runner lists a run that is not expected there. */
+  onStranger(session: RunnerSession, name: string, run: number): Occupant
+  /** Room, reachability or readiness changed. */
+  onChange(session: RunnerSession): void
+  /** The runner knows a later dispatcher. */
+  onFenced(): void
+  /** A run has been confirmed by its runner. */
+  onConfirmed(session: RunnerSession, occupant: Occupant): void
+  /** Occupancy changed by `times` (1 or -1) of the occupant. */
+  onOccupancy(occupant: Occupant, times: 1 | -1): void
+}
+
+/** Options of {@link createRunnerSession}. */
+export interface RunnerSessionOptions {
+  id: string
+  /** Undefined for a runner that is not registered and may still run something. */
+  entry: RunnerEntry | undefined
+  fence: number
+  /** Lease given at each look, in milliseconds. */
+  leaseMs: number
+  /** How long a look waits for an end, in milliseconds. */
+  lookWaitMs: number
+  /** When leases that earlier dispatchers gave have ended for certain. */
+  assumedLeaseEnd: number
+  createRunner: (opts: { address: string; runnerId: string }) => RunnerApi
+  events: SessionEvents
+  log: Logger
+}
+
+/** Starts the session of one runner. */
+export function createRunnerSession(opts: RunnerSessionOptions): RunnerSession {
+  return new RunnerSession(opts)
+}
+
+/**
+ * One runner as the dispatcher knows it: what occupies it, its lease, and the looks that renew the
+ * lease and collect ends. One task looks at the runner for as long as something may run there.
+ */
+export class RunnerSession {
+  readonly id: string
+  readonly occupants = new Map<string, Occupant>()
+  readonly free: Amounts = { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
+  /** The machine is to have its upkeep or leave the pool, so nothing new starts. */
+  isClosing = false
+  /** Since when looks have failed; undefined while they succeed. */
+  suspectSince: number | undefined
+  readonly #opts: RunnerSessionOptions
+  readonly #closing = new AbortController()
+  readonly #clock: ReturnType<typeof createRunnerClock>
+  readonly #running: Promise<void>
+  #entry: RunnerEntry | undefined
+  #isRegistered: boolean
+  #api: RunnerApi | undefined
+  #bornAt: number | undefined
+  /** Highest end taken in, and highest that is stored. */
+  #processed = 0
+  #stored = 0
+  /** The runner has answered with this term's fence. */
+  #isReconciled = false
+  /** The next look must acknowledge nothing, because the runner may have begun anew. */
+  #needsFreshLook = true
+  #wake: (() => void) | undefined
+
+  constructor(opts: RunnerSessionOptions) {
+    this.#opts = opts
+    this.id = opts.id
+    this.#entry = opts.entry
+    this.#isRegistered = opts.entry !== undefined
+    this.#clock = createRunnerClock(opts.assumedLeaseEnd)
+    if (opts.entry !== undefined) this.#connect(opts.entry)
+    this.#running = Promise.resolve().then(() => this.#run())
+  }
+
+  get entry(): RunnerEntry | undefined {
+    return this.#entry
+  }
+
+  get isRegistered(): boolean {
+    return this.#isRegistered
+  }
+
+  get rack(): string {
+    return this.#entry?.labels.find(label => label !== this.#entry?.labels[0]) ?? ''
+  }
+
+  get bornAt(): number {
+    return this.#bornAt ?? this.#entry?.bornAt ?? 0
+  }
+
+  /** Whether new runs may start, as far as the runner itself is concerned. */
+  get isOpen(): boolean {
+    return (
+      this.#isReconciled &&
+      this.#isRegistered &&
+      this.suspectSince === undefined &&
+      !this.isClosing &&
+      this.#entry?.isDraining === false
+    )
+  }
+
+  /** Takes a new entry of the registry. */
+  update(entry: RunnerEntry): void {
+    const before = this.#entry
+    this.#entry = entry
+    this.#isRegistered = true
+    if (before?.address !== entry.address) this.#connect(entry)
+    if (before?.bornAt !== entry.bornAt) this.#needsFreshLook = true
+    this.#countFree()
+    const isSame =
+      before?.isDraining === entry.isDraining &&
+      before.bornAt === entry.bornAt &&
+      before.address === entry.address
+    if (isSame) return
+    this.#wakeUp()
+    this.#opts.events.onChange(this)
+  }
+
+  /** The runner's entry is gone; what runs there is watched until its lease has ended. */
+  unregister(): void {
+    this.#isRegistered = false
+    this.#wakeUp()
+  }
+
+  /** Adds a run that was recorded. */
+  add(occupant: Occupant): void {
+    this.occupants.set(occupantKey(occupant.name, occupant.run), occupant)
+    addAmounts(this.free, occupant.amounts, -1)
+    this.#opts.events.onOccupancy(occupant, 1)
+    this.#wakeUp()
+  }
+
+  /** Removes a run that is over or was never ordered. */
+  remove(occupant: Occupant): void {
+    if (!this.occupants.delete(occupantKey(occupant.name, occupant.run))) return
+    addAmounts(this.free, occupant.amounts)
+    this.#opts.events.onOccupancy(occupant, -1)
+  }
+
+  /** Orders a recorded run, and settles a lost answer. */
+  async start(occupant: Occupant, payload: string, ticket: string | undefined): Promise<void> {
+    const { task } = occupant
+    if (task === undefined) return
+    occupant.state = 'ordered'
+    occupant.orderedAt = performance.now()
+    for (let attempt = 1; attempt <= startAttempts; attempt++) {
+      const leaseDeadline = this.#clock.deadline(performance.now(), this.#opts.leaseMs)
+      if (this.#api === undefined || leaseDeadline === undefined) break
+      const result = await this.#api.start({
+        task: occupant.name,
+        run: occupant.run,
+        payload,
+        checkpoint: task.checkpoint,
+        ticket,
+        fence: this.#opts.fence,
+        leaseDeadline,
+      })
+      if (!this.#isPresent(occupant)) return
+      this.#observeClock(result)
+      if (result.outcome === 'done') {
+        this.#started(occupant, result.value, attempt)
+        return
+      }
+      this.#logOrder('start', occupant, result.reason)
+      if (result.outcome === 'not-done' && attempt === 1) break
+      await this.#pause(orderRetryPauseMs)
+      if (!this.#isPresent(occupant)) return
+      if (attempt === startAttempts) {
+        void this.stop(occupant)
+        return
+      }
+    }
+    // Nothing reached the runner.
+    this.#suspect()
+    this.#die(occupant, 'not-started')
+  }
+
+  /** Orders a run to stop and repeats the order until it is answered or the run is over. */
+  async stop(occupant: Occupant): Promise<void> {
+    if (occupant.state === 'stopping') return
+    occupant.state = 'stopping'
+    while (this.#isPresent(occupant) && !this.#closing.signal.aborted) {
+      if (this.#api === undefined) return
+      const { name: task, run } = occupant
+      const result = await this.#api.stop({ task, run, fence: this.#opts.fence })
+      this.#observeClock(result)
+      if (result.outcome === 'done') {
+        if (result.value.refusal === 'fence') this.#opts.events.onFenced()
+        // From now on the runner lists the end, or the run is not there and never will be.
+        else occupant.confirmedAt ??= performance.now()
+        this.#wakeUp()
+        return
+      }
+      this.#logOrder('stop', occupant, result.reason)
+      await this.#pause(failedLookPauseMs)
+    }
+  }
+
+  /** Lets a run work at a share of its time, in percent. */
+  async pace(occupant: Occupant, percent: number): Promise<void> {
+    if (this.#api === undefined) return
+    const { name: task, run } = occupant
+    const before = occupant.pacedTo
+    occupant.pacedTo = percent
+    const result = await this.#api.pace({ task, run, fence: this.#opts.fence, percent })
+    if (result.outcome === 'done' && result.value.refusal === undefined) return
+    occupant.pacedTo = before
+    this.#logOrder('pace', occupant, result.outcome === 'done' ? 'refused' : result.reason)
+  }
+
+  /** The machine under the runner is down, moved, or runs another runner: nothing runs here. */
+  declareGone(): void {
+    this.#isReconciled = false
+    this.#needsFreshLook = true
+    for (const occupant of [...this.occupants.values()]) this.#die(occupant, 'machine-gone')
+  }
+
+  async close(): Promise<void> {
+    this.#closing.abort()
+    this.#wakeUp()
+    await this.#api?.close()
+    await this.#running
+  }
+
+  async #run(): Promise<void> {
+    while (!this.#closing.signal.aborted) {
+      if (this.#isIdle()) {
+        await this.#sleepUntilWoken()
+        this.#needsFreshLook = true
+        continue
+      }
+      if (this.#isLeaseOver()) this.#loseAll()
+      if (this.#api === undefined) {
+        await this.#pause(failedLookPauseMs)
+        continue
+      }
+      await this.#look(this.#api)
+    }
+  }
+
+  #isIdle(): boolean {
+    if (!this.#isRegistered || this.#api === undefined) return this.occupants.size === 0
+    return this.#isReconciled && this.occupants.size === 0 && this.suspectSince === undefined
+  }
+
+  /** All leases have ended while the runner could not be reached, so nothing runs there. */
+  #isLeaseOver(): boolean {
+    if (this.occupants.size === 0) return false
+    const isCutOff = this.suspectSince !== undefined || this.#api === undefined
+    return (isCutOff || !this.#isReconciled) && performance.now() > this.#clock.leaseEnd()
+  }
+
+  #loseAll(): void {
+    for (const occupant of [...this.occupants.values()]) this.#die(occupant, 'lease-ended')
+  }
+
+  async #look(api: RunnerApi): Promise<void> {
+    const sentAt = performance.now()
+    const isFresh = this.#needsFreshLook
+    const isBehind = this.#processed > this.#stored
+    const result = await api.hold({
+      fence: this.#opts.fence,
+      acknowledged: isFresh ? 0 : this.#stored,
+      leaseDeadline: this.#isReconciled
+        ? this.#clock.deadline(sentAt, this.#opts.leaseMs)
+        : undefined,
+      waitMs: isFresh || isBehind || !this.#isReconciled ? 0 : this.#opts.lookWaitMs,
+    })
+    if (this.#closing.signal.aborted || api !== this.#api) return
+    if (result.outcome !== 'done') {
+      this.#suspect(result.reason)
+      await this.#pause(failedLookPauseMs)
+      return
+    }
+    if (result.value.isFenced) {
+      this.#opts.events.onFenced()
+      await this.#pause(failedLookPauseMs)
+      return
+    }
+    await this.#takeReport(result.value.report, sentAt)
+  }
+
+  async #takeReport(report: RunnerReport, sentAt: number): Promise<void> {
+    const isNewLife = report.bornAt !== undefined && report.bornAt !== this.#bornAt
+    if (isNewLife) this.#beginLife(report.bornAt)
+    this.#clock.observe(report.clockMs, performance.now())
+    const stored = this.#takeEnds(report)
+    this.#takeRunning(report, sentAt)
+    const wasOpen = this.#isReconciled && this.suspectSince === undefined
+    if (this.suspectSince !== undefined) this.#opts.log.info('runner regained', { runner: this.id })
+    this.suspectSince = undefined
+    this.#isReconciled = true
+    // A new life is confirmed by a second look, whose acknowledgement then counts its own ends.
+    this.#needsFreshLook = false
+    if (!wasOpen || report.ended.length > 0) this.#opts.events.onChange(this)
+    if (stored.length === 0) return
+    await Promise.race([Promise.all(stored), this.#pause(storeWaitMs)])
+    if (this.#processed > this.#stored) await this.#pause(unstoredPauseMs)
+  }
+
+  #beginLife(bornAt: number | undefined): void {
+    const isFirst = this.#bornAt === undefined
+    this.#bornAt = bornAt
+    this.#processed = 0
+    this.#stored = 0
+    if (!isFirst) this.#clock.reset()
+    for (const occupant of [...this.occupants.values()]) {
+      if (occupant.runnerBornAt !== 0 && occupant.runnerBornAt !== bornAt) {
+        this.#die(occupant, 'reborn')
+      }
+    }
+  }
+
+  /** Takes in new ends; the promises resolve when the ends are stored. */
+  #takeEnds(report: RunnerReport): Promise<void>[] {
+    const bornAt = this.#bornAt
+    const stored: Promise<void>[] = []
+    for (const end of [...report.ended].sort((a, b) => a.number - b.number)) {
+      if (end.number <= this.#processed) continue
+      this.#processed = end.number
+      const occupant = this.occupants.get(occupantKey(end.task, end.run))
+      if (occupant !== undefined) this.remove(occupant)
+      stored.push(this.#opts.events.onEnd(this, end, occupant))
+    }
+    const last = this.#processed
+    if (stored.length > 0) {
+      void Promise.all(stored).then(() => {
+        if (this.#bornAt === bornAt) this.#stored = Math.max(this.#stored, last)
+      })
+    }
+    return stored
+  }
+
+  #takeRunning(report: RunnerReport, sentAt: number): void {
+    const now = performance.now()
+    const listed = new Set<string>()
+    for (const { task, run, checkpoint, percent, usage } of report.running) {
+      const key = occupantKey(task, run)
+      listed.add(key)
+      let occupant = this.occupants.get(key)
+      if (occupant === undefined) {
+        occupant = this.#opts.events.onStranger(this, task, run)
+        this.add(occupant)
+        void this.stop(occupant)
+      }
+      if (occupant.percent !== percent) {
+        occupant.percent = percent
+        occupant.percentAt = now
+      }
+      occupant.usage = usage
+      if (checkpoint !== '' && occupant.task?.step.step.savesProgress === true) {
+        occupant.task.checkpoint = checkpoint
+      }
+      if (occupant.state === 'recorded') occupant.state = 'present'
+      if (occupant.confirmedAt === undefined) {
+        occupant.confirmedAt = now
+        this.#opts.events.onConfirmed(this, occupant)
+      }
+    }
+    for (const [key, occupant] of [...this.occupants]) {
+      if (listed.has(key)) continue
+      // A run recorded by an earlier term can no longer start once its fence is outdated here.
+      const isLeftOver = !this.#isReconciled && occupant.state === 'recorded'
+      const isConfirmed = occupant.confirmedAt !== undefined && occupant.confirmedAt < sentAt
+      if (isLeftOver || isConfirmed) this.#die(occupant, 'vanished')
+    }
+  }
+
+  #started(occupant: Occupant, { refusal }: OrderAnswer, attempt: number): void {
+    if (refusal === undefined || (refusal === 'old' && attempt > 1)) {
+      // After a lost answer, `old` says that the first order was carried out and the run has ended.
+      if (occupant.state === 'ordered') occupant.state = 'present'
+      if (occupant.confirmedAt === undefined) {
+        occupant.confirmedAt = performance.now()
+        this.#opts.events.onConfirmed(this, occupant)
+      }
+      return
+    }
+    this.#logOrder('start', occupant, refusal)
+    if (refusal === 'fence') this.#opts.events.onFenced()
+    if (refusal === 'room' || refusal === 'late') this.#needsFreshLook = true
+    this.#die(occupant, 'not-started')
+  }
+
+  #die(occupant: Occupant, cause: DeathCause): void {
+    this.remove(occupant)
+    this.#opts.events.onDeath(this, occupant, cause)
+  }
+
+  #suspect(reason = 'order failed'): void {
+    this.#needsFreshLook = true
+    if (this.suspectSince === undefined) {
+      this.suspectSince = performance.now()
+      this.#opts.log.warn('runner lost', { runner: this.id, reason, runs: this.occupants.size })
+      this.#opts.events.onChange(this)
+    }
+    this.#wakeUp()
+  }
+
+  #connect(entry: RunnerEntry): void {
+    void this.#api?.close()
+    this.#api = this.#opts.createRunner({ address: entry.address, runnerId: entry.id })
+    this.#needsFreshLook = true
+    this.#countFree()
+  }
+
+  #countFree(): void {
+    const capacity = this.#entry?.capacity
+    if (capacity === undefined) return
+    Object.assign(this.free, capacity)
+    for (const { amounts } of this.occupants.values()) addAmounts(this.free, amounts, -1)
+  }
+
+  #isPresent(occupant: Occupant): boolean {
+    return this.occupants.get(occupantKey(occupant.name, occupant.run)) === occupant
+  }
+
+  #observeClock(result: CallResult<OrderAnswer>): void {
+    if (result.outcome !== 'done' || result.value.clockMs === undefined) return
+    this.#clock.observe(result.value.clockMs, performance.now())
+  }
+
+  #logOrder(order: string, occupant: Occupant, reason: string): void {
+    const { name, run } = occupant
+    this.#opts.log.info('order not carried out', {
+      order,
+      runner: this.id,
+      task: name,
+      run,
+      reason,
+    })
+  }
+
+  async #sleepUntilWoken(): Promise<void> {
+    const woken = new AbortController()
+    this.#wake = () => {
+      woken.abort()
+    }
+    await wait({ now: () => performance.now() }, idleCheckMs, woken.signal)
+    this.#wake = undefined
+  }
+
+  #wakeUp(): void {
+    this.#wake?.()
+  }
+
+  #pause(ms: number): Promise<void> {
+    return wait({ now: () => performance.now() }, ms, this.#closing.signal)
+  }
+}
--- a/packages/entry/__tests__/drain.test.ts
+++ b/packages/entry/__tests__/drain.test.ts
@@ -2,7 +2,7 @@
 import { Agent, request } from 'node:http'
 import t from 'tap'
 import { createLoopback } from '@bulrushbridge/testbed'
-import { createCallerServer, type CallerHandler } from '../src/caller-server.js'
+import { createCallerServer, type CallerHandler } from '@bulrushbridge/caller-server'
 
 const host = createLoopback().next()
 
@@ -21,8 +21,7 @@
     host,
     port: 0,
     nextRequestId: () => String(++ids.last),
-    call,
-    jobs: call,
+    routes: { '/**': call },
     onError: () => undefined,
   })
 }
--- a/packages/entry/src/call-handler.ts
+++ b/packages/entry/src/call-handler.ts
@@ -9,8 +9,8 @@
 import { failSpan, formatTraceparent, type Metrics, type Tracing } from '@bulrushbridge/telemetry'
 import type { UpstreamRequest } from '@bulrushbridge/upstream-link'
 import { parseCallRequest, type CallLimits, type CallRequest } from './call-request.js'
-import type { CallerHandler } from './caller-server.js'
-import { readBody } from './request-body.js'
+import type { CallerHandler } from '@bulrushbridge/caller-server'
+import { readBody } from '@bulrushbridge/caller-server'
 import { captureBody, relayAnswer, replayAnswer } from './relay-answer.js'
 import type { ServicePath, ServiceStart } from './service-path.js'
 
@@ -58,7 +58,7 @@
  * Creates the handler of callers' requests: checks, queue, idempotency record, dispatch, answer.
  *
  * @example
- * const server = await createCallerServer({ call: createCallHandler(opts), ... })
+ * const routes = { '/queues/:queue/call/**': createCallHandler(opts) }
  */
 export function createCallHandler(opts: CallHandlerOptions): CallerHandler {
   return async (req, res, id) => {
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -5,7 +5,7 @@
 import { createOperatorApi } from '@bulrushbridge/operator-api'
 import type { Metrics } from '@bulrushbridge/telemetry'
 import { createCallHandler } from './call-handler.js'
-import { createCallerServer, type CallerServer } from './caller-server.js'
+import { createCallerServer, type CallerServer } from '@bulrushbridge/caller-server'
 import { createEntryCore, type EntryCore } from './entry-core.js'
 import { createEntryTelemetry, type EntryTelemetry } from './entry-telemetry.js'
 import { registerGauges } from './gauges.js'
@@ -128,12 +128,18 @@
   const service = (name: string) => services.get(name)
   const common = { clock, view, keyring, isRefusing }
   const jobs = createJobs({ table, committer, member: cfg.member })
+  const handleCall = createCallHandler({ ...common, records, metrics, tracing, limits, service })
+  const handleJobs = createJobsHandler({ ...common, jobs, defaultDeadlineMs, maxDeadlineMs })
   return createCallerServer({
     host: cfg.host,
     port: cfg['caller-port'],
     nextRequestId: createRequestIds(core.member),
-    call: createCallHandler({ ...common, records, metrics, tracing, limits, service }),
-    jobs: createJobsHandler({ ...common, jobs, defaultDeadlineMs, maxDeadlineMs }),
+    routes: {
+      '/queues/:queue/call/**': handleCall,
+      '/queues/:queue/call': handleCall,
+      '/queues/:queue/jobs/**': handleJobs,
+      '/queues/:queue/jobs': handleJobs,
+    },
     onError: (err, req, requestId) => {
       logRequestError(log, err, req.url, requestId)
       decisions.record({
--- a/packages/entry/src/gauges.ts
+++ b/packages/entry/src/gauges.ts
@@ -2,7 +2,7 @@
 import type { PeerServer } from '@bulrushbridge/peer-link'
 import type { TeamPermits } from '@bulrushbridge/team-limit'
 import type { Metrics } from '@bulrushbridge/telemetry'
-import type { CallerServer } from './caller-server.js'
+import type { CallerServer } from '@bulrushbridge/caller-server'
 import type { Services } from './services.js'
 
 /** What the gauges read. */
--- a/packages/entry/src/jobs-handler.ts
+++ b/packages/entry/src/jobs-handler.ts
@@ -6,8 +6,8 @@
 import { StoreError } from '@bulrushbridge/store'
 import type { Keyring } from '@bulrushbridge/team-keys'
 import { z } from 'zod'
-import type { CallerHandler } from './caller-server.js'
-import { bufferedBodyBytes, readBody } from './request-body.js'
+import type { CallerHandler } from '@bulrushbridge/caller-server'
+import { bufferedBodyBytes, readBody } from '@bulrushbridge/caller-server'
 
 /** Most ids in one cancellation; two rows change for each. */
 const maxCancelIds = 5_000
@@ -75,7 +75,7 @@
  * Creates the handler of `/queues/{queue}/jobs`: accepts, lists and cancels the team's jobs.
  *
  * @example
- * const server = await createCallerServer({ jobs: createJobsHandler(opts), ... })
+ * const routes = { '/queues/:queue/jobs/**': createJobsHandler(opts) }
  */
 export function createJobsHandler(opts: JobsHandlerOptions): CallerHandler {
   return async (req, res, requestId) => {
--- a/packages/entry/src/operator-server.ts
+++ b/packages/entry/src/operator-server.ts
@@ -2,7 +2,7 @@
 import { H3 } from 'h3'
 import { toNodeHandler } from 'h3/node'
 import type { Metrics } from '@bulrushbridge/telemetry'
-import { listen } from './caller-server.js'
+import { listen } from '@bulrushbridge/caller-server'
 
 /** Options of {@link createOperatorServer}. */
 export interface OperatorServerOptions {
--- a/packages/entry/src/shutdown.ts
+++ b/packages/entry/src/shutdown.ts
@@ -2,7 +2,7 @@
 import type { IdempotencyRecords } from '@bulrushbridge/idempotency'
 import type { TeamPermits } from '@bulrushbridge/team-limit'
 import type { Logger } from '@bulrushbridge/telemetry'
-import type { CallerServer } from './caller-server.js'
+import type { CallerServer } from '@bulrushbridge/caller-server'
 import type { MembershipTask } from './membership-task.js'
 import type { Services } from './services.js'
 
--- a/packages/errors/src/kinds.ts
+++ b/packages/errors/src/kinds.ts
@@ -28,6 +28,17 @@
   'unknown-queue': { status: 404, message: 'There is no such queue.', retryable: false },
   'unknown-path': { status: 404, message: 'There is nothing at this path.', retryable: false },
   'job-unknown': { status: 404, message: 'There is no such job.', retryable: false },
+  'job-absent': { status: 410, message: 'There is no such job.', retryable: false },
+  'acceptance-unknown': {
+    status: 504,
+    message: 'The table service did not confirm the job in time; it may have been accepted.',
+    retryable: false,
+  },
+  overloaded: {
+    status: 429,
+    message: 'The queue has more work than it can finish in time.',
+    retryable: true,
+  },
   'job-too-large': {
     status: 422,
     message: 'No worker of the pool is large enough for the job.',
--- /dev/null
+++ b/packages/host-program/src/main.ts
@@ -0,0 +1,45 @@
+import { normalizeError } from '@bulrushbridge/errors'
+import { settingsVariable } from '@bulrushbridge/platform'
+import { runProgram } from '@bulrushbridge/settings'
+import { boundLogOutput, createLogger } from '@bulrushbridge/telemetry'
+import { createHostProgram } from './host-program.js'
+import { hostSettings } from './settings.js'
+
+await runProgram({
+  name: 'bulrush-host',
+  description: 'Accepts jobs on one entry host and, while it holds the duty, places their tasks.',
+  settings: hostSettings,
+  main: async cfg => {
+    const path = cfg['settings-file'] === '' ? process.env[settingsVariable] : cfg['settings-file']
+    const log = createLogger({ program: 'bulrush-host', level: cfg['log-level'] })
+    const output = boundLogOutput({
+      descriptor: 1,
+      onSuppressed: lines => {
+        log.warn('log lines suppressed', { lines })
+      },
+    })
+    const program = await createHostProgram({
+      path: path ?? '',
+      dutyLeaseMs: cfg['duty-lease'],
+      log,
+      suppressed: () => output.suppressed(),
+    })
+    process.on('SIGHUP', () => {
+      program.reload()
+    })
+    let isClosing = false
+    for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+      process.on(signal, () => {
+        if (isClosing) return
+        isClosing = true
+        void program
+          .close(signal)
+          .catch((err: unknown) => {
+            log.error('shutdown failed', { reason: normalizeError(err).message })
+          })
+          .then(() => output.close())
+          .finally(() => process.exit(0))
+      })
+    }
+  },
+})
--- a/packages/store/src/duty.ts
+++ b/packages/store/src/duty.ts
@@ -50,6 +50,8 @@
   /** Lifetime of the lease after its last renewal. */
   ttlMs: number
   clock?: WaitingClock
+  /** Told of each call that failed. */
+  onError?: (err: unknown) => void
 }
 
 /** A candidate for a duty, which holds the duty's lease from time to time. */
@@ -127,8 +129,9 @@
     try {
       if (this.#lease !== undefined) return await this.#renew(this.#lease)
       return (await this.#observe()) ? ttlMs / 3 : ttlMs / 6
-    } catch {
+    } catch (err) {
       // Whatever failed, the lease ends by its deadline and the next step tries again.
+      this.#opts.onError?.(err)
       const leftMs = (this.#lease?.deadline ?? Infinity) - this.#clock.now()
       return Math.max(1, Math.min(ttlMs / 12, leftMs))
     }
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -12,13 +12,18 @@
 export { StoreError } from './store-error.js'
 export type {
   CallOptions,
+  ChangedRow,
+  ChangesOptions,
   Check,
   CommitResult,
+  FollowedTableService,
   ObjectStore,
   Row,
   ScanOptions,
   TableService,
+  TableSnapshot,
   Transaction,
   Write,
 } from './table-service.js'
 export { wait, type WaitingClock } from './wait.js'
+export { followTable, type TableFollower, type TableFollowerOptions } from './follow-table.js'
--- a/packages/store/src/table-service.ts
+++ b/packages/store/src/table-service.ts
@@ -2,6 +2,8 @@
 export interface CallOptions {
   /** When to give up, in milliseconds of the client's clock. */
   deadline?: number
+  /** Part of the table, where the service divides tables; the part without a name by default. */
+  part?: string
 }
 
 /** A stored row. `version` rises with each write of the key, from 1. */
@@ -14,6 +16,7 @@
 /** A condition of a transaction: the row has this version; 0 means that it does not exist. */
 export interface Check {
   table: string
+  part?: string
   key: string
   version: number
 }
@@ -21,6 +24,7 @@
 /** A write of a transaction; the value `null` deletes the row. */
 export interface Write {
   table: string
+  part?: string
   key: string
   value: unknown
 }
@@ -31,8 +35,12 @@
   writes: Write[]
 }
 
-/** The result of a transaction; `failed` lists the checks that did not hold. */
-export type CommitResult = { committed: true } | { committed: false; failed: Check[] }
+/**
+ * The result of a transaction; `version` is that of the rows it wrote, where the service tells it.
+ * `failed` lists the checks that did not hold.
+ */
+export type CommitResult =
+  { committed: true; version?: number } | { committed: false; failed: Check[] }
 
 /** Options of {@link TableService.scan}; `from` is inclusive, `to` exclusive. */
 export interface ScanOptions extends CallOptions {
@@ -55,6 +63,35 @@
   close(): Promise<void>
 }
 
+/** A changed row of a followed table; `isDeleted` when it was dropped. */
+export interface ChangedRow extends Row {
+  part: string
+  isDeleted: boolean
+}
+
+/** All rows of a table at one version of the store. */
+export interface TableSnapshot {
+  rows: ChangedRow[]
+  version: number
+}
+
+/** Options of {@link FollowedTableService.changes}. */
+export interface ChangesOptions extends CallOptions {
+  /** Version after which changes are told. */
+  after: number
+  /** How long the answer waits for a change, in milliseconds. */
+  waitMs: number
+  signal?: AbortSignal
+}
+
+/** A table service that also tells changes. */
+export interface FollowedTableService extends TableService {
+  /** All rows of some parts of a table. */
+  snapshot(table: string, parts: readonly string[], opts?: CallOptions): Promise<TableSnapshot>
+  /** Changes after a version; undefined when the history does not reach back to it. */
+  changes(table: string, opts: ChangesOptions): Promise<TableSnapshot | undefined>
+}
+
 /** The platform's object store. */
 export interface ObjectStore {
   put(name: string, body: string, opts?: CallOptions): Promise<void>
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,3 +1,4 @@
+export { boundLogOutput, type BoundedOutput, type BoundedOutputOptions } from './bounded-output.js'
 export {
   createLogger,
   type LogFields,
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,22 +1,32 @@
-// Bundles each program into one file in dist/.
+// Bundles each program into one file in dist/; `--only NAME` builds one, `--outdir DIR` elsewhere.
 import { build } from 'esbuild'
 import { existsSync, rmSync } from 'node:fs'
+import { parseArgs } from 'node:util'
+
+const { values: options } = parseArgs({
+  options: { only: { type: 'string' }, outdir: { type: 'string', default: 'dist' } },
+})
 
 const programs = {
   'bulrush-entry': 'packages/entry/src/main.ts',
   'bulrush-control': 'packages/control/src/main.ts',
+  'bulrush-host': 'packages/host-program/src/main.ts',
   bulrush: 'packages/cli/src/main.ts',
   'bulrush-standin': 'packages/standins/src/main.ts',
   demo: 'packages/testbed/src/demo.ts',
   bench: 'bench/main.ts',
 }
 
-rmSync('dist', { recursive: true, force: true })
-const present = Object.fromEntries(Object.entries(programs).filter(([, file]) => existsSync(file)))
+rmSync(options.outdir, { recursive: true, force: true })
+const present = Object.fromEntries(
+  Object.entries(programs).filter(
+    ([name, file]) => existsSync(file) && (options.only ?? name) === name,
+  ),
+)
 
 await build({
   entryPoints: present,
-  outdir: 'dist',
+  outdir: options.outdir,
   outExtension: { '.js': '.mjs' },
   bundle: true,
   platform: 'node',
