feat(dispatcher): upkeep of machines in waves

Ruled out: draining all machines of a wave at once, which takes whole pools out of service. Change: spare and empty machines go first, others are closed for new work in small shares of each pool; an order leaves only while the lasting tasks it ends may be away, and what ran there counts as running until the list shows its runner gone.

--- a/packages/dispatcher/src/dispatcher.ts
+++ b/packages/dispatcher/src/dispatcher.ts
@@ -7,7 +7,13 @@
   RunnerApi,
   RunnerEntry,
 } from '@bulrushbridge/scheduler'
-import { createDuty, type Duty, type FollowedTableService, type Write } from '@bulrushbridge/store'
+import {
+  createDuty,
+  type Duty,
+  type FollowedTableService,
+  type HeldDuty,
+  type Write,
+} from '@bulrushbridge/store'
 import type { Logger, Metrics } from '@bulrushbridge/telemetry'
 import { Term } from './term.js'
 
@@ -89,7 +95,7 @@
     })
     this.#duty.onChange(held => {
       if (held === undefined) this.#suspend()
-      else this.#enqueue(() => this.#begin(held.token))
+      else this.#enqueue(() => this.#begin(held))
     })
   }
 
@@ -109,10 +115,10 @@
     })
   }
 
-  async #begin(fence: number): Promise<void> {
+  async #begin(held: HeldDuty): Promise<void> {
     await this.#end('superseded by an own term')
-    this.#opts.log.info('term begins', { fence })
-    const term = new Term(this.#opts, fence, () => {
+    this.#opts.log.info('term begins', { fence: held.token })
+    const term = new Term(this.#opts, held, () => {
       this.#enqueue(() => (this.#term === term ? this.#end('deposed') : Promise.resolve()))
     })
     this.#term = term
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -84,6 +84,8 @@
   readonly free: Amounts = { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
   /** The machine is to have its upkeep or leave the pool, so nothing new starts. */
   isClosing = false
+  /** An order that ends everything on the machine has been sent. */
+  isLeaving = false
   /** Since when looks have failed; undefined while they succeed. */
   suspectSince: number | undefined
   readonly #opts: RunnerSessionOptions
@@ -344,7 +346,11 @@
     this.#bornAt = bornAt
     this.#processed = 0
     this.#stored = 0
-    if (!isFirst) this.#clock.reset()
+    if (!isFirst) {
+      this.#clock.reset()
+      this.isClosing = false
+      this.isLeaving = false
+    }
     for (const occupant of [...this.occupants.values()]) {
       if (occupant.runnerBornAt !== 0 && occupant.runnerBornAt !== bornAt) {
         this.#die(occupant, 'reborn')
--- a/packages/dispatcher/src/term.ts
+++ b/packages/dispatcher/src/term.ts
@@ -25,9 +25,16 @@
   type StepState,
   type Task,
 } from '@bulrushbridge/scheduler'
-import { followTable, wait, type ChangedRow, type TableFollower } from '@bulrushbridge/store'
+import {
+  followTable,
+  wait,
+  type ChangedRow,
+  type HeldDuty,
+  type TableFollower,
+} from '@bulrushbridge/store'
 import type { DispatcherOptions } from './dispatcher.js'
 import type { Occupant } from './occupant.js'
+import { createMachineDuty, type MachineDuty } from './machine-duty.js'
 import { createPartWriter, type PartWriter } from './part-writer.js'
 import { applyEnd, findTask, type EndContext } from './run-ends.js'
 import {
@@ -67,6 +74,7 @@
   readonly jobs = new Map<string, JobState>()
   readonly sessions = new Map<string, RunnerSession>()
   readonly #opts: DispatcherOptions
+  readonly #held: HeldDuty
   readonly #onDeposed: () => void
   readonly #closing = new AbortController()
   readonly #writers = new Map<string, PartWriter>()
@@ -77,15 +85,17 @@
   readonly #endContext: EndContext
   readonly #startedAt = performance.now()
   #followers: TableFollower[] = []
+  #machineDuty: MachineDuty | undefined
   #progress = new Map<string, Progress>()
   #isSuspended = false
   #isPassDue = false
   #passTimer: NodeJS.Timeout | undefined
   #stopWatchingView: (() => void) | undefined
 
-  constructor(opts: DispatcherOptions, fence: number, onDeposed: () => void) {
+  constructor(opts: DispatcherOptions, held: HeldDuty, onDeposed: () => void) {
     this.#opts = opts
-    this.fence = fence
+    this.#held = held
+    this.fence = held.token
     this.#onDeposed = onDeposed
     this.#events = this.#createEvents()
     this.#endContext = {
@@ -126,6 +136,7 @@
       runners: this.sessions.size,
       tookMs: Math.round(performance.now() - this.#startedAt),
     })
+    this.#machineDuty = this.#startMachineDuty()
     this.#passLoop()
   }
 
@@ -148,6 +159,7 @@
     this.#stopWatchingView?.()
     clearTimeout(this.#passTimer)
     await Promise.all([
+      this.#machineDuty?.close(),
       ...this.#followers.map(follower => follower.close()),
       ...[...this.sessions.values()].map(session => session.close()),
       ...[...this.#writers.values()].map(writer => writer.close()),
@@ -175,6 +187,28 @@
     return this.#usage.get(organisation) ?? noAmounts
   }
 
+  #startMachineDuty(): MachineDuty | undefined {
+    const { machines, store, holder, timing, view, waveStatusRow, log, metrics } = this.#opts
+    if (machines === undefined) return undefined
+    return createMachineDuty({
+      machines,
+      store,
+      holder,
+      fence: this.fence,
+      check: this.#held.check,
+      timing,
+      view,
+      sessions: this.sessions,
+      waveStatusRow,
+      isSuspended: () => this.#isSuspended,
+      onFenced: () => {
+        this.#onDeposed()
+      },
+      log,
+      metrics,
+    })
+  }
+
   async #retry(what: string, attempt: () => Promise<unknown>): Promise<void> {
     const { log } = this.#opts
     while (!this.#closing.signal.aborted) {
