--- a/packages/dispatcher/src/away.ts
+++ b/packages/dispatcher/src/away.ts
@@ -23,6 +23,6 @@
     const occupant = session?.occupants.get(occupantKey(name, run.number))
     const isReached = session !== undefined && session.suspectSince === undefined
     if (!isReached || session.isLeaving) return true
-    return occupant?.state !== 'present'' || occupant.percent < atWorkPercent
+    return occupant?.state !== 'present' || occupant.percent < atWorkPercent
   }).length
 }
