fix(dispatcher): take over the jobs before the first look at a runner

A new term looked at runners before it had read the jobs: ends of unknown jobs were acknowledged and lost, and runs of unknown tasks were stopped as strangers. Change: jobs and their progress are read first. Log lines reach standard output (roarr was loaded before its environment was set).

--- a/packages/dispatcher/src/dispatcher.ts
+++ b/packages/dispatcher/src/dispatcher.ts
@@ -20,6 +20,9 @@
 /** Name of the duty whose holder places all work. */
 const dutyName = 'dispatch'
 
+/** Failed calls for the lease are logged this often at most, in milliseconds. */
+const doubtLogMs = 2_000
+
 /** Times of a dispatcher, in milliseconds. */
 export interface DispatcherTiming {
   /** Lifetime of the dispatcher's own lease. */
@@ -83,8 +86,13 @@
   constructor(opts: DispatcherOptions) {
     this.#opts = opts
     const { store, holder, timing } = opts
+    let doubtLoggedAt = -doubtLogMs
     const onError = (err: unknown) => {
-      opts.log.warn('lease of the dispatcher in doubt', { reason: normalizeError(err).message })
+      if (performance.now() - doubtLoggedAt < doubtLogMs) return
+      doubtLoggedAt = performance.now()
+      opts.log.warn('call for the lease of the dispatcher failed', {
+        reason: normalizeError(err).message,
+      })
     }
     this.#duty = createDuty({
       table: store,
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events'
 import {
   addAmounts,
   type Amounts,
@@ -110,6 +111,8 @@
     this.id = opts.id
     this.#entry = opts.entry
     this.#isRegistered = opts.entry !== undefined
+    // Orders that wait for their next attempt listen, one for each run.
+    setMaxListeners(0, this.#closing.signal)
     this.#clock = createRunnerClock(opts.assumedLeaseEnd)
     if (opts.entry !== undefined) this.#connect(opts.entry)
     this.#running = Promise.resolve().then(() => this.#run())
--- a/packages/dispatcher/src/term.ts
+++ b/packages/dispatcher/src/term.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from 'node:crypto'
+import { setMaxListeners } from 'node:events'
 import { normalizeError } from '@bulrushbridge/errors'
 import {
   addAmounts,
@@ -88,6 +89,8 @@
   #machineDuty: MachineDuty | undefined
   #progress = new Map<string, Progress>()
   #isSuspended = false
+  /** The takeover is complete. */
+  #isOpen = false
   #isPassDue = false
   #passTimer: NodeJS.Timeout | undefined
   #stopWatchingView: (() => void) | undefined
@@ -96,6 +99,8 @@
     this.#opts = opts
     this.#held = held
     this.fence = held.token
+    // Every call that is under way and every pause listens.
+    setMaxListeners(0, this.#closing.signal)
     this.#onDeposed = onDeposed
     this.#events = this.#createEvents()
     this.#endContext = {
@@ -122,11 +127,11 @@
     await this.#retry('claim', () => Promise.all([...this.#writers.values()].map(w => w.claim())))
     await this.#retry('read progress', () => this.#readProgress())
     if (this.#closing.signal.aborted) return
-    const runners = this.#followRunners()
-    await runners.ready
-    const jobs = this.#followJobs()
-    await jobs.ready
+    // Jobs come first: an end that a runner lists for an unknown job would be acknowledged and lost.
+    await this.#followJobs().ready
     this.#progress.clear()
+    await this.#followRunners().ready
+    if (this.#closing.signal.aborted) return
     this.#stopWatchingView = this.#opts.view.onChange(() => {
       this.requestPass()
     })
@@ -136,6 +141,7 @@
       runners: this.sessions.size,
       tookMs: Math.round(performance.now() - this.#startedAt),
     })
+    this.#isOpen = true
     this.#machineDuty = this.#startMachineDuty()
     this.#passLoop()
   }
@@ -465,8 +471,7 @@
 
   /** Chooses starts and records them; each is ordered once it is stored. */
   #pass(): void {
-    if (this.#closing.signal.aborted || this.#isSuspended || this.#stopWatchingView === undefined)
-      return
+    if (this.#closing.signal.aborted || this.#isSuspended || !this.#isOpen) return
     const lagMs = Math.max(...[...this.#writers.values()].map(writer => writer.lagMs()))
     if (lagMs > maxStoreLagMs) return
     const steps = this.#startableSteps()
--- a/packages/telemetry/src/bounded-output.ts
+++ b/packages/telemetry/src/bounded-output.ts
@@ -1,3 +1,5 @@
+// Must be loaded before roarr.
+import './log-environment.js'
 import { write } from 'node:fs'
 import { ROARR } from 'roarr'
 
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,4 +1,3 @@
-export { boundLogOutput, type BoundedOutput, type BoundedOutputOptions } from './bounded-output.js'
 export {
   createLogger,
   type LogFields,
@@ -15,3 +14,4 @@
   type TracingOptions,
 } from './tracing.js'
 export { createTraceExporter, type TraceExporterOptions } from './trace-exporter.js'
+export { boundLogOutput, type BoundedOutput, type BoundedOutputOptions } from './bounded-output.js'
