fix(dispatcher): acknowledge the last ends of an idle runner; release gone machines

Tests in memory showed besides that a runner with nothing left to run was not looked at again, so its last ends were never acknowledged.

--- /dev/null
+++ b/packages/dispatcher/__tests__/fixture.ts
@@ -0,0 +1,186 @@
+import {
+  createOperatorView,
+  jobsTable,
+  partOf,
+  progressTable,
+  type Configuration,
+  type Job,
+  type Machine,
+  type MachineApi,
+  type Progress,
+  type RunnerEntry,
+  type Step,
+  type Wave,
+} from '@bulrushbridge/scheduler'
+import {
+  createMemoryRunner,
+  createMemoryStore,
+  type MemoryRunner,
+  type MemoryStore,
+} from '@bulrushbridge/standins'
+import { createLogger, createMetrics } from '@bulrushbridge/telemetry'
+import { createDispatcher, type Dispatcher } from '../src/index.js'
+
+export const queueName = 'finder'
+
+/** Lease of the dispatcher under test; short, so that a change of holder takes a moment. */
+const dutyLeaseMs = 150
+
+/** Timing of tests: runners' leases are short, so that their end can be waited for. */
+export const timing = {
+  dutyLeaseMs,
+  leaseMs: 300,
+  maxLeaseMs: 300,
+  lookWaitMs: 40,
+  suspendedMs: 200,
+  machineLeaseMs: 0,
+  moveMs: 20,
+  upkeepMs: 20,
+  awayNoticeMs: 100,
+}
+
+export const oneTask: Step = {
+  count: 1,
+  amounts: { cpuMillis: 1_000, memoryMb: 100, accelerators: 0 },
+  estimateMs: 100,
+}
+
+/** A deployment with one pool, in memory. */
+export interface Fleet {
+  store: MemoryStore
+  runners: Map<string, MemoryRunner>
+  cfg: Configuration
+  start(holder: string): Dispatcher
+  addRunner(id: string, entry?: Partial<RunnerEntry>): Promise<MemoryRunner>
+  submit(id: string, steps: readonly Step[], organisation?: string): Promise<void>
+  cancel(id: string): Promise<void>
+  progress(id: string): Promise<Progress | undefined>
+  setZoneOut(zone: string): void
+}
+
+/** Options of {@link createFleet}. */
+export interface FleetOptions {
+  cfg?: Partial<Configuration>
+  waves?: Wave[]
+  machines?: MachineApi<Machine>
+}
+
+export function createFleet(opts: FleetOptions = {}): Fleet {
+  const store = createMemoryStore()
+  const runners = new Map<string, MemoryRunner>()
+  const cfg = { ...configuration, ...opts.cfg }
+  const view = createOperatorView({
+    decoders: {
+      configurationKey: 'config',
+      configuration: value => value as Configuration,
+      zoneOut: key => (key.startsWith('out/') ? key.slice(4) : undefined),
+      wave: (_key, value) => value as Wave,
+    },
+    onAdopted: () => undefined,
+    onUnreadable: () => undefined,
+  })
+  view.applyChanges([
+    { key: 'config', value: cfg, isDeleted: false },
+    ...(opts.waves ?? []).map(wave => ({ key: `wave/${wave.id}`, value: wave, isDeleted: false })),
+  ])
+  const log = createLogger({ program: 'test', level: 'silent' })
+  return {
+    store,
+    runners,
+    cfg,
+    start: holder =>
+      createDispatcher({
+        store,
+        holder,
+        timing,
+        view,
+        runners: { table: 'servers', decode: (_id, value) => value as RunnerEntry },
+        createRunner: ({ runnerId }) => (runners.get(runnerId) ?? createMemoryRunner()).api(),
+        machines: opts.machines,
+        advice: undefined,
+        waveStatusRow: (wave, state) => ({
+          table: 'status',
+          key: `wave/${wave}`,
+          value: { state },
+        }),
+        log,
+        metrics: createMetrics(),
+      }),
+    addRunner: async (id, entry = {}) => {
+      const runner = runners.get(id) ?? createMemoryRunner()
+      runners.set(id, runner)
+      const value: RunnerEntry = {
+        ...runnerEntry,
+        id,
+        address: id,
+        bornAt: runner.bornAt,
+        ...entry,
+      }
+      await store.commit({ checks: [], writes: [{ table: 'servers', key: id, value }] })
+      return runner
+    },
+    submit: async (id, steps, organisation) => {
+      const job: Job = {
+        id,
+        queue: queueName,
+        payload: 'payload',
+        steps: [...steps],
+        acceptedAt: Date.now(),
+        ...(organisation === undefined ? {} : { organisation }),
+      }
+      const progress: Progress = { status: 'queued', queue: queueName }
+      const part = partOf(id)
+      await store.commit(
+        {
+          checks: [],
+          writes: [
+            { table: jobsTable, part, key: id, value: job },
+            { table: progressTable, part, key: id, value: progress },
+          ],
+        },
+        { part },
+      )
+    },
+    cancel: async id => {
+      const part = partOf(id)
+      const write = { table: jobsTable, part, key: `${id}.cancel`, value: 1 }
+      await store.commit({ checks: [], writes: [write] }, { part })
+    },
+    progress: async id => {
+      const row = await store.read<Progress>(progressTable, id, { part: partOf(id) })
+      return row?.value
+    },
+    setZoneOut: zone => {
+      view.applyChanges([{ key: `out/${zone}`, value: {}, isDeleted: false }])
+    },
+  }
+}
+
+const runnerEntry: Omit<RunnerEntry, 'id' | 'address' | 'bornAt'> = {
+  pool: 'pool',
+  zone: 'zone-a',
+  isDraining: false,
+  capacity: { cpuMillis: 4_000, memoryMb: 4_000, accelerators: 0 },
+  labels: ['kind', 'rack-1'],
+}
+
+const configuration: Configuration = {
+  version: 1,
+  queues: [
+    {
+      name: queueName,
+      hostName: 'finder.example',
+      pathPrefix: '/finder/',
+      pool: 'pool',
+      priority: 0,
+      maxAttempts: 2,
+      stretch: 2,
+      targetLatencyMs: 500,
+      isOpen: true,
+      advice: undefined,
+    },
+  ],
+  pools: [{ name: 'pool', isSpare: false }],
+  organisations: [],
+  maxBodyBytes: 10_000,
+}
--- /dev/null
+++ b/packages/dispatcher/__tests__/runs.test.ts
@@ -0,0 +1,175 @@
+import { until } from '@bulrushbridge/standins'
+import t from 'tap'
+import { createFleet, oneTask } from './fixture.js'
+
+const id = '00000000000000b1'
+const task = `${id}.0.0.0`
+
+void t.test('steps start only when the steps before them are done', async t => {
+  const fleet = createFleet()
+  const runner = await fleet.addRunner('r1')
+  await fleet.submit(id, [
+    { ...oneTask, count: 2 },
+    { ...oneTask, after: [0] },
+  ])
+  const dispatcher = fleet.start('host-1')
+  await until(() => runner.running.size === 2)
+  runner.end(`${id}.0.0.0`, 'done')
+  await until(() => runner.acknowledged === 1)
+  t.equal(runner.running.size, 1)
+  runner.end(`${id}.0.0.1`, 'done')
+  await until(() => runner.running.has(`${id}.0.1.0`))
+  runner.end(`${id}.0.1.0`, 'done')
+  await until(async () => (await fleet.progress(id))?.status === 'completed')
+  await dispatcher.close()
+})
+
+// Guards against acknowledging an end before it is stored: a crash in between would lose it.
+void t.test('an end is acknowledged only after it is stored', async t => {
+  const fleet = createFleet()
+  const runner = await fleet.addRunner('r1')
+  await fleet.submit(id, [oneTask])
+  const dispatcher = fleet.start('host-1')
+  await until(() => runner.running.has(task))
+  fleet.store.fault = 'refuse'
+  runner.end(task, 'done')
+  await new Promise(resolve => setTimeout(resolve, 100))
+  t.equal(runner.acknowledged, 0)
+  fleet.store.fault = 'none'
+  await until(() => runner.acknowledged === 1)
+  t.equal((await fleet.progress(id))?.status, 'completed')
+  await dispatcher.close()
+})
+
+// Guards against a lost answer of the store: it must neither lose the change nor stop the writer.
+void t.test('transactions without an answer are settled', async t => {
+  const fleet = createFleet()
+  const runner = await fleet.addRunner('r1')
+  const dispatcher = fleet.start('host-1')
+  await until(() => dispatcher.isHolder)
+  await fleet.submit(id, [oneTask])
+  fleet.store.fault = 'lose-after'
+  await new Promise(resolve => setTimeout(resolve, 60))
+  fleet.store.fault = 'none'
+  await until(() => runner.running.has(task))
+  runner.end(task, 'done')
+  await until(async () => (await fleet.progress(id))?.status === 'completed')
+  await dispatcher.close()
+  t.equal(runner.started.length, 1)
+})
+
+// Guards against a transaction that takes effect seconds later and puts an old state back.
+void t.test('a late transaction does not replace a newer state', async t => {
+  const fleet = createFleet()
+  const runner = await fleet.addRunner('r1')
+  const dispatcher = fleet.start('host-1')
+  await until(() => dispatcher.isHolder)
+  await fleet.submit(id, [oneTask])
+  fleet.store.fault = 'late'
+  await new Promise(resolve => setTimeout(resolve, 60))
+  fleet.store.fault = 'none'
+  await until(() => runner.running.has(task))
+  runner.end(task, 'done')
+  await until(async () => (await fleet.progress(id))?.status === 'completed')
+  const before = await fleet.progress(id)
+  t.ok(fleet.store.runLate().length > 0)
+  t.same(await fleet.progress(id), before)
+  await dispatcher.close()
+})
+
+// Guards against a runner that starts again under its id: it has forgotten its runs and its counts.
+void t.test('runs on a runner that was reborn start again', async t => {
+  const fleet = createFleet()
+  const runner = await fleet.addRunner('r1')
+  await fleet.submit(id, [oneTask])
+  const dispatcher = fleet.start('host-1')
+  await until(() => runner.running.has(task))
+  runner.restart()
+  await until(() => runner.running.get(task) === 2)
+  runner.end(task, 'done')
+  await until(async () => (await fleet.progress(id))?.status === 'completed')
+  t.equal(runner.acknowledged <= 1, true)
+  await dispatcher.close()
+})
+
+// Guards against ending a job for failures that its attempts still cover, and against going on after.
+void t.test('a job fails after its attempts, and its other runs are stopped', async t => {
+  const fleet = createFleet()
+  const runner = await fleet.addRunner('r1')
+  await fleet.submit(id, [{ ...oneTask, count: 2 }])
+  const dispatcher = fleet.start('host-1')
+  await until(() => runner.running.size === 2)
+  runner.end(task, 'failed')
+  await until(() => runner.running.get(task) === 2)
+  runner.end(task, 'failed')
+  await until(async () => (await fleet.progress(id))?.status === 'failed')
+  await until(() => runner.running.size === 0)
+  t.equal(runner.started.length, 3)
+  await dispatcher.close()
+})
+
+void t.test('a cancelled job is stopped and starts nothing', async t => {
+  const fleet = createFleet()
+  const runner = await fleet.addRunner('r1')
+  await fleet.submit(id, [oneTask, { ...oneTask, after: [0] }])
+  const dispatcher = fleet.start('host-1')
+  await until(() => runner.running.has(task))
+  await fleet.cancel(id)
+  await until(() => runner.running.size === 0)
+  await until(async () => (await fleet.progress(id))?.status === 'cancelled')
+  await new Promise(resolve => setTimeout(resolve, 50))
+  t.equal(runner.started.length, 1)
+  await dispatcher.close()
+})
+
+// Guards against starts where operators have taken the zone out, and on runners in shutdown.
+void t.test('nothing starts in a zone that is out or on a draining runner', async t => {
+  const fleet = createFleet()
+  const inZone = await fleet.addRunner('r1')
+  const draining = await fleet.addRunner('r2', { zone: 'zone-b', isDraining: true })
+  fleet.setZoneOut('zone-a')
+  await fleet.submit(id, [oneTask])
+  const dispatcher = fleet.start('host-1')
+  await until(() => dispatcher.isHolder)
+  await new Promise(resolve => setTimeout(resolve, 100))
+  const open = await fleet.addRunner('r3', { zone: 'zone-b' })
+  await until(() => open.running.has(task))
+  t.equal(inZone.started.length + draining.started.length, 0)
+  await dispatcher.close()
+})
+
+// Runners that guard no capacity start whatever they are told to.
+void t.test('room on a runner and the limit of an organisation are kept', async t => {
+  const limit = { cpuMillis: 3_000, memoryMb: 0, accelerators: 0 }
+  const organisations = [{ name: 'lamps', keys: [], weight: 1, limit }]
+  const fleet = createFleet({ cfg: { organisations } })
+  const runner = await fleet.addRunner('r1')
+  await fleet.submit(id, [{ ...oneTask, count: 6 }], 'lamps')
+  await fleet.submit('00000000000000b2', [{ ...oneTask, count: 6 }])
+  const dispatcher = fleet.start('host-1')
+  await until(() => runner.running.size >= 4)
+  await new Promise(resolve => setTimeout(resolve, 100))
+  t.equal(runner.running.size, 4)
+  const limited = [...runner.running.keys()].filter(name => name.startsWith(id)).length
+  t.ok(limited <= 3)
+  await dispatcher.close()
+})
+
+// A lost answer to a start: the order is repeated under the same run, never as a second run.
+void t.test('a start without an answer is repeated as the same run', async t => {
+  const fleet = createFleet()
+  const runner = await fleet.addRunner('r1')
+  const dispatcher = fleet.start('host-1')
+  await until(() => dispatcher.isHolder)
+  runner.fault = 'lose-after'
+  await fleet.submit(id, [oneTask])
+  await until(() => runner.running.has(task))
+  runner.fault = 'none'
+  await new Promise(resolve => setTimeout(resolve, 300))
+  t.ok(runner.started.every(({ run }, i) => run === i + 1))
+  const [last] = [...runner.running]
+  runner.end(task, 'done')
+  await until(async () => (await fleet.progress(id))?.status === 'completed')
+  t.ok(last)
+  await dispatcher.close()
+})
--- /dev/null
+++ b/packages/dispatcher/__tests__/takeover.test.ts
@@ -0,0 +1,90 @@
+import { until } from '@bulrushbridge/standins'
+import t from 'tap'
+import { createFleet, oneTask } from './fixture.js'
+
+const id = '00000000000000a1'
+const task = `${id}.0.0.0`
+
+/** Stops a dispatcher without the release of its lease, as a kill does. */
+function kill(fleet: ReturnType<typeof createFleet>): void {
+  fleet.store.fault = 'refuse'
+}
+
+// Guards against acknowledging ends of jobs that the new term has not read yet: the task would run
+// again after an end that its runner has forgotten.
+void t.test('an end listed during a takeover is taken in, not lost', async t => {
+  const fleet = createFleet()
+  const runner = await fleet.addRunner('r1')
+  await fleet.submit(id, [oneTask])
+  const first = fleet.start('host-1')
+  await until(() => runner.running.has(task))
+  kill(fleet)
+  runner.end(task, 'done')
+  await first.close()
+  fleet.store.fault = 'none'
+  const second = fleet.start('host-2')
+  await until(async () => (await fleet.progress(id))?.status === 'completed')
+  await until(() => runner.acknowledged === 1)
+  await second.close()
+  t.equal(runner.started.length, 1)
+})
+
+// Guards against stopping runs of an earlier term as unexpected.
+void t.test('runs go on through a change of the holder', async t => {
+  const fleet = createFleet()
+  const runner = await fleet.addRunner('r1')
+  await fleet.submit(id, [oneTask])
+  const first = fleet.start('host-1')
+  await until(() => runner.running.has(task))
+  await first.close()
+  const second = fleet.start('host-2')
+  await until(() => second.isHolder)
+  await new Promise(resolve => setTimeout(resolve, 200))
+  t.equal(runner.running.get(task), 1)
+  runner.end(task, 'done')
+  await until(async () => (await fleet.progress(id))?.status === 'completed')
+  await second.close()
+  t.equal(runner.started.length, 1)
+})
+
+// Guards against starting a task again while a runner that cannot be reached may still run it.
+void t.test(
+  'a recorded run on an unreachable runner blocks its task until the lease ends',
+  async t => {
+    const fleet = createFleet()
+    const lost = await fleet.addRunner('r1')
+    await fleet.submit(id, [oneTask])
+    const first = fleet.start('host-1')
+    await until(() => lost.running.has(task))
+    await first.close()
+    lost.fault = 'unreachable'
+    const other = await fleet.addRunner('r2')
+    const startedAt = performance.now()
+    const second = fleet.start('host-2')
+    await until(() => other.running.has(task))
+    // Leases of 300 ms may have been renewed for 200 ms by the first holder.
+    t.ok(performance.now() - startedAt >= 500)
+    t.equal(other.running.get(task), 2)
+    await second.close()
+  },
+)
+
+// Guards against a delayed order of an earlier term: the fence refuses it, and the run is not lost.
+void t.test('an order that is carried out after the takeover starts nothing', async t => {
+  const fleet = createFleet()
+  const runner = await fleet.addRunner('r1')
+  const first = fleet.start('host-1')
+  await until(() => first.isHolder)
+  runner.fault = 'late'
+  await fleet.submit(id, [oneTask])
+  await until(async () => (await fleet.progress(id))?.status === 'running')
+  kill(fleet)
+  await first.close()
+  fleet.store.fault = 'none'
+  runner.fault = 'none'
+  const second = fleet.start('host-2')
+  await until(() => runner.running.get(task) === 2)
+  runner.runLate()
+  t.same([...runner.running], [[task, 2]])
+  await second.close()
+})
--- a/packages/dispatcher/src/machine-duty.ts
+++ b/packages/dispatcher/src/machine-duty.ts
@@ -120,7 +120,8 @@
     for (const wave of waves) if (!this.#progress.has(wave.id)) await this.#load(wave)
     const open = waves.filter(({ id }) => this.#progress.get(id)?.isComplete === false)
     const suspects = [...this.#opts.sessions.values()].filter(
-      ({ suspectSince, occupants }) => suspectSince !== undefined && occupants.size > 0,
+      ({ suspectSince, isRegistered, occupants }) =>
+        occupants.size > 0 && (suspectSince !== undefined || !isRegistered),
     )
     if (open.length === 0 && suspects.length === 0) return false
     const sentAt = performance.now()
@@ -161,7 +162,7 @@
     )
     for (const session of suspects) {
       const since = session.suspectSince
-      if (since === undefined || since > sentAt || present.has(session.id)) continue
+      if ((since !== undefined && since > sentAt) || present.has(session.id)) continue
       this.#opts.log.info('machine of a lost runner is gone', { runner: session.id })
       session.declareGone()
     }
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -100,6 +100,8 @@
   /** Highest end taken in, and highest that is stored. */
   #processed = 0
   #stored = 0
+  /** Highest end that a look has acknowledged. */
+  #acknowledged = 0
   /** The runner has answered with this term's fence. */
   #isReconciled = false
   /** The next look must acknowledge nothing, because the runner may have begun anew. */
@@ -272,7 +274,8 @@
     while (!this.#closing.signal.aborted) {
       if (this.#isIdle()) {
         await this.#sleepUntilWoken()
-        this.#needsFreshLook = true
+        // The runner may have begun anew meanwhile, so the next look acknowledges nothing.
+        this.#needsFreshLook = this.occupants.size > 0
         continue
       }
       if (this.#isLeaseOver()) this.#loseAll()
@@ -286,7 +289,9 @@
 
   #isIdle(): boolean {
     if (!this.#isRegistered || this.#api === undefined) return this.occupants.size === 0
-    return this.#isReconciled && this.occupants.size === 0 && this.suspectSince === undefined
+    const isSettled = this.#acknowledged === this.#processed && !this.#needsFreshLook
+    const isReachable = this.#isReconciled && this.suspectSince === undefined
+    return isReachable && isSettled && this.occupants.size === 0
   }
 
   /** All leases have ended while the runner could not be reached, so nothing runs there. */
@@ -304,9 +309,10 @@
     const sentAt = performance.now()
     const isFresh = this.#needsFreshLook
     const isBehind = this.#processed > this.#stored
+    const acknowledged = isFresh ? 0 : this.#stored
     const result = await api.hold({
       fence: this.#opts.fence,
-      acknowledged: isFresh ? 0 : this.#stored,
+      acknowledged,
       leaseDeadline: this.#isReconciled
         ? this.#clock.deadline(sentAt, this.#opts.leaseMs)
         : undefined,
@@ -323,6 +329,7 @@
       await this.#pause(failedLookPauseMs)
       return
     }
+    this.#acknowledged = Math.max(this.#acknowledged, acknowledged)
     await this.#takeReport(result.value.report, sentAt)
   }
 
@@ -349,6 +356,7 @@
     this.#bornAt = bornAt
     this.#processed = 0
     this.#stored = 0
+    this.#acknowledged = 0
     if (!isFirst) {
       this.#clock.reset()
       this.isClosing = false
--- a/packages/dispatcher/src/term.ts
+++ b/packages/dispatcher/src/term.ts
@@ -54,8 +54,8 @@
 /** Starts in one pass; more follow in the next, after others had their turn. */
 const startsPerPass = 200
 
-/** While a change has waited longer than this to be stored, nothing new is decided; in ms. */
-const maxStoreLagMs = 700
+/** While a change has waited longer than this to be stored, nothing new is decided; a slow store takes 0.4 s. */
+const maxStoreLagMs = 2_000
 
 /** Pause between two calls for changes of the jobs, so that several come in one; in milliseconds. */
 const jobsPauseMs = 15
@@ -126,12 +126,12 @@
     }
     await this.#retry('claim', () => Promise.all([...this.#writers.values()].map(w => w.claim())))
     await this.#retry('read progress', () => this.#readProgress())
-    if (this.#closing.signal.aborted) return
+    if (this.#isClosed()) return
     // Jobs come first: an end that a runner lists for an unknown job would be acknowledged and lost.
     await this.#followJobs().ready
     this.#progress.clear()
     await this.#followRunners().ready
-    if (this.#closing.signal.aborted) return
+    if (this.#isClosed()) return
     this.#stopWatchingView = this.#opts.view.onChange(() => {
       this.requestPass()
     })
@@ -193,6 +193,11 @@
     return this.#usage.get(organisation) ?? noAmounts
   }
 
+  /** A method, because the signal is aborted during awaits. */
+  #isClosed(): boolean {
+    return this.#closing.signal.aborted
+  }
+
   #startMachineDuty(): MachineDuty | undefined {
     const { machines, store, holder, timing, view, waveStatusRow, log, metrics } = this.#opts
     if (machines === undefined) return undefined
@@ -343,7 +348,7 @@
   #openSession(id: string, entry: RunnerEntry | undefined): RunnerSession {
     const { timing, createRunner, log } = this.#opts
     // Earlier dispatchers go on renewing leases for a while after they have lost their own.
-    const assumedMs = (timing.maxLeaseMs + timing.suspendedMs) * assumedLeaseMargin
+    const assumedMs = (timing.leaseMs + timing.suspendedMs) * assumedLeaseMargin
     const session = createRunnerSession({
       id,
       entry,
--- a/packages/host-program/src/timing.ts
+++ b/packages/host-program/src/timing.ts
@@ -10,8 +10,11 @@
 /** How long a look waits for an end, in milliseconds: each renewal is at most that old. */
 const lookWaitMs = 1_200
 
-/** How long runners' leases are renewed without an own lease; outages of the store last 9 s. */
-const suspendedMs = 12_000
+/**
+ * How long runners' leases are renewed without an own lease, in milliseconds. With the lifetimes of
+ * both leases it covers an outage of the store of 9 s.
+ */
+const suspendedMs = 5_000
 
 /** Times of the dispatcher for the settings of a host. */
 export function dispatcherTiming(cfg: HostSettings, dutyLeaseMs: number): DispatcherTiming {
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -28,3 +28,5 @@
   type WorkerStandin,
 } from './worker.js'
 export type { TaskRequest, TaskState, WorkerResources, WorkerTask } from './worker-tasks.js'
+export { createMemoryRunner, type MemoryRunner, type RunnerFault } from './memory-runner.js'
+export { createMemoryStore, type MemoryStore, type StoreFault } from './memory-store.js'
