feat(scheduler,dispatcher): move machines between pools with their demand

Orders carry the fence; one without an answer is repeated until it is settled, and what ran on the machine counts as running until the list shows its runner gone.

--- a/packages/dispatcher/src/machine-duty.ts
+++ b/packages/dispatcher/src/machine-duty.ts
@@ -1,9 +1,15 @@
 import {
+  noAmounts,
+  planPoolMoves,
   planWave,
+  type Amounts,
   type KnownWave,
   type Machine,
   type MachineApi,
+  type MovableMachine,
   type OperatorView,
+  type PoolLoad,
+  type PoolMove,
   type StepState,
   type WaveMachine,
 } from '@bulrushbridge/scheduler'
@@ -24,6 +30,9 @@
 /** Pause between two rounds while there is none, in milliseconds. */
 const idlePauseMs = 1_000
 
+/** Most machines that are ordered into other pools in one round. */
+const movesPerRound = 16
+
 /** Time beyond an upkeep for the new runner to register, in milliseconds. */
 const returnSlackMs = 600
 
@@ -41,6 +50,8 @@
   view: OperatorView
   sessions: ReadonlyMap<string, RunnerSession>
   waveStatusRow: (wave: number, state: 'running' | 'completed') => Write
+  /** What startable tasks of a pool take that find no room. */
+  waitingIn: (pool: string) => Amounts
   /** The dispatcher may not decide now. */
   isSuspended: () => boolean
   onFenced: () => void
@@ -78,6 +89,13 @@
   isAccepted: boolean
 }
 
+interface OrderedMove {
+  to: string
+  /** Runner on the machine when the order was first sent. */
+  runnerId: string | undefined
+  isAccepted: boolean
+}
+
 class Duty implements MachineDuty {
   readonly #opts: MachineDutyOptions
   readonly #closing = new AbortController()
@@ -86,6 +104,10 @@
   readonly #progress = new Map<number, WaveProgress>()
   /** Machines ordered into upkeep, until they are back. */
   readonly #ordered = new Map<string, OrderedUpkeep>()
+  /** Machines ordered into another pool, until they are listed as up there. */
+  readonly #moving = new Map<string, OrderedMove>()
+  /** Since when nothing runs on each machine. */
+  readonly #idleSince = new Map<string, number>()
 
   constructor(opts: MachineDutyOptions) {
     this.#opts = opts
@@ -123,7 +145,6 @@
       ({ suspectSince, isRegistered, occupants }) =>
         occupants.size > 0 && (suspectSince !== undefined || !isRegistered),
     )
-    if (open.length === 0 && suspects.length === 0) return false
     const sentAt = performance.now()
     const result = await this.#opts.machines.list()
     if (result.outcome !== 'done') {
@@ -133,8 +154,12 @@
     this.#settleSuspects(suspects, result.value, sentAt)
     // Two holders that are both in touch must not order one machine within this time.
     const mayOrder = performance.now() - this.#startedAt > this.#opts.timing.machineLeaseMs
-    if (mayOrder) for (const wave of open) await this.#advance(wave, result.value, sentAt)
-    return true
+    if (mayOrder) {
+      for (const wave of open) await this.#advance(wave, result.value, sentAt)
+      await this.#moveBetweenPools(result.value, open)
+    }
+    const isWaiting = this.#poolNames().some(pool => this.#opts.waitingIn(pool).cpuMillis > 0)
+    return open.length + suspects.length + this.#moving.size > 0 || isWaiting
   }
 
   async #load(wave: KnownWave): Promise<void> {
@@ -316,6 +341,102 @@
     session.isLeaving = false
   }
 
+  async #moveBetweenPools(
+    machines: readonly Machine[],
+    waves: readonly KnownWave[],
+  ): Promise<void> {
+    const now = performance.now()
+    this.#noteMoved(machines)
+    this.#noteIdle(machines, now)
+    const due = new Set(
+      waves.flatMap(({ id, machines: ids }) =>
+        ids.filter(machine => this.#progress.get(id)?.done.has(machine) === false),
+      ),
+    )
+    const movable = machines.filter(
+      ({ id, state }) => state === 'up' && !this.#moving.has(id) && !this.#ordered.has(id),
+    )
+    const moves = planPoolMoves({
+      // A spare machine that is due for its upkeep has it first, while nobody needs the machine.
+      machines: movable
+        .filter(({ id, pool }) => !(due.has(id) && this.#isSparePool(pool)))
+        .map(machine => this.#asMovable(machine)),
+      pools: this.#poolNames().map(name => this.#loadOf(name, machines)),
+      now,
+      limit: movesPerRound,
+    })
+    const byId = new Map(machines.map(machine => [machine.id, machine]))
+    const unsettled = [...this.#moving].filter(([, { isAccepted }]) => !isAccepted)
+    await Promise.all([
+      ...unsettled.map(([machine, { to }]) => this.#orderMove({ machine, to }, byId.get(machine))),
+      ...moves.map(move => this.#orderMove(move, byId.get(move.machine))),
+    ])
+  }
+
+  #noteMoved(machines: readonly Machine[]): void {
+    const byId = new Map(machines.map(machine => [machine.id, machine]))
+    for (const [id, move] of [...this.#moving]) {
+      const machine = byId.get(id)
+      const isReplaced = machine?.state !== 'up' || machine.runnerId !== move.runnerId
+      if (isReplaced && move.runnerId !== undefined) {
+        this.#opts.sessions.get(move.runnerId)?.declareGone()
+      }
+      const hasArrived =
+        machine === undefined || (machine.state === 'up' && machine.pool === move.to)
+      if (!hasArrived || !move.isAccepted) continue
+      this.#moving.delete(id)
+      this.#idleSince.delete(id)
+      this.#opts.log.info('machine moved', { machine: id, pool: move.to })
+    }
+  }
+
+  #noteIdle(machines: readonly Machine[], now: number): void {
+    for (const machine of machines) {
+      const session = this.#sessionOf(machine)
+      const isIdle = machine.state === 'up' && session?.occupants.size === 0
+      if (!isIdle) this.#idleSince.delete(machine.id)
+      else if (!this.#idleSince.has(machine.id)) this.#idleSince.set(machine.id, now)
+    }
+  }
+
+  #asMovable({ id, pool, capacity }: Machine): MovableMachine {
+    return { id, pool, capacity, idleSince: this.#idleSince.get(id) }
+  }
+
+  #loadOf(name: string, machines: readonly Machine[]): PoolLoad {
+    const arriving = [...this.#moving.values()].filter(({ to }) => to === name).length
+    const up = machines.filter(({ pool, state }) => pool === name && state === 'up').length
+    const isSpare = this.#isSparePool(name)
+    const waiting = isSpare ? noAmounts : this.#opts.waitingIn(name)
+    return { name, isSpare, waiting, arriving, up }
+  }
+
+  #poolNames(): string[] {
+    return (this.#opts.view.configuration()?.pools ?? []).map(({ name }) => name)
+  }
+
+  async #orderMove({ machine, to }: PoolMove, listed: Machine | undefined): Promise<void> {
+    const { machines, holder, fence, log, metrics } = this.#opts
+    const known = this.#moving.get(machine)
+    const session = known === undefined ? this.#sessionOf(listed) : undefined
+    // Looked at again: a task may have started since the list was asked for.
+    if (session !== undefined && session.occupants.size > 0) return
+    if (session !== undefined) session.isClosing = true
+    const move = known ?? { to, runnerId: listed?.runnerId, isAccepted: false }
+    this.#moving.set(machine, move)
+    const result = await machines.move({ machine, pool: to, holder, fence })
+    const refusal = result.outcome === 'done' ? result.value.refusal : undefined
+    const reason = result.outcome === 'done' ? (refusal ?? 'accepted') : result.reason
+    log.info('move ordered', { machine, pool: to, fence, outcome: result.outcome, reason })
+    metrics.count('bulrush_moves_total', { outcome: reason })
+    if (refusal === 'fence') this.#opts.onFenced()
+    if (result.outcome === 'done' && refusal === undefined) move.isAccepted = true
+    const isRefused = result.outcome === 'not-done' || refusal !== undefined
+    if (!isRefused || known !== undefined) return
+    this.#moving.delete(machine)
+    if (session !== undefined) session.isClosing = false
+  }
+
   async #store(wave: KnownWave, state: 'running' | 'completed'): Promise<void> {
     const progress = this.#progress.get(wave.id)
     if (progress === undefined) return
--- a/packages/dispatcher/src/term.ts
+++ b/packages/dispatcher/src/term.ts
@@ -17,6 +17,7 @@
   progressTable,
   reservedAmounts,
   stepName,
+  timesFitting,
   type Amounts,
   type ListedEnd,
   type OpenRunner,
@@ -80,6 +81,8 @@
   readonly #closing = new AbortController()
   readonly #writers = new Map<string, PartWriter>()
   readonly #usage = new Map<string, Amounts>()
+  /** What the startable tasks of each pool take that found no room in the last pass. */
+  #waiting = new Map<string, Amounts>()
   readonly #health = createRunnerHealth()
   readonly #times = createRunTimes()
   readonly #events: SessionEvents
@@ -211,6 +214,7 @@
       view,
       sessions: this.sessions,
       waveStatusRow,
+      waitingIn: pool => this.#waiting.get(pool) ?? noAmounts,
       isSuspended: () => this.#isSuspended,
       onFenced: () => {
         this.#onDeposed()
@@ -480,17 +484,36 @@
     const lagMs = Math.max(...[...this.#writers.values()].map(writer => writer.lagMs()))
     if (lagMs > maxStoreLagMs) return
     const steps = this.#startableSteps()
+    this.#waiting = new Map()
     if (steps.length === 0) return
+    const allowance = this.#allowance()
     const starts = chooseStarts({
       steps,
       queues: this.#queues(),
       runners: this.#openRunners(),
       times: this.#times,
-      allowance: this.#allowance(),
+      allowance,
       wallNow: Date.now(),
       limit: startsPerPass,
     })
     for (const { task, runnerId } of starts) this.#record(task, runnerId)
+    this.#sumWaiting(steps, allowance)
+  }
+
+  /** Tasks that an organisation's limit holds back do not wait for room. */
+  #sumWaiting(steps: readonly StepState[], allowance: ReadonlyMap<string, Amounts>): void {
+    const queues = this.#queues()
+    for (const step of steps) {
+      const { organisation, queue } = step.job.job
+      const pool = queues.get(queue)?.pool
+      if (pool === undefined || step.pending === 0) continue
+      const left = organisation === undefined ? undefined : allowance.get(organisation)
+      const { amounts } = step.step
+      const allowed = left === undefined ? step.pending : timesFitting(left, amounts)
+      const sum = this.#waiting.get(pool) ?? { ...noAmounts }
+      addAmounts(sum, amounts, Math.min(step.pending, allowed))
+      this.#waiting.set(pool, sum)
+    }
   }
 
   #startableSteps(): StepState[] {
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -43,6 +43,13 @@
   type OperatorView,
   type OperatorViewOptions,
 } from './operator-view.js'
+export {
+  planPoolMoves,
+  type MovableMachine,
+  type PoolLoad,
+  type PoolMove,
+  type PoolMoveState,
+} from './plan-pool-moves.js'
 export { planWave, type WaveMachine, type WavePlan, type WaveState } from './plan-wave.js'
 export { progressSchema, type Progress, type TaskProgress } from './progress.js'
 export { createRunTimes, type RunTimes } from './run-times.js'
