fix(dispatcher,scheduler): acknowledge ends in order; move machines less often

A runner with unstored ends was looked at again without a pause besides. Change: an acknowledgement waits for all earlier ends; moves leave machines of a wave alone and follow waiting work beyond what the pool takes up itself.

--- a/packages/dispatcher/src/machine-duty.ts
+++ b/packages/dispatcher/src/machine-duty.ts
@@ -106,6 +106,8 @@
   readonly #ordered = new Map<string, OrderedUpkeep>()
   /** Machines ordered into another pool, until they are listed as up there. */
   readonly #moving = new Map<string, OrderedMove>()
+  /** Machines that this term has taken out of the spare pool. */
+  readonly #lent = new Set<string>()
   /** Since when nothing runs on each machine. */
   readonly #idleSince = new Map<string, number>()
 
@@ -357,10 +359,8 @@
       ({ id, state }) => state === 'up' && !this.#moving.has(id) && !this.#ordered.has(id),
     )
     const moves = planPoolMoves({
-      // A spare machine that is due for its upkeep has it first, while nobody needs the machine.
-      machines: movable
-        .filter(({ id, pool }) => !(due.has(id) && this.#isSparePool(pool)))
-        .map(machine => this.#asMovable(machine)),
+      // A machine that is due for its upkeep has it first, or the wave would wait for the machine.
+      machines: movable.filter(({ id }) => !due.has(id)).map(machine => this.#asMovable(machine)),
       pools: this.#poolNames().map(name => this.#loadOf(name, machines)),
       now,
       limit: movesPerRound,
@@ -386,6 +386,8 @@
       if (!hasArrived || !move.isAccepted) continue
       this.#moving.delete(id)
       this.#idleSince.delete(id)
+      if (this.#isSparePool(move.to)) this.#lent.delete(id)
+      else this.#lent.add(id)
       this.#opts.log.info('machine moved', { machine: id, pool: move.to })
     }
   }
@@ -393,6 +395,7 @@
   #noteIdle(machines: readonly Machine[], now: number): void {
     for (const machine of machines) {
       const session = this.#sessionOf(machine)
+      if (session !== undefined) session.isLent = this.#lent.has(machine.id)
       const isIdle = machine.state === 'up' && session?.occupants.size === 0
       if (!isIdle) this.#idleSince.delete(machine.id)
       else if (!this.#idleSince.has(machine.id)) this.#idleSince.set(machine.id, now)
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -85,6 +85,8 @@
   readonly free: Amounts = { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
   /** The machine is to have its upkeep or leave the pool, so nothing new starts. */
   isClosing = false
+  /** The machine has come from another pool and is to go back. */
+  isLent = false
   /** An order that ends everything on the machine has been sent. */
   isLeaving = false
   /** Since when looks have failed; undefined while they succeed. */
@@ -100,6 +102,8 @@
   /** Highest end taken in, and highest that is stored. */
   #processed = 0
   #stored = 0
+  /** Resolves when all ends taken in are stored. */
+  #storing: Promise<void> = Promise.resolve()
   /** Highest end that a look has acknowledged. */
   #acknowledged = 0
   /** The runner has answered with this term's fence. */
@@ -337,7 +341,7 @@
     const isNewLife = report.bornAt !== undefined && report.bornAt !== this.#bornAt
     if (isNewLife) this.#beginLife(report.bornAt)
     this.#clock.observe(report.clockMs, performance.now())
-    const stored = this.#takeEnds(report)
+    this.#takeEnds(report)
     this.#takeRunning(report, sentAt)
     const wasOpen = this.#isReconciled && this.suspectSince === undefined
     if (this.suspectSince !== undefined) this.#opts.log.info('runner regained', { runner: this.id })
@@ -346,8 +350,9 @@
     // A new life is confirmed by a second look, whose acknowledgement then counts its own ends.
     this.#needsFreshLook = false
     if (!wasOpen || report.ended.length > 0) this.#opts.events.onChange(this)
-    if (stored.length === 0) return
-    await Promise.race([Promise.all(stored), this.#pause(storeWaitMs)])
+    if (this.#processed === this.#stored) return
+    // The runner would repeat its ends at once, so the next look waits for the store.
+    await Promise.race([this.#storing, this.#pause(storeWaitMs)])
     if (this.#processed > this.#stored) await this.#pause(unstoredPauseMs)
   }
 
@@ -357,6 +362,7 @@
     this.#processed = 0
     this.#stored = 0
     this.#acknowledged = 0
+    this.#storing = Promise.resolve()
     if (!isFirst) {
       this.#clock.reset()
       this.isClosing = false
@@ -369,8 +375,8 @@
     }
   }
 
-  /** Takes in new ends; the promises resolve when the ends are stored. */
-  #takeEnds(report: RunnerReport): Promise<void>[] {
+  /** Takes in new ends. */
+  #takeEnds(report: RunnerReport): void {
     const bornAt = this.#bornAt
     const stored: Promise<void>[] = []
     for (const end of [...report.ended].sort((a, b) => a.number - b.number)) {
@@ -380,13 +386,12 @@
       if (occupant !== undefined) this.remove(occupant)
       stored.push(this.#opts.events.onEnd(this, end, occupant))
     }
+    if (stored.length === 0) return
     const last = this.#processed
-    if (stored.length > 0) {
-      void Promise.all(stored).then(() => {
-        if (this.#bornAt === bornAt) this.#stored = Math.max(this.#stored, last)
-      })
-    }
-    return stored
+    // An acknowledgement covers all ends before it, so it waits for those of earlier reports too.
+    this.#storing = Promise.all([this.#storing, ...stored]).then(() => {
+      if (this.#bornAt === bornAt) this.#stored = Math.max(this.#stored, last)
+    })
   }
 
   #takeRunning(report: RunnerReport, sentAt: number): void {
--- a/packages/dispatcher/src/term.ts
+++ b/packages/dispatcher/src/term.ts
@@ -608,6 +608,7 @@
     tasksByStep,
     serving,
     fillers,
+    isLent: session.isLent,
   }
 }
 
--- a/packages/scheduler/src/choose-starts.ts
+++ b/packages/scheduler/src/choose-starts.ts
@@ -18,6 +18,8 @@
   /** Serving and filling tasks on the runner; they disturb each other. */
   serving: number
   fillers: number
+  /** The machine has come from another pool and is to go back. */
+  isLent: boolean
 }
 
 /** What the choice is made from. */
@@ -158,14 +160,12 @@
     let disturbance = 0
     if (isFiller === true) disturbance = runner.serving
     else if (targetMs !== undefined) disturbance = runner.fillers
+    // A lasting task would keep a lent machine from going back.
+    const isPinned = isLasting === true && runner.isLent ? 1 : 0
     const left = leftFraction(runner)
     // Lasting tasks spread, so that one machine's loss or upkeep ends few of them.
-    return (
-      isAvoided * 1_000 +
-      isElsewhere * 100 +
-      disturbance * 10 +
-      (isLasting === true ? 1 - left : left)
-    )
+    const fit = isLasting === true ? 1 - left : left
+    return isPinned * 10_000 + isAvoided * 1_000 + isElsewhere * 100 + disturbance * 10 + fit
   }
 
   #isAllowed(state: StepState): boolean {
--- a/packages/scheduler/src/plan-pool-moves.ts
+++ b/packages/scheduler/src/plan-pool-moves.ts
@@ -36,20 +36,23 @@
   to: string
 }
 
-/** An idle machine of a pool without waiting work is switched off after this time, in ms. */
-const switchOffAfterMs = 2_000
+/**
+ * An idle machine of a pool without waiting work is switched off after this time, in milliseconds.
+ * Two moves cost as much as 2.6 s in a pool, so waiting that long costs at most twice the optimum.
+ */
+const switchOffAfterMs = 2_600
 
 /** An idle machine of another pool is lent after this time, in milliseconds. */
-const lendAfterMs = 500
+const lendAfterMs = 1_000
 
 /** Machines that a pool keeps, so that its next task starts at once. */
 const keptMachines = 1
 
 /**
- * Share of the waiting work for which machines are brought in: part of it will have run on the
- * present machines by the time that others arrive.
+ * Waiting work that the machines of a pool will have taken up before others could arrive, as a
+ * share of their room: tasks take about a second, and so does a move.
  */
-const broughtShare = 0.8
+const absorbedShare = 0.4
 
 /**
  * Plans which machines change their pool, for demand that goes round the pools in bursts: a pool
@@ -96,8 +99,8 @@
   if (pool.isSpare) return 0
   const [sample] = machines
   if (sample === undefined) return 0
-  const wanted = broughtShare * largestFraction(pool.waiting, sample.capacity)
-  return Math.ceil(wanted) - pool.arriving
+  const waiting = largestFraction(pool.waiting, sample.capacity)
+  return Math.ceil(waiting - absorbedShare * pool.up) - pool.arriving
 }
 
 function pickDonor(
