--- /dev/null
+++ b/packages/job-front/__tests__/acceptor.test.ts
@@ -0,0 +1,63 @@
+import { RequestError } from '@bulrushbridge/errors'
+import { jobsTable, partOf, progressTable, type Job } from '@bulrushbridge/scheduler'
+import { createMemoryStore } from '@bulrushbridge/standins'
+import t from 'tap'
+import { createAcceptor } from '../src/index.js'
+
+const job: Job = {
+  id: '00000000000000a1',
+  queue: 'finder',
+  payload: '',
+  steps: [{ count: 1, amounts: { cpuMillis: 1, memoryMb: 1, accelerators: 0 }, estimateMs: 1 }],
+  acceptedAt: 0,
+}
+const part = partOf(job.id)
+
+function inMs(ms: number): number {
+  return performance.now() + ms
+}
+
+// Guards against a second job for one id, which would run its work twice.
+void t.test('a repeat of an id is the same job, also after its end', async t => {
+  const store = createMemoryStore()
+  const acceptor = createAcceptor(store)
+  t.equal(await acceptor.accept(job, inMs(1_000)), 'accepted')
+  t.equal(await acceptor.accept(job, inMs(1_000)), 'known')
+  await store.commit({ checks: [], writes: [{ table: jobsTable, part, key: job.id, value: null }] })
+  t.equal(await acceptor.accept(job, inMs(1_000)), 'known')
+  await acceptor.close()
+})
+
+// Guards against saying that a job never runs although it is stored.
+void t.test('a lost answer is never told as a refusal', async t => {
+  const store = createMemoryStore()
+  const acceptor = createAcceptor(store)
+  store.fault = 'lose-after'
+  const accepting = acceptor.accept(job, inMs(600))
+  // The first attempts are stored and their answers lost; a later one finds the job.
+  setTimeout(() => (store.fault = 'none'), 100)
+  t.equal(await accepting, 'accepted')
+  t.ok(await store.read(progressTable, job.id, { part }))
+  const other = { ...job, id: '00000000000000a2' }
+  store.fault = 'lose-before'
+  const err = await acceptor.accept(other, inMs(300)).catch((cause: unknown) => cause)
+  t.equal(err instanceof RequestError ? err.kind : '', 'acceptance-unknown')
+  await acceptor.close()
+})
+
+// Guards against holding a caller until its deadline while the store refuses.
+void t.test('a store that refuses is told soon, with the time to come back', async t => {
+  const store = createMemoryStore()
+  const acceptor = createAcceptor(store)
+  store.fault = 'refuse'
+  const startedAt = performance.now()
+  const err = await acceptor.accept(job, inMs(3_000)).catch((cause: unknown) => cause)
+  if (!(err instanceof RequestError)) throw new Error('the job was not refused')
+  t.equal(err.kind, 'store-unavailable')
+  t.equal(err.outcome, 'not-run')
+  t.ok((err.retryAfterMs ?? 0) > 0)
+  t.ok(performance.now() - startedAt < 1_500)
+  store.fault = 'none'
+  t.equal(await store.read(progressTable, job.id, { part }), undefined)
+  await acceptor.close()
+})
--- /dev/null
+++ b/packages/scheduler/__tests__/job-state.test.ts
@@ -0,0 +1,54 @@
+import t from 'tap'
+import { JobState, progressSchema } from '../src/index.js'
+import { createJob, step } from './fixture.js'
+
+// A new term continues from the stored progress; runs must keep their numbers and runners.
+void t.test('progress survives a change of the dispatcher', t => {
+  const job = createJob('1', {
+    steps: [
+      { ...step, count: 3 },
+      { ...step, after: [0] },
+    ],
+  })
+  const [first, second] = job.startable()[0]?.tasks ?? []
+  if (first === undefined || second === undefined) throw new Error('the job has too few tasks')
+  job.beginRun(first, 'r1', 5)
+  job.markDone(first, 0)
+  job.beginRun(second, 'r2', 7)
+  const stored = progressSchema.parse(JSON.parse(JSON.stringify(job.encode())))
+  const restored = new JobState(job.job, stored)
+  t.equal(restored.status, 'running')
+  t.ok(restored.task(0, 0, 0)?.isDone)
+  t.same(restored.task(0, 0, 1)?.run, { number: 1, runnerId: 'r2', runnerBornAt: 7 })
+  t.equal(restored.startable()[0]?.pending, 1)
+  t.same(restored.encode(), job.encode())
+  t.end()
+})
+
+void t.test('a job is complete when the last task of every occurrence is done', t => {
+  const job = createJob('1', { schedule: { occurrences: 2, firstAt: 0, intervalMs: 1_000 } })
+  const finish = (k: number) => {
+    const task = job.task(k, 0, 0)
+    if (task === undefined) throw new Error('the occurrence is not open')
+    job.beginRun(task, 'r1', 1)
+    job.markDone(task, 0)
+  }
+  finish(0)
+  t.equal(job.status, 'running')
+  t.equal(job.nextDueAt(), 1_000)
+  job.openDue(1_000)
+  finish(1)
+  t.equal(job.status, 'completed')
+  t.end()
+})
+
+// Guards against a start before the time of an occurrence.
+void t.test('an occurrence opens at its time and not before', t => {
+  const job = createJob('1', { schedule: { occurrences: 2, firstAt: 500, intervalMs: 1_000 } })
+  t.equal(job.startable().length, 0)
+  job.openDue(499)
+  t.equal(job.startable().length, 0)
+  job.openDue(500)
+  t.equal(job.startable().length, 1)
+  t.end()
+})
--- /dev/null
+++ b/packages/scheduler/__tests__/plan-pool-moves.test.ts
@@ -0,0 +1,62 @@
+import t from 'tap'
+import { planPoolMoves, type MovableMachine, type PoolLoad } from '../src/index.js'
+
+const capacity = { cpuMillis: 16_000, memoryMb: 64_000, accelerators: 0 }
+const nothing = { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
+
+function machine(id: string, pool: string, idleSince?: number): MovableMachine {
+  return { id, pool, capacity, idleSince }
+}
+
+function pool(name: string, changes: Partial<PoolLoad> = {}): PoolLoad {
+  return { name, isSpare: false, waiting: nothing, arriving: 0, up: 8, ...changes }
+}
+
+const spare = pool('spare', { isSpare: true })
+
+/** Waiting work that would fill so many machines. */
+function waitingFor(machines: number) {
+  return { cpuMillis: machines * capacity.cpuMillis, memoryMb: 0, accelerators: 0 }
+}
+
+// Pattern: demand goes round the queues in turns of seconds, five times the mean of each.
+void t.test('a pool in its turn gets spare machines for the work it cannot take up', t => {
+  const machines = Array.from({ length: 8 }, (_, i) => machine(`s${i}`, 'spare'))
+  const pools = [pool('a', { waiting: waitingFor(6) }), spare]
+  const moves = planPoolMoves({ machines, pools, now: 10_000, limit: 16 })
+  t.equal(moves.length, 3)
+  t.ok(moves.every(({ to }) => to === 'a'))
+  t.end()
+})
+
+// Guards against ordering again the machines that are on their way.
+void t.test('machines on their way count', t => {
+  const machines = [machine('s1', 'spare')]
+  const pools = [pool('a', { waiting: waitingFor(6), arriving: 3 }), spare]
+  t.same(planPoolMoves({ machines, pools, now: 10_000, limit: 16 }), [])
+  t.end()
+})
+
+// Found on lfta-compat: 200 moves a day, because any waiting task brought a machine.
+void t.test('work that the pool takes up itself brings no machine', t => {
+  const machines = [machine('s1', 'spare')]
+  const pools = [pool('a', { waiting: waitingFor(2) }), spare]
+  t.same(planPoolMoves({ machines, pools, now: 10_000, limit: 16 }), [])
+  t.end()
+})
+
+void t.test('an idle machine is switched off, but the last of its pool stays', t => {
+  const machines = [machine('a1', 'a', 0), machine('a2', 'a', 0), machine('a3', 'a')]
+  const pools = [pool('a', { up: 2 }), spare]
+  const moves = planPoolMoves({ machines, pools, now: 10_000, limit: 16 })
+  t.same(moves, [{ machine: 'a1', to: 'spare' }])
+  t.end()
+})
+
+void t.test('without spare machines an idle one of a pool without waiting work is lent', t => {
+  const machines = [machine('b1', 'b', 0), machine('b2', 'b')]
+  const pools = [pool('a', { waiting: waitingFor(5) }), pool('b'), spare]
+  const moves = planPoolMoves({ machines, pools, now: 10_000, limit: 16 })
+  t.same(moves[0], { machine: 'b1', to: 'a' })
+  t.end()
+})
