fix(dispatcher): count a failure once; lend spare machines only

The next term counted the end again that the last one had stored and not acknowledged. Change: an end counts for the present run or a given-up one; only spare machines move, which are listed in the store, and none from a zone that is out.

--- a/packages/dispatcher/src/machine-duty.ts
+++ b/packages/dispatcher/src/machine-duty.ts
@@ -36,6 +36,12 @@
 /** Time beyond an upkeep for the new runner to register, in milliseconds. */
 const returnSlackMs = 600
 
+/** Table and key of the list of machines that have come out of the spare pool. */
+const lentTable = 'machines'
+const lentKey = 'lent'
+
+const lentSchema = z.array(z.string())
+
 const waveRowSchema = z.object({ done: z.array(z.string()), isComplete: z.boolean() })
 
 /** Options of {@link createMachineDuty}. */
@@ -106,8 +112,9 @@
   readonly #ordered = new Map<string, OrderedUpkeep>()
   /** Machines ordered into another pool, until they are listed as up there. */
   readonly #moving = new Map<string, OrderedMove>()
-  /** Machines that this term has taken out of the spare pool. */
+  /** Machines that have been taken out of the spare pool. */
   readonly #lent = new Set<string>()
+  #isLentLoaded = false
   /** Since when nothing runs on each machine. */
   readonly #idleSince = new Map<string, number>()
 
@@ -348,6 +355,7 @@
     waves: readonly KnownWave[],
   ): Promise<void> {
     const now = performance.now()
+    if (!this.#isLentLoaded) await this.#loadLent()
     this.#noteMoved(machines)
     this.#noteIdle(machines, now)
     const due = new Set(
@@ -365,6 +373,10 @@
       now,
       limit: movesPerRound,
     })
+    // Stored before the orders, so that no machine stays lent for good after a change of the holder.
+    const leaving = moves.filter(({ to }) => !this.#isSparePool(to))
+    for (const { machine } of leaving) this.#lent.add(machine)
+    if (leaving.length > 0) await this.#storeLent()
     const byId = new Map(machines.map(machine => [machine.id, machine]))
     const unsettled = [...this.#moving].filter(([, { isAccepted }]) => !isAccepted)
     await Promise.all([
@@ -387,7 +399,6 @@
       this.#moving.delete(id)
       this.#idleSince.delete(id)
       if (this.#isSparePool(move.to)) this.#lent.delete(id)
-      else this.#lent.add(id)
       this.#opts.log.info('machine moved', { machine: id, pool: move.to })
     }
   }
@@ -402,8 +413,25 @@
     }
   }
 
-  #asMovable({ id, pool, capacity }: Machine): MovableMachine {
-    return { id, pool, capacity, idleSince: this.#idleSince.get(id) }
+  #asMovable({ id, pool, capacity, zone }: Machine): MovableMachine {
+    const isZoneOut = this.#opts.view.zonesOut().has(zone)
+    const idleSince = this.#idleSince.get(id)
+    return { id, pool, capacity, isLent: this.#lent.has(id), isZoneOut, idleSince }
+  }
+
+  /** Lent machines are stored, so that the next holder knows which ones are to go back. */
+  async #loadLent(): Promise<void> {
+    const row = await this.#opts.store.read(lentTable, lentKey)
+    const parsed = lentSchema.safeParse(row?.value)
+    for (const id of parsed.success ? parsed.data : []) this.#lent.add(id)
+    this.#isLentLoaded = true
+  }
+
+  async #storeLent(): Promise<void> {
+    const write = { table: lentTable, key: lentKey, value: [...this.#lent] }
+    const result = await this.#opts.store.commit({ checks: [this.#opts.check], writes: [write] })
+    if (!result.committed)
+      this.#opts.log.warn('lent machines not stored', { count: this.#lent.size })
   }
 
   #loadOf(name: string, machines: readonly Machine[]): PoolLoad {
--- a/packages/dispatcher/src/run-ends.ts
+++ b/packages/dispatcher/src/run-ends.ts
@@ -58,12 +58,16 @@
   if (task === undefined) return applied
   const { job } = task.step
   const isPresentRun = task.run?.number === end.run && task.run.runnerId === runnerId
+  // An end that an earlier term has stored and not acknowledged is listed again.
+  const isNew = isPresentRun || task.givenUp.includes(end.run)
+  task.givenUp = task.givenUp.filter(run => run !== end.run)
   applied.job = job
   if (isPresentRun) {
     if (end.checkpoint !== '' && task.step.step.savesProgress === true) saveCheckpoint(task, end)
     job.clearRun(task)
   }
-  if (!job.isFinal) handlers[end.how]({ ctx, job, task, end, runnerId, occupant, applied })
+  const args = { ctx, job, task, end, runnerId, occupant, applied }
+  if (isNew && !job.isFinal) handlers[end.how](args)
   return applied
 }
 
--- a/packages/dispatcher/src/term.ts
+++ b/packages/dispatcher/src/term.ts
@@ -429,7 +429,7 @@
     this.#opts.log.info('run over', { task: name, run, runner: session.id, cause })
     this.#opts.metrics.count('bulrush_runs_ended_total', { how: cause })
     if (task?.run?.number !== run || task.run.runnerId !== session.id) return
-    task.step.job.clearRun(task)
+    task.step.job.giveUpRun(task)
     void this.store(task.step.job)
     this.requestPass()
   }
@@ -487,26 +487,33 @@
     this.#waiting = new Map()
     if (steps.length === 0) return
     const allowance = this.#allowance()
+    const runners = this.#openRunners()
     const starts = chooseStarts({
       steps,
       queues: this.#queues(),
-      runners: this.#openRunners(),
+      runners,
       times: this.#times,
       allowance,
       wallNow: Date.now(),
       limit: startsPerPass,
     })
     for (const { task, runnerId } of starts) this.#record(task, runnerId)
-    this.#sumWaiting(steps, allowance)
+    this.#sumWaiting(steps, runners, allowance)
   }
 
   /** Tasks that an organisation's limit holds back do not wait for room. */
-  #sumWaiting(steps: readonly StepState[], allowance: ReadonlyMap<string, Amounts>): void {
+  #sumWaiting(
+    steps: readonly StepState[],
+    runners: readonly OpenRunner[],
+    allowance: ReadonlyMap<string, Amounts>,
+  ): void {
     const queues = this.#queues()
     for (const step of steps) {
       const { organisation, queue } = step.job.job
       const pool = queues.get(queue)?.pool
       if (pool === undefined || step.pending === 0) continue
+      // A task that is larger than any machine would call for machines in vain.
+      if (!runners.some(({ capacity }) => timesFitting(capacity, step.step.amounts) > 0)) continue
       const left = organisation === undefined ? undefined : allowance.get(organisation)
       const { amounts } = step.step
       const allowed = left === undefined ? step.pending : timesFitting(left, amounts)
--- a/packages/scheduler/src/job-state.ts
+++ b/packages/scheduler/src/job-state.ts
@@ -20,6 +20,8 @@
   checkpoint: string
   /** The run that may be under way; no other run starts while it is set. */
   run: TaskRun | undefined
+  /** Runs given up without an end; their runner may still list one. */
+  givenUp: number[]
   /** Runner of the last run that failed, which is avoided for the next one. */
   failedOn: string | undefined
 }
@@ -122,6 +124,12 @@
     if (!task.isDone) task.step.pending += 1
   }
 
+  /** The run counts as over although its runner has listed no end. */
+  giveUpRun(task: Task): void {
+    if (task.run !== undefined) task.givenUp.push(task.run.number)
+    this.clearRun(task)
+  }
+
   /** The task is done. Completes the occurrence and the job when it was the last one. */
   markDone(task: Task, wallNow: number): void {
     const { step } = task
@@ -235,6 +243,7 @@
     lastRun: 0,
     checkpoint: '',
     run: undefined,
+    givenUp: [],
     failedOn: undefined,
   }
   if (typeof stored === 'number') return task
--- a/packages/scheduler/src/plan-pool-moves.ts
+++ b/packages/scheduler/src/plan-pool-moves.ts
@@ -5,6 +5,10 @@
   id: string
   pool: string
   capacity: Amounts
+  /** It has come from the spare pool and goes back. */
+  isLent: boolean
+  /** Its availability zone takes no new work. */
+  isZoneOut: boolean
   /** Nothing runs on it since this time; undefined while something may. */
   idleSince: number | undefined
 }
@@ -37,17 +41,11 @@
 }
 
 /**
- * An idle machine of a pool without waiting work is switched off after this time, in milliseconds.
+ * An idle lent machine is switched off after this time, in milliseconds.
  * Two moves cost as much as 2.6 s in a pool, so waiting that long costs at most twice the optimum.
  */
 const switchOffAfterMs = 2_600
 
-/** An idle machine of another pool is lent after this time, in milliseconds. */
-const lendAfterMs = 1_000
-
-/** Machines that a pool keeps, so that its next task starts at once. */
-const keptMachines = 1
-
 /**
  * Waiting work that the machines of a pool will have taken up before others could arrive, as a
  * share of their room: tasks take about a second, and so does a move.
@@ -56,8 +54,9 @@
 
 /**
  * Plans which machines change their pool, for demand that goes round the pools in bursts: a pool
- * with waiting work gets spare machines, then idle ones of other pools; machines that stay idle go
- * back to the spare pool, where they are off and cost nothing.
+ * with waiting work gets spare machines; those that stay idle go back to the spare pool, where they
+ * are off and cost nothing. Machines of other pools stay: their own turn comes within seconds, and
+ * switching them off and on cost more than it saved on every measured day.
  *
  * @example
  * for (const { machine, to } of planPoolMoves(state)) await order(machine, to)
@@ -73,22 +72,18 @@
     .sort((a, b) => b.missing - a.missing)
   for (const { pool, missing } of needy) {
     for (let count = 0; count < missing && moves.length < limit; count++) {
-      const donor = pickDonor(state, pool, taken)
+      const donor = pickDonor(state, taken)
       if (donor === undefined) break
       taken.add(donor.id)
       moves.push({ machine: donor.id, to: pool.name })
     }
   }
   if (spare === undefined) return moves
-  const left = new Map(pools.map(({ name, up }) => [name, up]))
   const isNeedy = new Set(needy.map(({ pool }) => pool.name))
   for (const machine of machines) {
-    const pool = pools.find(({ name }) => name === machine.pool)
-    if (pool === undefined || pool.isSpare || isNeedy.has(pool.name)) continue
-    if (taken.has(machine.id) || moves.length >= limit) continue
-    const up = left.get(pool.name) ?? 0
-    if (!isIdleFor(machine, state.now, switchOffAfterMs) || up <= keptMachines) continue
-    left.set(pool.name, up - 1)
+    if (moves.length >= limit) break
+    if (!machine.isLent || machine.pool === spare.name || isNeedy.has(machine.pool)) continue
+    if (!isIdleFor(machine, state.now, switchOffAfterMs)) continue
     moves.push({ machine: machine.id, to: spare.name })
   }
   return moves
@@ -104,21 +99,11 @@
 }
 
 function pickDonor(
-  { machines, pools, now }: PoolMoveState,
-  to: PoolLoad,
+  { machines, pools }: PoolMoveState,
   taken: ReadonlySet<string>,
 ): MovableMachine | undefined {
-  const candidates = machines.filter(({ id, pool }) => !taken.has(id) && pool !== to.name)
   const isSpare = (name: string) => pools.some(pool => pool.name === name && pool.isSpare)
-  const fromSpare = candidates.find(({ pool }) => isSpare(pool))
-  if (fromSpare !== undefined) return fromSpare
-  return candidates.find(machine => {
-    const pool = pools.find(({ name }) => name === machine.pool)
-    if (pool === undefined || pool.up <= keptMachines) return false
-    return (
-      largestFraction(pool.waiting, machine.capacity) === 0 && isIdleFor(machine, now, lendAfterMs)
-    )
-  })
+  return machines.find(({ id, pool, isZoneOut }) => isSpare(pool) && !isZoneOut && !taken.has(id))
 }
 
 function isIdleFor({ idleSince }: MovableMachine, now: number, ms: number): boolean {
