refactor(dispatcher): one file for waves, moves, usage and waiting work

Besides: idle machines of other pools are lent again and go to the spare pool when they are idle; a restarted host takes its own lease over at once, which saves the lease's 2 s after a loss of all hosts.

--- a/packages/dispatcher/src/dispatcher.ts
+++ b/packages/dispatcher/src/dispatcher.ts
@@ -99,6 +99,7 @@
       duty: dutyName,
       holder,
       ttlMs: timing.dutyLeaseMs,
+      isSoleHolder: true,
       onError,
     })
     this.#duty.onChange(held => {
--- a/packages/dispatcher/src/occupant.ts
+++ b/packages/dispatcher/src/occupant.ts
@@ -1,4 +1,4 @@
-import type { Amounts, Task } from '@bulrushbridge/scheduler'
+import { noAmounts, reservedAmounts, type Amounts, type Task } from '@bulrushbridge/scheduler'
 
 /**
  * State of a run on a runner: `recorded` is stored and not ordered yet, `ordered` has an order
@@ -32,3 +32,25 @@
 export function occupantKey(name: string, run: number): string {
   return `${name}#${run}`
 }
+
+/** The occupant for the task's present run, or for a run that is named. */
+export function createOccupant(
+  task: Task | undefined,
+  runnerBornAt: number,
+  id?: { name: string; run: number },
+): Occupant {
+  return {
+    name: id?.name ?? task?.name ?? '',
+    run: id?.run ?? task?.run?.number ?? 0,
+    task,
+    amounts: task === undefined ? noAmounts : reservedAmounts(task.step),
+    runnerBornAt,
+    state: id === undefined ? 'recorded' : 'present',
+    confirmedAt: undefined,
+    orderedAt: undefined,
+    percent: 0,
+    percentAt: performance.now(),
+    usage: undefined,
+    pacedTo: 100,
+  }
+}
--- /dev/null
+++ b/packages/dispatcher/src/open-runner.ts
@@ -0,0 +1,28 @@
+import { stepName, type OpenRunner, type RunnerEntry } from '@bulrushbridge/scheduler'
+import type { RunnerSession } from './runner-session.js'
+
+/** A session as the choice of starts sees it. */
+export function asOpenRunner(session: RunnerSession, entry: RunnerEntry): OpenRunner {
+  const tasksByStep = new Map<string, number>()
+  let serving = 0
+  let fillers = 0
+  for (const { task } of session.occupants.values()) {
+    if (task === undefined) continue
+    const name = stepName(task.step)
+    tasksByStep.set(name, (tasksByStep.get(name) ?? 0) + 1)
+    if (task.step.step.isFiller === true) fillers += 1
+    else if (task.step.step.targetMs !== undefined) serving += 1
+  }
+  return {
+    id: session.id,
+    pool: entry.pool,
+    rack: session.rack,
+    labels: entry.labels,
+    capacity: entry.capacity,
+    free: { ...session.free },
+    tasksByStep,
+    serving,
+    fillers,
+    isLent: session.isLent,
+  }
+}
--- a/packages/dispatcher/src/term.ts
+++ b/packages/dispatcher/src/term.ts
@@ -2,7 +2,6 @@
 import { setMaxListeners } from 'node:events'
 import { normalizeError } from '@bulrushbridge/errors'
 import {
-  addAmounts,
   cancelSuffix,
   chooseStarts,
   createRunnerHealth,
@@ -15,9 +14,6 @@
   parts,
   progressSchema,
   progressTable,
-  reservedAmounts,
-  stepName,
-  timesFitting,
   type Amounts,
   type ListedEnd,
   type OpenRunner,
@@ -35,10 +31,13 @@
   type TableFollower,
 } from '@bulrushbridge/store'
 import type { DispatcherOptions } from './dispatcher.js'
-import type { Occupant } from './occupant.js'
+import { createOccupant, type Occupant } from './occupant.js'
+import { asOpenRunner } from './open-runner.js'
+import { createOrganisationUsage } from './organisation-usage.js'
 import { createMachineDuty, type MachineDuty } from './machine-duty.js'
 import { createPartWriter, type PartWriter } from './part-writer.js'
 import { applyEnd, findTask, type EndContext } from './run-ends.js'
+import { sumWaitingWork } from './waiting-work.js'
 import {
   createRunnerSession,
   type DeathCause,
@@ -80,7 +79,7 @@
   readonly #onDeposed: () => void
   readonly #closing = new AbortController()
   readonly #writers = new Map<string, PartWriter>()
-  readonly #usage = new Map<string, Amounts>()
+  readonly #usage = createOrganisationUsage()
   /** What the startable tasks of each pool take that found no room in the last pass. */
   #waiting = new Map<string, Amounts>()
   readonly #health = createRunnerHealth()
@@ -191,11 +190,6 @@
     }, passDelayMs)
   }
 
-  /** Sum of what each organisation has running, or may have. */
-  usageOf(organisation: string): Amounts {
-    return this.#usage.get(organisation) ?? noAmounts
-  }
-
   /** A method, because the signal is aborted during awaits. */
   #isClosed(): boolean {
     return this.#closing.signal.aborted
@@ -393,12 +387,8 @@
         metrics.observe('bulrush_start_ms', {}, performance.now() - orderedAt)
         log.info('run started', { task: name, run, runner: session.id })
       },
-      onOccupancy: ({ task }, times) => {
-        const organisation = task?.step.job.job.organisation
-        if (task === undefined || organisation === undefined) return
-        const sum = this.#usage.get(organisation) ?? { ...noAmounts }
-        addAmounts(sum, task.step.step.amounts, times)
-        this.#usage.set(organisation, sum)
+      onOccupancy: (occupant, times) => {
+        this.#usage.change(occupant, times)
       },
     }
   }
@@ -486,11 +476,12 @@
     const steps = this.#startableSteps()
     this.#waiting = new Map()
     if (steps.length === 0) return
-    const allowance = this.#allowance()
+    const allowance = this.#usage.allowance(this.#opts.view.configuration()?.organisations ?? [])
     const runners = this.#openRunners()
+    const queues = this.#queues()
     const starts = chooseStarts({
       steps,
-      queues: this.#queues(),
+      queues,
       runners,
       times: this.#times,
       allowance,
@@ -498,29 +489,7 @@
       limit: startsPerPass,
     })
     for (const { task, runnerId } of starts) this.#record(task, runnerId)
-    this.#sumWaiting(steps, runners, allowance)
-  }
-
-  /** Tasks that an organisation's limit holds back do not wait for room. */
-  #sumWaiting(
-    steps: readonly StepState[],
-    runners: readonly OpenRunner[],
-    allowance: ReadonlyMap<string, Amounts>,
-  ): void {
-    const queues = this.#queues()
-    for (const step of steps) {
-      const { organisation, queue } = step.job.job
-      const pool = queues.get(queue)?.pool
-      if (pool === undefined || step.pending === 0) continue
-      // A task that is larger than any machine would call for machines in vain.
-      if (!runners.some(({ capacity }) => timesFitting(capacity, step.step.amounts) > 0)) continue
-      const left = organisation === undefined ? undefined : allowance.get(organisation)
-      const { amounts } = step.step
-      const allowed = left === undefined ? step.pending : timesFitting(left, amounts)
-      const sum = this.#waiting.get(pool) ?? { ...noAmounts }
-      addAmounts(sum, amounts, Math.min(step.pending, allowed))
-      this.#waiting.set(pool, sum)
-    }
+    this.#waiting = sumWaitingWork({ steps, queues, runners, allowance })
   }
 
   #startableSteps(): StepState[] {
@@ -574,69 +543,4 @@
     }
     return found
   }
-
-  #allowance(): Map<string, Amounts> {
-    const allowance = new Map<string, Amounts>()
-    for (const { name, limit } of this.#opts.view.configuration()?.organisations ?? []) {
-      const used = this.usageOf(name)
-      allowance.set(name, {
-        cpuMillis: leftOf(limit.cpuMillis, used.cpuMillis),
-        memoryMb: leftOf(limit.memoryMb, used.memoryMb),
-        accelerators: leftOf(limit.accelerators, used.accelerators),
-      })
-    }
-    return allowance
-  }
-}
-
-/** A limit of 0 is no limit. */
-function leftOf(limit: number, used: number): number {
-  return limit === 0 ? Number.POSITIVE_INFINITY : limit - used
-}
-
-function asOpenRunner(session: RunnerSession, entry: RunnerEntry): OpenRunner {
-  const tasksByStep = new Map<string, number>()
-  let serving = 0
-  let fillers = 0
-  for (const { task } of session.occupants.values()) {
-    if (task === undefined) continue
-    const name = stepName(task.step)
-    tasksByStep.set(name, (tasksByStep.get(name) ?? 0) + 1)
-    if (task.step.step.isFiller === true) fillers += 1
-    else if (task.step.step.targetMs !== undefined) serving += 1
-  }
-  return {
-    id: session.id,
-    pool: entry.pool,
-    rack: session.rack,
-    labels: entry.labels,
-    capacity: entry.capacity,
-    free: { ...session.free },
-    tasksByStep,
-    serving,
-    fillers,
-    isLent: session.isLent,
-  }
-}
-
-/** The occupant for the task's present run, or for a run that is named. */
-function createOccupant(
-  task: Task | undefined,
-  runnerBornAt: number,
-  id?: { name: string; run: number },
-): Occupant {
-  return {
-    name: id?.name ?? task?.name ?? '',
-    run: id?.run ?? task?.run?.number ?? 0,
-    task,
-    amounts: task === undefined ? noAmounts : reservedAmounts(task.step),
-    runnerBornAt,
-    state: id === undefined ? 'recorded' : 'present',
-    confirmedAt: undefined,
-    orderedAt: undefined,
-    percent: 0,
-    percentAt: performance.now(),
-    usage: undefined,
-    pacedTo: 100,
-  }
 }
--- /dev/null
+++ b/packages/dispatcher/src/wave-orders.ts
@@ -0,0 +1,239 @@
+import {
+  planWave,
+  type KnownWave,
+  type Machine,
+  type StepState,
+  type WaveMachine,
+} from '@bulrushbridge/scheduler'
+import { z } from 'zod'
+import { countAway } from './away.js'
+import { isSparePool, sessionOf, type MachineContext } from './machine-context.js'
+import type { RunnerSession } from './runner-session.js'
+
+/** Table with the machines of each wave that have had their upkeep. */
+const wavesTable = 'waves'
+
+/** Time beyond an upkeep for the new runner to register, in milliseconds. */
+const returnSlackMs = 600
+
+const waveRowSchema = z.object({ done: z.array(z.string()), isComplete: z.boolean() })
+
+interface WaveProgress {
+  version: number
+  done: Set<string>
+  isComplete: boolean
+}
+
+interface OrderedUpkeep {
+  waveId: number
+  orderedAt: number
+  /** Runner on the machine when the order was first sent. */
+  runnerId: string | undefined
+  /** The order is known to have been carried out, now or before. */
+  isAccepted: boolean
+}
+/** Brings the machines of operators' waves through their upkeep. */
+export class WaveOrders {
+  readonly #opts: MachineContext
+  readonly #progress = new Map<number, WaveProgress>()
+  /** Machines ordered into upkeep, until they are back. */
+  readonly #ordered = new Map<string, OrderedUpkeep>()
+
+  constructor(opts: MachineContext) {
+    this.#opts = opts
+  }
+
+  /** Waves that are not complete. */
+  async open(): Promise<KnownWave[]> {
+    const waves = this.#opts.view.waves()
+    for (const wave of waves) if (!this.#progress.has(wave.id)) await this.#load(wave)
+    return waves.filter(({ id }) => this.#progress.get(id)?.isComplete === false)
+  }
+
+  /** Whether a machine is due for its upkeep, or in it. */
+  concerns(machine: string): boolean {
+    return this.#opts.view
+      .waves()
+      .some(
+        ({ id, machines }) =>
+          machines.includes(machine) && this.#progress.get(id)?.done.has(machine) === false,
+      )
+  }
+
+  async #load(wave: KnownWave): Promise<void> {
+    const key = String(wave.id)
+    const row = await this.#opts.store.read(wavesTable, key)
+    const parsed = waveRowSchema.safeParse(row?.value)
+    this.#progress.set(wave.id, {
+      version: row?.version ?? 0,
+      done: new Set(parsed.success ? parsed.data.done : []),
+      isComplete: parsed.success && parsed.data.isComplete,
+    })
+    if (row === undefined) await this.#store(wave, 'running')
+  }
+  /** Orders what the plan of the wave asks for now. */
+  async advance(wave: KnownWave, machines: readonly Machine[], sentAt: number): Promise<void> {
+    const progress = this.#progress.get(wave.id)
+    if (progress === undefined) return
+    const byId = new Map(machines.map(machine => [machine.id, machine]))
+    const isChanged = this.#noteReturned(wave, progress, byId, sentAt)
+    const left = wave.machines.filter(id => !progress.done.has(id) && byId.has(id))
+    const ordered = [...this.#ordered].filter(([, { waveId }]) => waveId === wave.id)
+    const away = ordered.length
+    const isOver = left.length === 0 && away === 0
+    if (isOver) progress.isComplete = true
+    if (isChanged || isOver) await this.#store(wave, isOver ? 'completed' : 'running')
+    if (isOver) {
+      this.#opts.log.info('wave completed', { wave: wave.id, machines: wave.machines.length })
+      return
+    }
+    const waiting = left.filter(id => !this.#ordered.has(id))
+    const plan = planWave({
+      wave,
+      away,
+      machines: waiting.flatMap(id => {
+        const machine = byId.get(id)
+        return machine === undefined ? [] : [this.#asWaveMachine(machine)]
+      }),
+      poolSizes: countPools(machines),
+      leftMs: wave.seenAt + wave.timeMs - performance.now(),
+      upkeepMs: this.#opts.timing.upkeepMs + returnSlackMs,
+    })
+    for (const id of plan.close) this.#close(byId.get(id), wave)
+    const unsettled = ordered.flatMap(([id, { isAccepted }]) => (isAccepted ? [] : [id]))
+    const orders = unsettled.map(id => this.#orderUpkeep(id, byId.get(id), wave))
+    for (const id of plan.upkeep) {
+      const session = sessionOf(this.#opts, byId.get(id))
+      // Looked at again for each machine, because the last order makes its tasks count as away.
+      if (session !== undefined && !this.#mayLose(session)) continue
+      if (session !== undefined) session.isLeaving = true
+      orders.push(this.#orderUpkeep(id, byId.get(id), wave))
+    }
+    await Promise.all(orders)
+  }
+
+  /** Machines whose upkeep is over; returns whether there are new ones. */
+  #noteReturned(
+    wave: KnownWave,
+    progress: WaveProgress,
+    byId: ReadonlyMap<string, Machine>,
+    sentAt: number,
+  ): boolean {
+    const { sessions, timing, log } = this.#opts
+    let isChanged = false
+    for (const [id, order] of [...this.#ordered]) {
+      if (order.waveId !== wave.id || sentAt < order.orderedAt) continue
+      const machine = byId.get(id)
+      const session = order.runnerId === undefined ? undefined : sessions.get(order.runnerId)
+      const isReplaced = machine?.state !== 'up' || machine.runnerId !== order.runnerId
+      if (isReplaced) session?.declareGone()
+      const isTimeOver = sentAt - order.orderedAt > timing.upkeepMs
+      if (!order.isAccepted || machine?.state === 'upkeep' || !isTimeOver) continue
+      if (session !== undefined) {
+        session.isClosing = false
+        session.isLeaving = false
+      }
+      this.#ordered.delete(id)
+      progress.done.add(id)
+      isChanged = true
+      log.info('upkeep over', { wave: wave.id, machine: id, state: machine?.state, isReplaced })
+    }
+    return isChanged
+  }
+
+  #asWaveMachine(machine: Machine): WaveMachine {
+    const session = sessionOf(this.#opts, machine)
+    const occupants = [...(session?.occupants.values() ?? [])]
+    const lasting = occupants.filter(({ task }) => task?.step.step.isLasting === true)
+    return {
+      id: machine.id,
+      pool: machine.pool,
+      isSpare: isSparePool(this.#opts, machine.pool),
+      isUp: machine.state === 'up',
+      isClosing: session?.isClosing === true,
+      finite: occupants.length - lasting.length,
+      lasting: lasting.length,
+      mayLose: session === undefined || this.#mayLose(session),
+    }
+  }
+
+  /** Whether all lasting tasks of a runner may be away at once, beside those that are already. */
+  #mayLose(session: RunnerSession): boolean {
+    const steps = new Map<StepState, number>()
+    for (const { task } of session.occupants.values()) {
+      if (task?.step.step.isLasting !== true || task.step.step.mayMiss === undefined) continue
+      steps.set(task.step, (steps.get(task.step) ?? 0) + 1)
+    }
+    return [...steps].every(([step, here]) => {
+      const allowed = step.step.mayMiss ?? Number.POSITIVE_INFINITY
+      return countAway(step, this.#opts.sessions, session.id) + here <= allowed
+    })
+  }
+
+  #close(machine: Machine | undefined, wave: KnownWave): void {
+    const session = sessionOf(this.#opts, machine)
+    if (session === undefined) return
+    session.isClosing = true
+    const { id, occupants } = session
+    this.#opts.log.info('runner closed for upkeep', {
+      runner: id,
+      wave: wave.id,
+      runs: occupants.size,
+    })
+  }
+
+  async #orderUpkeep(id: string, machine: Machine | undefined, wave: KnownWave): Promise<void> {
+    const { machines, holder, fence, log, metrics } = this.#opts
+    const session = sessionOf(this.#opts, machine)
+    const known = this.#ordered.get(id)
+    if (known === undefined && session !== undefined) session.isClosing = true
+    const order = known ?? {
+      waveId: wave.id,
+      orderedAt: performance.now(),
+      runnerId: machine?.runnerId,
+      isAccepted: false,
+    }
+    this.#ordered.set(id, order)
+    const result = await machines.upkeep({ machine: id, wave: wave.id, holder, fence })
+    const refusal = result.outcome === 'done' ? result.value.refusal : undefined
+    const reason = result.outcome === 'done' ? (refusal ?? 'accepted') : result.reason
+    log.info('upkeep ordered', {
+      wave: wave.id,
+      machine: id,
+      fence,
+      outcome: result.outcome,
+      reason,
+    })
+    metrics.count('bulrush_upkeeps_total', { outcome: reason })
+    if (refusal === 'fence') this.#opts.onFenced()
+    // What ran there counts as running until the list shows that its runner is gone: the order may
+    // be carried out later, and an upkeep that is over already ends nothing.
+    if (result.outcome === 'done' && refusal === undefined) {
+      order.isAccepted = true
+      order.orderedAt = performance.now()
+    }
+    const isRefused = result.outcome === 'not-done' || refusal !== undefined
+    if (!isRefused || known !== undefined) return
+    this.#ordered.delete(id)
+    if (session === undefined) return
+    session.isClosing = false
+    session.isLeaving = false
+  }
+  async #store(wave: KnownWave, state: 'running' | 'completed'): Promise<void> {
+    const progress = this.#progress.get(wave.id)
+    if (progress === undefined) return
+    const key = String(wave.id)
+    const value = { done: [...progress.done], isComplete: progress.isComplete }
+    const result = await this.#opts.store.commit({
+      checks: [this.#opts.check],
+      writes: [{ table: wavesTable, key, value }, this.#opts.waveStatusRow(wave.id, state)],
+    })
+    if (!result.committed) this.#opts.log.warn('wave not stored', { wave: wave.id, state })
+  }
+}
+
+function countPools(machines: readonly Machine[]): Map<string, number> {
+  const sizes = new Map<string, number>()
+  for (const { pool } of machines) sizes.set(pool, (sizes.get(pool) ?? 0) + 1)
+  return sizes
+}
--- a/packages/scheduler/src/plan-pool-moves.ts
+++ b/packages/scheduler/src/plan-pool-moves.ts
@@ -46,17 +46,23 @@
  */
 const switchOffAfterMs = 2_600
 
+/** An idle machine of another pool is lent after this time, in milliseconds. */
+const lendAfterMs = 1_000
+
+/** Machines that a pool keeps, so that its next task starts at once. */
+const keptMachines = 2
+
 /**
  * Waiting work that the machines of a pool will have taken up before others could arrive, as a
  * share of their room: tasks take about a second, and so does a move.
  */
-const absorbedShare = 0.4
+const absorbedShare = 0.25
 
 /**
  * Plans which machines change their pool, for demand that goes round the pools in bursts: a pool
- * with waiting work gets spare machines; those that stay idle go back to the spare pool, where they
- * are off and cost nothing. Machines of other pools stay: their own turn comes within seconds, and
- * switching them off and on cost more than it saved on every measured day.
+ * with waiting work gets spare machines, then idle ones of other pools. Those that stay idle go to the
+ * spare pool, where they are off and cost nothing. A pool's own machines are not switched off: its
+ * turn comes within seconds, and switching off and on cost more than it saved.
  *
  * @example
  * for (const { machine, to } of planPoolMoves(state)) await order(machine, to)
@@ -72,7 +78,7 @@
     .sort((a, b) => b.missing - a.missing)
   for (const { pool, missing } of needy) {
     for (let count = 0; count < missing && moves.length < limit; count++) {
-      const donor = pickDonor(state, taken)
+      const donor = pickDonor(state, pool, taken)
       if (donor === undefined) break
       taken.add(donor.id)
       moves.push({ machine: donor.id, to: pool.name })
@@ -99,11 +105,21 @@
 }
 
 function pickDonor(
-  { machines, pools }: PoolMoveState,
+  { machines, pools, now }: PoolMoveState,
+  to: PoolLoad,
   taken: ReadonlySet<string>,
 ): MovableMachine | undefined {
-  const isSpare = (name: string) => pools.some(pool => pool.name === name && pool.isSpare)
-  return machines.find(({ id, pool, isZoneOut }) => isSpare(pool) && !isZoneOut && !taken.has(id))
+  const candidates = machines.filter(({ id, isZoneOut }) => !isZoneOut && !taken.has(id))
+  const poolOf = ({ pool }: MovableMachine) => pools.find(({ name }) => name === pool)
+  return (
+    candidates.find(machine => poolOf(machine)?.isSpare === true) ??
+    candidates.find(machine => {
+      const pool = poolOf(machine)
+      if (pool === undefined || pool.name === to.name || pool.up <= keptMachines) return false
+      const isNeeded = largestFraction(pool.waiting, machine.capacity) > 0
+      return !isNeeded && isIdleFor(machine, now, lendAfterMs)
+    })
+  )
 }
 
 function isIdleFor({ idleSince }: MovableMachine, now: number, ms: number): boolean {
--- a/packages/store/src/duty.ts
+++ b/packages/store/src/duty.ts
@@ -50,6 +50,11 @@
   /** Lifetime of the lease after its last renewal. */
   ttlMs: number
   clock?: WaitingClock
+  /**
+   * Only one process at a time has the name `holder`, so a lease of that name belongs to a
+   * predecessor that has ended and is taken without waiting for its end.
+   */
+  isSoleHolder?: boolean
   /** Told of each call that failed. */
   onError?: (err: unknown) => void
 }
@@ -170,6 +175,7 @@
 
   #isFree(row: Row<DutyRow> | undefined, unchangedMs: number): boolean {
     if (row?.value.holder === undefined || row.value.instance === this.#instance) return true
+    if (this.#opts.isSoleHolder === true && row.value.holder === this.#opts.holder) return true
     return unchangedMs >= row.value.ttlMs * (1 + clockDriftShare)
   }
 
