feat(dispatcher): stop stalled runs, pace fillers, ask for advice, remove old rows

Cause: kinds that may come on any deployment had no mechanism: tasks that stand still, fillers that push serving tasks over their target, queues with advice, lasting tasks on runners in shutdown; rows of ended jobs stayed for ever. Change: one decision a module without network (isStalled, choosePace), each with tests; ended jobs are forgotten by the dispatcher and, after the time for which their state is kept, by the store.

--- a/packages/dispatcher/__tests__/fixture.ts
+++ b/packages/dispatcher/__tests__/fixture.ts
@@ -37,6 +37,7 @@
   moveMs: 20,
   upkeepMs: 20,
   awayNoticeMs: 100,
+  statusKeptMs: 1_000,
 }
 
 export const oneTask: Step = {
--- a/packages/dispatcher/src/dispatcher.ts
+++ b/packages/dispatcher/src/dispatcher.ts
@@ -40,6 +40,8 @@
   upkeepMs: number
   /** A lasting task that is not at work for this long counts as away. */
   awayNoticeMs: number
+  /** How long the state of an ended job can be asked for. */
+  statusKeptMs: number
 }
 
 /** Options of {@link createDispatcher}. */
--- a/packages/dispatcher/src/term.ts
+++ b/packages/dispatcher/src/term.ts
@@ -34,8 +34,11 @@
 import { createOccupant, type Occupant } from './occupant.js'
 import { asOpenRunner } from './open-runner.js'
 import { createOrganisationUsage } from './organisation-usage.js'
+import { createAdviceBook, type AdviceBook } from './advice-book.js'
 import { createMachineDuty, type MachineDuty } from './machine-duty.js'
 import { createPartWriter, type PartWriter } from './part-writer.js'
+import { createRetention, type Retention } from './retention.js'
+import { createRunWatch, type RunWatch } from './run-watch.js'
 import { applyEnd, findTask, type EndContext } from './run-ends.js'
 import { sumWaitingWork } from './waiting-work.js'
 import {
@@ -63,6 +66,9 @@
 /** Pause between two calls for changes of the registry, which heartbeats change all the time. */
 const registryPauseMs = 150
 
+/** Time for which ended jobs are remembered, longer than any answer of the store takes; in ms. */
+const endedKeptMs = 30_000
+
 /** Pause before a failed takeover is tried again, in milliseconds. */
 const takeoverRetryMs = 100
 
@@ -89,7 +95,12 @@
   readonly #startedAt = performance.now()
   #followers: TableFollower[] = []
   #machineDuty: MachineDuty | undefined
+  #retention: Retention | undefined
+  readonly #watch: RunWatch
+  readonly #advice: AdviceBook | undefined
   #progress = new Map<string, Progress>()
+  /** Jobs that ended a moment ago, with the time at which they were forgotten. */
+  readonly #ended = new Map<string, number>()
   #isSuspended = false
   /** The takeover is complete. */
   #isOpen = false
@@ -104,6 +115,13 @@
     // Every call that is under way and every pause listens.
     setMaxListeners(0, this.#closing.signal)
     this.#onDeposed = onDeposed
+    const { log, advice } = opts
+    const { sessions } = this
+    this.#watch = createRunWatch({ sessions, times: this.#times, health: this.#health, log })
+    const onChange = () => {
+      this.requestPass()
+    }
+    this.#advice = advice === undefined ? undefined : createAdviceBook({ advice, log, onChange })
     this.#events = this.#createEvents()
     this.#endContext = {
       jobs: this.jobs,
@@ -145,6 +163,8 @@
     })
     this.#isOpen = true
     this.#machineDuty = this.#startMachineDuty()
+    const { store, timing } = this.#opts
+    this.#retention = createRetention({ store, statusKeptMs: timing.statusKeptMs, log })
     this.#passLoop()
   }
 
@@ -168,6 +188,7 @@
     clearTimeout(this.#passTimer)
     await Promise.all([
       this.#machineDuty?.close(),
+      this.#retention?.close(),
       ...this.#followers.map(follower => follower.close()),
       ...[...this.sessions.values()].map(session => session.close()),
       ...[...this.#writers.values()].map(writer => writer.close()),
@@ -302,7 +323,8 @@
       this.#cancel(key.slice(0, -cancelSuffix.length))
       return
     }
-    if (this.jobs.has(key)) return
+    // A change that was told before the row went must not bring an ended job back.
+    if (this.jobs.has(key) || this.#ended.has(key)) return
     const parsed = jobSchema.safeParse(value)
     if (!parsed.success) {
       this.#opts.log.error('job unreadable', { job: key })
@@ -402,7 +424,8 @@
     const applied = applyEnd(this.#endContext, session.id, end, occupant)
     const { task, run, how } = end
     const jobStatus = applied.job?.status
-    log.info('run ended', { task, run, runner: session.id, how, jobStatus })
+    const ranMs = sinceMs(occupant?.confirmedAt)
+    log.info('run ended', { task, run, runner: session.id, how, jobStatus, ranMs })
     metrics.count('bulrush_runs_ended_total', { how })
     if (applied.isRunnerClosed) log.warn('runner closed after failures', { runner: session.id })
     const { job } = applied
@@ -412,6 +435,7 @@
     if (job.isFinal) this.#logOutcome(job)
     this.requestPass()
     await this.store(job)
+    this.#forgetEnded(job)
   }
 
   #onDeath(session: RunnerSession, occupant: Occupant, cause: DeathCause): void {
@@ -426,14 +450,35 @@
 
   #cancel(id: string): void {
     const job = this.jobs.get(id)
-    if (job === undefined || job.isCancelled) return
+    if (job === undefined) {
+      void this.#dropCancellation(id)
+      return
+    }
+    if (job.isCancelled) return
     job.isCancelled = true
     if (!job.isFinal) {
       job.end('cancelled', Date.now())
       this.#logOutcome(job)
       this.#stopRuns(job)
     }
-    void this.store(job)
+    void this.store(job).then(() => {
+      this.#forgetEnded(job)
+    })
+  }
+
+  /** The job ended before its cancellation was read. */
+  async #dropCancellation(id: string): Promise<void> {
+    const part = partOf(id)
+    const write = { table: jobsTable, part, key: `${id}${cancelSuffix}`, value: null }
+    try {
+      await this.#opts.store.commit({ checks: [], writes: [write] }, { part })
+    } catch (err) {
+      // The next dispatcher reads the row again and drops it then.
+      this.#opts.log.warn('cancellation not dropped', {
+        job: id,
+        reason: normalizeError(err).message,
+      })
+    }
   }
 
   #stopRuns(job: JobState): void {
@@ -448,6 +493,14 @@
     }
   }
 
+  /** A job at its end without runs needs no memory: what runners list of it later needs no storing. */
+  #forgetEnded(job: JobState): void {
+    if (!job.isFinal || job.runningTasks().next().done !== true) return
+    this.jobs.delete(job.job.id)
+    this.#ended.set(job.job.id, performance.now())
+    this.#advice?.forget(job.job.id)
+  }
+
   #logOutcome(job: JobState): void {
     const { id, queue, acceptedAt } = job.job
     const tookMs = Date.now() - acceptedAt
@@ -462,6 +515,9 @@
 
   #passLoop(): void {
     if (this.#closing.signal.aborted) return
+    if (!this.#isSuspended) this.#watch.check()
+    const now = performance.now()
+    for (const [id, at] of this.#ended) if (now - at > endedKeptMs) this.#ended.delete(id)
     this.#pass()
     this.#passTimer = setTimeout(() => {
       this.#passLoop()
@@ -485,6 +541,7 @@
       runners,
       times: this.#times,
       allowance,
+      advised: step => this.#advisedRunners(step, queues, runners),
       wallNow: Date.now(),
       limit: startsPerPass,
     })
@@ -492,6 +549,17 @@
     this.#waiting = sumWaitingWork({ steps, queues, runners, allowance })
   }
 
+  #advisedRunners(
+    step: StepState,
+    queues: ReadonlyMap<string, Queue>,
+    runners: readonly OpenRunner[],
+  ): ReadonlySet<string> | undefined {
+    const queue = queues.get(step.job.job.queue)
+    if (queue?.advice === undefined) return undefined
+    const ids = runners.filter(({ pool }) => pool === queue.pool).map(({ id }) => id)
+    return this.#advice?.runnersFor(step, queue.advice, ids)
+  }
+
   #startableSteps(): StepState[] {
     const wallNow = Date.now()
     const steps: StepState[] = []
@@ -524,7 +592,8 @@
       this.#onDeath(session, occupant, 'not-started')
       return
     }
-    void session.start(occupant, job.job.payload, undefined)
+    const ticket = this.#advice?.ticketFor(occupant.task.step, session.id)
+    void session.start(occupant, job.job.payload, ticket)
   }
 
   #mayStart(session: RunnerSession): boolean {
@@ -544,3 +613,7 @@
     return found
   }
 }
+
+function sinceMs(at: number | undefined): number | undefined {
+  return at === undefined ? undefined : Math.round(performance.now() - at)
+}
--- a/packages/host-program/src/timing.ts
+++ b/packages/host-program/src/timing.ts
@@ -28,5 +28,6 @@
     moveMs: cfg.moveMs,
     upkeepMs: cfg.upkeepMs,
     awayNoticeMs: cfg.awayNoticeMs,
+    statusKeptMs: cfg.statusKeptMs,
   }
 }
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,4 +1,5 @@
 export { addAmounts, largestFraction, noAmounts, timesFitting, type Amounts } from './amounts.js'
+export { choosePace, type PaceState, type ServedTail } from './choose-pace.js'
 export {
   chooseStarts,
   reservedAmounts,
@@ -79,6 +80,7 @@
   type Wave,
 } from './runner.js'
 export { createRunnerHealth, type RunnerHealth } from './runner-health.js'
+export { isStalled, type ObservedRun } from './stalled-runs.js'
 export {
   cancelSuffix,
   headsTable,
