--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -2,9 +2,7 @@
 import {
   addAmounts,
   type Amounts,
-  type CallResult,
   type ListedEnd,
-  type OrderAnswer,
   type RunnerApi,
   type RunnerEntry,
   type RunnerReport,
@@ -12,7 +10,9 @@
 import { wait } from '@bulrushbridge/store'
 import type { Logger } from '@bulrushbridge/telemetry'
 import { occupantKey, type Occupant } from './occupant.js'
-import { createRunnerClock } from './runner-clock.js'
+import { EndsLedger } from './ends-ledger.js'
+import { createRunnerClock, type RunnerClock } from './runner-clock.js'
+import { RunnerOrders, type OrderTarget } from './runner-orders.js'
 
 /** Pause after a look that failed, in milliseconds. */
 const failedLookPauseMs = 150
@@ -26,12 +26,6 @@
 /** Pause between looks while ends cannot be acknowledged, in milliseconds. */
 const unstoredPauseMs = 250
 
-/** Pause before an order without a known result is repeated, in milliseconds. */
-const orderRetryPauseMs = 60
-
-/** Attempts of a start before it is taken back by a stop. */
-const startAttempts = 3
-
 /** Why a run is over without an end that its runner listed. */
 export type DeathCause = 'reborn' | 'lease-ended' | 'vanished' | 'not-started' | 'machine-gone'
 
@@ -93,19 +87,14 @@
   suspectSince: number | undefined
   readonly #opts: RunnerSessionOptions
   readonly #closing = new AbortController()
-  readonly #clock: ReturnType<typeof createRunnerClock>
+  readonly #clock: RunnerClock
+  readonly #orders: RunnerOrders
   readonly #running: Promise<void>
   #entry: RunnerEntry | undefined
   #isRegistered: boolean
   #api: RunnerApi | undefined
   #bornAt: number | undefined
-  /** Highest end taken in, and highest that is stored. */
-  #processed = 0
-  #stored = 0
-  /** Resolves when all ends taken in are stored. */
-  #storing: Promise<void> = Promise.resolve()
-  /** Highest end that a look has acknowledged. */
-  #acknowledged = 0
+  readonly #ends = new EndsLedger()
   /** The runner has answered with this term's fence. */
   #isReconciled = false
   /** The next look must acknowledge nothing, because the runner may have begun anew. */
@@ -120,6 +109,7 @@
     // Orders that wait for their next attempt listen, one for each run.
     setMaxListeners(0, this.#closing.signal)
     this.#clock = createRunnerClock(opts.assumedLeaseEnd)
+    this.#orders = new RunnerOrders(this.#orderTarget())
     if (opts.entry !== undefined) this.#connect(opts.entry)
     this.#running = Promise.resolve().then(() => this.#run())
   }
@@ -190,74 +180,18 @@
   }
 
   /** Orders a recorded run, and settles a lost answer. */
-  async start(occupant: Occupant, payload: string, ticket: string | undefined): Promise<void> {
-    const { task } = occupant
-    if (task === undefined) return
-    occupant.state = 'ordered'
-    occupant.orderedAt = performance.now()
-    for (let attempt = 1; attempt <= startAttempts; attempt++) {
-      const leaseDeadline = this.#clock.deadline(performance.now(), this.#opts.leaseMs)
-      if (this.#api === undefined || leaseDeadline === undefined) break
-      const result = await this.#api.start({
-        task: occupant.name,
-        run: occupant.run,
-        payload,
-        checkpoint: task.checkpoint,
-        ticket,
-        fence: this.#opts.fence,
-        leaseDeadline,
-      })
-      if (!this.#isPresent(occupant)) return
-      this.#observeClock(result)
-      if (result.outcome === 'done') {
-        this.#started(occupant, result.value, attempt)
-        return
-      }
-      this.#logOrder('start', occupant, result.reason)
-      if (result.outcome === 'not-done' && attempt === 1) break
-      await this.#pause(orderRetryPauseMs)
-      if (!this.#isPresent(occupant)) return
-      if (attempt === startAttempts) {
-        void this.stop(occupant)
-        return
-      }
-    }
-    // Nothing reached the runner.
-    this.#suspect()
-    this.#die(occupant, 'not-started')
+  start(occupant: Occupant, payload: string, ticket: string | undefined): Promise<void> {
+    return this.#orders.start(occupant, payload, ticket)
   }
 
   /** Orders a run to stop and repeats the order until it is answered or the run is over. */
-  async stop(occupant: Occupant): Promise<void> {
-    if (occupant.state === 'stopping') return
-    occupant.state = 'stopping'
-    while (this.#isPresent(occupant) && !this.#closing.signal.aborted) {
-      if (this.#api === undefined) return
-      const { name: task, run } = occupant
-      const result = await this.#api.stop({ task, run, fence: this.#opts.fence })
-      this.#observeClock(result)
-      if (result.outcome === 'done') {
-        if (result.value.refusal === 'fence') this.#opts.events.onFenced()
-        // From now on the runner lists the end, or the run is not there and never will be.
-        else occupant.confirmedAt ??= performance.now()
-        this.#wakeUp()
-        return
-      }
-      this.#logOrder('stop', occupant, result.reason)
-      await this.#pause(failedLookPauseMs)
-    }
+  stop(occupant: Occupant): Promise<void> {
+    return this.#orders.stop(occupant)
   }
 
   /** Lets a run work at a share of its time, in percent. */
-  async pace(occupant: Occupant, percent: number): Promise<void> {
-    if (this.#api === undefined) return
-    const { name: task, run } = occupant
-    const before = occupant.pacedTo
-    occupant.pacedTo = percent
-    const result = await this.#api.pace({ task, run, fence: this.#opts.fence, percent })
-    if (result.outcome === 'done' && result.value.refusal === undefined) return
-    occupant.pacedTo = before
-    this.#logOrder('pace', occupant, result.outcome === 'done' ? 'refused' : result.reason)
+  pace(occupant: Occupant, percent: number): Promise<void> {
+    return this.#orders.pace(occupant, percent)
   }
 
   /** The machine under the runner is down, moved, or runs another runner: nothing runs here. */
@@ -293,7 +227,7 @@
 
   #isIdle(): boolean {
     if (!this.#isRegistered || this.#api === undefined) return this.occupants.size === 0
-    const isSettled = this.#acknowledged === this.#processed && !this.#needsFreshLook
+    const isSettled = this.#ends.isSettled && !this.#needsFreshLook
     const isReachable = this.#isReconciled && this.suspectSince === undefined
     return isReachable && isSettled && this.occupants.size === 0
   }
@@ -312,15 +246,14 @@
   async #look(api: RunnerApi): Promise<void> {
     const sentAt = performance.now()
     const isFresh = this.#needsFreshLook
-    const isBehind = this.#processed > this.#stored
-    const acknowledged = isFresh ? 0 : this.#stored
+    const acknowledged = isFresh ? 0 : this.#ends.stored
     const result = await api.hold({
       fence: this.#opts.fence,
       acknowledged,
       leaseDeadline: this.#isReconciled
         ? this.#clock.deadline(sentAt, this.#opts.leaseMs)
         : undefined,
-      waitMs: isFresh || isBehind || !this.#isReconciled ? 0 : this.#opts.lookWaitMs,
+      waitMs: isFresh || this.#ends.isBehind() || !this.#isReconciled ? 0 : this.#opts.lookWaitMs,
     })
     if (this.#closing.signal.aborted || api !== this.#api) return
     if (result.outcome !== 'done') {
@@ -333,7 +266,7 @@
       await this.#pause(failedLookPauseMs)
       return
     }
-    this.#acknowledged = Math.max(this.#acknowledged, acknowledged)
+    this.#ends.acknowledge(acknowledged)
     await this.#takeReport(result.value.report, sentAt)
   }
 
@@ -341,7 +274,11 @@
     const isNewLife = report.bornAt !== undefined && report.bornAt !== this.#bornAt
     if (isNewLife) this.#beginLife(report.bornAt)
     this.#clock.observe(report.clockMs, performance.now())
-    this.#takeEnds(report)
+    this.#ends.take(report.ended, end => {
+      const occupant = this.occupants.get(occupantKey(end.task, end.run))
+      if (occupant !== undefined) this.remove(occupant)
+      return this.#opts.events.onEnd(this, end, occupant)
+    })
     this.#takeRunning(report, sentAt)
     const wasOpen = this.#isReconciled && this.suspectSince === undefined
     if (this.suspectSince !== undefined) this.#opts.log.info('runner regained', { runner: this.id })
@@ -350,19 +287,16 @@
     // A new life is confirmed by a second look, whose acknowledgement then counts its own ends.
     this.#needsFreshLook = false
     if (!wasOpen || report.ended.length > 0) this.#opts.events.onChange(this)
-    if (this.#processed === this.#stored) return
+    if (!this.#ends.isBehind()) return
     // The runner would repeat its ends at once, so the next look waits for the store.
-    await Promise.race([this.#storing, this.#pause(storeWaitMs)])
-    if (this.#processed > this.#stored) await this.#pause(unstoredPauseMs)
+    await Promise.race([this.#ends.storing, this.#pause(storeWaitMs)])
+    if (this.#ends.isBehind()) await this.#pause(unstoredPauseMs)
   }
 
   #beginLife(bornAt: number | undefined): void {
     const isFirst = this.#bornAt === undefined
     this.#bornAt = bornAt
-    this.#processed = 0
-    this.#stored = 0
-    this.#acknowledged = 0
-    this.#storing = Promise.resolve()
+    this.#ends.reset()
     if (!isFirst) {
       this.#clock.reset()
       this.isClosing = false
@@ -375,25 +309,6 @@
     }
   }
 
-  /** Takes in new ends. */
-  #takeEnds(report: RunnerReport): void {
-    const bornAt = this.#bornAt
-    const stored: Promise<void>[] = []
-    for (const end of [...report.ended].sort((a, b) => a.number - b.number)) {
-      if (end.number <= this.#processed) continue
-      this.#processed = end.number
-      const occupant = this.occupants.get(occupantKey(end.task, end.run))
-      if (occupant !== undefined) this.remove(occupant)
-      stored.push(this.#opts.events.onEnd(this, end, occupant))
-    }
-    if (stored.length === 0) return
-    const last = this.#processed
-    // An acknowledgement covers all ends before it, so it waits for those of earlier reports too.
-    this.#storing = Promise.all([this.#storing, ...stored]).then(() => {
-      if (this.#bornAt === bornAt) this.#stored = Math.max(this.#stored, last)
-    })
-  }
-
   #takeRunning(report: RunnerReport, sentAt: number): void {
     const now = performance.now()
     const listed = new Set<string>()
@@ -429,20 +344,37 @@
     }
   }
 
-  #started(occupant: Occupant, { refusal }: OrderAnswer, attempt: number): void {
-    if (refusal === undefined || (refusal === 'old' && attempt > 1)) {
-      // After a lost answer, `old` says that the first order was carried out and the run has ended.
-      if (occupant.state === 'ordered') occupant.state = 'present'
-      if (occupant.confirmedAt === undefined) {
-        occupant.confirmedAt = performance.now()
-        this.#opts.events.onConfirmed(this, occupant)
-      }
-      return
+  #orderTarget(): OrderTarget {
+    const { fence, leaseMs, log, events } = this.#opts
+    return {
+      runnerId: this.id,
+      fence,
+      closing: this.#closing.signal,
+      log,
+      api: () => this.#api,
+      leaseDeadline: () => this.#clock.deadline(performance.now(), leaseMs),
+      observeClock: clockMs => {
+        this.#clock.observe(clockMs, performance.now())
+      },
+      isPresent: occupant =>
+        this.occupants.get(occupantKey(occupant.name, occupant.run)) === occupant,
+      notStarted: occupant => {
+        this.#die(occupant, 'not-started')
+      },
+      suspect: reason => {
+        this.#suspect(reason)
+      },
+      lookSoon: () => {
+        this.#needsFreshLook = true
+        this.#wakeUp()
+      },
+      onConfirmed: occupant => {
+        events.onConfirmed(this, occupant)
+      },
+      onFenced: () => {
+        events.onFenced()
+      },
     }
-    this.#logOrder('start', occupant, refusal)
-    if (refusal === 'fence') this.#opts.events.onFenced()
-    if (refusal === 'room' || refusal === 'late') this.#needsFreshLook = true
-    this.#die(occupant, 'not-started')
   }
 
   #die(occupant: Occupant, cause: DeathCause): void {
@@ -450,7 +382,7 @@
     this.#opts.events.onDeath(this, occupant, cause)
   }
 
-  #suspect(reason = 'order failed'): void {
+  #suspect(reason: string): void {
     this.#needsFreshLook = true
     if (this.suspectSince === undefined) {
       this.suspectSince = performance.now()
@@ -474,26 +406,6 @@
     for (const { amounts } of this.occupants.values()) addAmounts(this.free, amounts, -1)
   }
 
-  #isPresent(occupant: Occupant): boolean {
-    return this.occupants.get(occupantKey(occupant.name, occupant.run)) === occupant
-  }
-
-  #observeClock(result: CallResult<OrderAnswer>): void {
-    if (result.outcome !== 'done' || result.value.clockMs === undefined) return
-    this.#clock.observe(result.value.clockMs, performance.now())
-  }
-
-  #logOrder(order: string, occupant: Occupant, reason: string): void {
-    const { name, run } = occupant
-    this.#opts.log.info('order not carried out', {
-      order,
-      runner: this.id,
-      task: name,
-      run,
-      reason,
-    })
-  }
-
   async #sleepUntilWoken(): Promise<void> {
     const woken = new AbortController()
     this.#wake = () => {
