--- a/packages/host-program/src/main.ts
+++ b/packages/host-program/src/main.ts
@@ -1,5 +1,5 @@
 import { normalizeError } from '@bulrushbridge/errors'
-import { settingsVariable } from '@bulrushbridge/platform'
+import { readHostSettings, settingsVariable } from '@bulrushbridge/platform'
 import { runProgram } from '@bulrushbridge/settings'
 import { boundLogOutput, createLogger } from '@bulrushbridge/telemetry'
 import { createHostProgram } from './host-program.js'
@@ -10,8 +10,10 @@
   description: 'Accepts jobs on one entry host and, while it holds the duty, places their tasks.',
   settings: hostSettings,
   main: async cfg => {
-    const path = cfg['settings-file'] === '' ? process.env[settingsVariable] : cfg['settings-file']
-    const log = createLogger({ program: 'bulrush-host', level: cfg['log-level'] })
+    const named = cfg['settings-file'] === '' ? process.env[settingsVariable] : cfg['settings-file']
+    const path = named ?? ''
+    const { name: member } = readHostSettings(path)
+    const log = createLogger({ program: 'bulrush-host', member, level: cfg['log-level'] })
     const output = boundLogOutput({
       descriptor: 1,
       onSuppressed: lines => {
@@ -19,7 +21,7 @@
       },
     })
     const program = await createHostProgram({
-      path: path ?? '',
+      path,
       dutyLeaseMs: cfg['duty-lease'],
       log,
       suppressed: () => output.suppressed(),
--- /dev/null
+++ b/packages/telemetry/__tests__/bounded-output.test.ts
@@ -0,0 +1,46 @@
+import { spawn } from 'node:child_process'
+import { once } from 'node:events'
+import { mkdtempSync, openSync, readFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import t from 'tap'
+import { boundLogOutput, createLogger } from '../src/index.js'
+
+/** Lines a second beyond which the rest is suppressed. */
+const maxLinesPerSecond = 1_000
+
+// Guards against logs without bound: an overloaded host must not spend its time on them.
+void t.test('lines beyond the rate are dropped and counted', async t => {
+  const file = join(mkdtempSync(join(tmpdir(), 'bulrush-log-')), 'log')
+  const output = boundLogOutput({ descriptor: openSync(file, 'w'), onSuppressed: () => undefined })
+  const log = createLogger({ program: 'test' })
+  const lines = 3 * maxLinesPerSecond
+  for (let i = 0; i < lines; i++) log.info('line', { i })
+  await output.close()
+  const written = readFileSync(file, 'utf8').trimEnd().split('\n')
+  t.equal(written.length + output.suppressed(), lines)
+  t.ok(written.length <= 2 * maxLinesPerSecond)
+  for (const line of written) JSON.parse(line)
+})
+
+// Found in the logs of a day: a pipe that took a part of the bytes cut a line in two.
+void t.test('a slow reader of a pipe gets whole lines', async t => {
+  const reader = spawn(
+    process.execPath,
+    ['-e', 'setTimeout(() => process.stdin.pipe(process.stdout), 300)'],
+    { stdio: ['pipe', 'pipe', 'inherit'] },
+  )
+  const descriptor = (reader.stdin as unknown as { _handle: { fd: number } })._handle.fd
+  const output = boundLogOutput({ descriptor, onSuppressed: () => undefined })
+  const log = createLogger({ program: 'test' })
+  const text = 'x'.repeat(2_000)
+  let received = ''
+  reader.stdout.on('data', (chunk: Buffer) => (received += chunk.toString()))
+  for (let i = 0; i < 200; i++) log.info(text, { i })
+  await output.close()
+  reader.stdin.end()
+  await once(reader, 'close')
+  const read = received.trimEnd().split('\n')
+  t.equal(read.length, 200)
+  for (const line of read) JSON.parse(line)
+})
--- a/packages/telemetry/src/bounded-output.ts
+++ b/packages/telemetry/src/bounded-output.ts
@@ -9,6 +9,9 @@
 /** Lines a second beyond which the rest of the second is suppressed. */
 const maxLinesPerSecond = 1_000
 
+/** Pause before the rest of a partial write, in milliseconds. */
+const retryPauseMs = 5
+
 /** Options of {@link boundLogOutput}. */
 export interface BoundedOutputOptions {
   /** File descriptor, 1 for standard output. */
@@ -48,9 +51,20 @@
       return
     }
     isWriting = true
-    const text = waiting.join('')
+    const bytes = Buffer.from(waiting.join(''))
     waiting = []
-    write(opts.descriptor, text, err => {
+    writeFrom(bytes, 0)
+  }
+  const writeFrom = (bytes: Buffer, from: number) => {
+    write(opts.descriptor, bytes, from, bytes.length - from, null, (err, written) => {
+      // A pipe may take a part of the bytes, or none while its reader is slow.
+      const isPartial = err === null && from + written < bytes.length
+      if (isPartial || err?.code === 'EAGAIN') {
+        setTimeout(() => {
+          writeFrom(bytes, from + (isPartial ? written : 0))
+        }, retryPauseMs)
+        return
+      }
       isWriting = false
       // A closed reader cannot be told; its lines count as suppressed.
       if (err !== null) suppressed += 1
