fix(store,platform,scheduler): keep the lease while the store is slow

Four parts refused transactions with 429 besides. Ruled out: a cut host or a silent connection (all hosts logged it at once).

--- a/packages/dispatcher/src/part-writer.ts
+++ b/packages/dispatcher/src/part-writer.ts
@@ -19,8 +19,8 @@
 /** Jobs in one transaction; each takes up to four of the 100 entries that the store allows. */
 const maxJobs = 24
 
-/** Time for one transaction, in milliseconds; a slow store takes some 300. */
-const commitTimeoutMs = 1_000
+/** Time for one transaction, in milliseconds; a slow store takes 700, and others may wait before it. */
+const commitTimeoutMs = 1_500
 
 /** Pause after a transaction without a known result, in milliseconds. */
 const retryPauseMs = 100
--- a/packages/scheduler/src/tables.ts
+++ b/packages/scheduler/src/tables.ts
@@ -1,7 +1,10 @@
 import { hash } from 'node:crypto'
 
-/** Parts over which jobs are spread; each runs its transactions one after another. */
-export const partCount = 4
+/**
+ * Parts over which jobs are spread. Each runs its transactions one after another, in 0.3 s while the
+ * store is slow, and refuses them when more than a second of them waits.
+ */
+export const partCount = 8
 
 /** Accepted jobs and requests to cancel them; written by entry hosts, read by the dispatcher. */
 export const jobsTable = 'jobs'
--- a/packages/store/src/duty.ts
+++ b/packages/store/src/duty.ts
@@ -154,7 +154,8 @@
     const value = this.#row(lease.token, renewals)
     const result = await this.#opts.table.commit(
       { checks: [lease.check], writes: [{ table: dutiesTable, key: duty, value }] },
-      { deadline: Math.min(lease.deadline, sentAt + ttlMs / 3) },
+      // A slow store takes longer than the pause between renewals, and may still renew in time.
+      { deadline: Math.min(lease.deadline, sentAt + ttlMs / 2) },
     )
     this.#lease = result.committed ? { ...lease, renewals, deadline: sentAt + ttlMs } : undefined
     return ttlMs / 3
