refactor(platform,dispatcher): drop settings that nothing reads

Fields of the settings file that no mechanism uses are no longer decoded; the next occurrence's due time was read by its test only, which now checks that nothing is startable between occurrences.

--- a/packages/dispatcher/__tests__/fixture.ts
+++ b/packages/dispatcher/__tests__/fixture.ts
@@ -30,13 +30,10 @@
 export const timing = {
   dutyLeaseMs,
   leaseMs: 300,
-  maxLeaseMs: 300,
   lookWaitMs: 40,
   suspendedMs: 200,
   machineLeaseMs: 0,
-  moveMs: 20,
   upkeepMs: 20,
-  awayNoticeMs: 100,
   statusKeptMs: 1_000,
 }
 
--- a/packages/dispatcher/src/dispatcher.ts
+++ b/packages/dispatcher/src/dispatcher.ts
@@ -29,17 +29,12 @@
   dutyLeaseMs: number
   /** Lease given to runners at each look. */
   leaseMs: number
-  /** Longest lease that a runner takes. */
-  maxLeaseMs: number
   lookWaitMs: number
   /** How long runners' leases are renewed after the own lease is in doubt. */
   suspendedMs: number
   /** Two holders must not order one machine within this time. */
   machineLeaseMs: number
-  moveMs: number
   upkeepMs: number
-  /** A lasting task that is not at work for this long counts as away. */
-  awayNoticeMs: number
   /** How long the state of an ended job can be asked for. */
   statusKeptMs: number
 }
--- a/packages/host-program/src/timing.ts
+++ b/packages/host-program/src/timing.ts
@@ -21,13 +21,10 @@
   return {
     dutyLeaseMs,
     leaseMs: Math.min(runnerLeaseMs, cfg.maxLeaseMs),
-    maxLeaseMs: cfg.maxLeaseMs,
     lookWaitMs,
     suspendedMs,
     machineLeaseMs: cfg.machineLeaseMs,
-    moveMs: cfg.moveMs,
     upkeepMs: cfg.upkeepMs,
-    awayNoticeMs: cfg.awayNoticeMs,
     statusKeptMs: cfg.statusKeptMs,
   }
 }
--- a/packages/scheduler/__tests__/job-state.test.ts
+++ b/packages/scheduler/__tests__/job-state.test.ts
@@ -35,7 +35,7 @@
   }
   finish(0)
   t.equal(job.status, 'running')
-  t.equal(job.nextDueAt(), 1_000)
+  t.equal(job.startable().length, 0)
   job.openDue(1_000)
   finish(1)
   t.equal(job.status, 'completed')
--- a/packages/scheduler/src/job-state.ts
+++ b/packages/scheduler/src/job-state.ts
@@ -80,12 +80,6 @@
     return this.open.size > before
   }
 
-  /** Unix milliseconds at which the next occurrence is due, if one is to come. */
-  nextDueAt(): number | undefined {
-    const next = this.open.size + this.#complete.size
-    return next < this.#total() ? this.#dueAt(next) : undefined
-  }
-
   /** Steps whose earlier steps are done and that have tasks to start. */
   startable(): StepState[] {
     const found: StepState[] = []
