--- a/scripts/pages.ts
+++ b/scripts/pages.ts
@@ -3,6 +3,7 @@
 import { format, resolveConfig } from 'prettier'
 import { exitTable } from '../packages/cli/src/exit-status.js'
 import { controlSettings } from '../packages/control/src/settings.js'
+import { hostSettings } from '../packages/host-program/src/settings.js'
 import { cliSettings } from '../packages/cli/src/cli-settings.js'
 import { entrySettings } from '../packages/entry/src/settings.js'
 import { listenSettings } from '../packages/standins/src/commands.js'
@@ -18,6 +19,11 @@
     text: 'Takes duties under leases, beside bulrush-entry.',
     settings: controlSettings,
   },
+  {
+    title: 'bulrush-host',
+    text: "Accepts jobs and places their tasks on the users' platform, whose settings file gives the addresses; see [platform.md](platform.md).",
+    settings: hostSettings,
+  },
   {
     title: 'bulrush',
     text: 'The command line. Commands and their own options: `bulrush --help`, `bulrush <command> --help`. `--json` prints JSON.',
