--- a/packages/dispatcher/src/wave-orders.ts
+++ b/packages/dispatcher/src/wave-orders.ts
@@ -79,7 +79,11 @@
     const isChanged = this.#noteReturned(wave, progress, byId, sentAt)
     const left = wave.machines.filter(id => !progress.done.has(id) && byId.has(id))
     const ordered = [...this.#ordered].filter(([, { waveId }]) => waveId === wave.id)
-    const away = ordered.length
+    // An earlier holder may have ordered upkeeps that are under way.
+    const down = machines.filter(
+      ({ id, state }) => state === 'upkeep' && wave.machines.includes(id),
+    )
+    const away = new Set([...ordered.map(([id]) => id), ...down.map(({ id }) => id)]).size
     const isOver = left.length === 0 && away === 0
     if (isOver) progress.isComplete = true
     if (isChanged || isOver) await this.#store(wave, isOver ? 'completed' : 'running')
