refactor(dispatcher,job-front,host-program): wait on the one system clock

Nine places wrote the clock of performance.now() again that packages/errors has as systemClock; a doc comment without its declaration goes.

--- a/packages/dispatcher/src/machine-context.ts
+++ b/packages/dispatcher/src/machine-context.ts
@@ -25,8 +25,6 @@
   metrics: Metrics
 }
 
-/** Sees to the machines: their upkeep in waves. */
-
 /** The session of the runner on a machine. */
 export function sessionOf(
   ctx: MachineContext,
--- a/packages/dispatcher/src/machine-duty.ts
+++ b/packages/dispatcher/src/machine-duty.ts
@@ -1,4 +1,4 @@
-import { normalizeError } from '@bulrushbridge/errors'
+import { normalizeError, systemClock } from '@bulrushbridge/errors'
 import type { Machine } from '@bulrushbridge/scheduler'
 import { wait } from '@bulrushbridge/store'
 import type { MachineContext } from './machine-context.js'
@@ -56,7 +56,7 @@
         this.#opts.log.warn('round of the machines failed', { reason: normalizeError(err).message })
       }
       const pauseMs = isBusy ? roundPauseMs : idlePauseMs
-      await wait({ now: () => performance.now() }, pauseMs, this.#closing.signal)
+      await wait(systemClock, pauseMs, this.#closing.signal)
     }
   }
 
--- a/packages/dispatcher/src/part-writer.ts
+++ b/packages/dispatcher/src/part-writer.ts
@@ -1,4 +1,4 @@
-import { normalizeError } from '@bulrushbridge/errors'
+import { normalizeError, systemClock } from '@bulrushbridge/errors'
 import {
   cancelSuffix,
   headsTable,
@@ -187,7 +187,7 @@
       const { message } = normalizeError(err)
       const isUnknown = err instanceof StoreError && !err.settled
       log.warn('transaction not stored', { part, jobs: batch.length, isUnknown, reason: message })
-      await wait({ now: () => performance.now() }, retryPauseMs, this.#closing.signal)
+      await wait(systemClock, retryPauseMs, this.#closing.signal)
     }
     return false
   }
--- a/packages/dispatcher/src/retention.ts
+++ b/packages/dispatcher/src/retention.ts
@@ -1,4 +1,4 @@
-import { normalizeError } from '@bulrushbridge/errors'
+import { normalizeError, systemClock } from '@bulrushbridge/errors'
 import { isFinal, parts, progressSchema, progressTable } from '@bulrushbridge/scheduler'
 import { wait, type TableService } from '@bulrushbridge/store'
 import type { Logger } from '@bulrushbridge/telemetry'
@@ -28,10 +28,9 @@
 /** Starts the removal. */
 export function createRetention(opts: RetentionOptions): Retention {
   const closing = new AbortController()
-  const clock = { now: () => performance.now() }
   const run = async () => {
     for (;;) {
-      await wait(clock, sweepPauseMs, closing.signal)
+      await wait(systemClock, sweepPauseMs, closing.signal)
       if (closing.signal.aborted) return
       try {
         for (const part of parts) await sweepPart(opts, part, Date.now())
--- a/packages/dispatcher/src/runner-orders.ts
+++ b/packages/dispatcher/src/runner-orders.ts
@@ -1,3 +1,4 @@
+import { systemClock } from '@bulrushbridge/errors'
 import type { CallResult, OrderAnswer, RunnerApi } from '@bulrushbridge/scheduler'
 import { wait } from '@bulrushbridge/store'
 import type { Logger } from '@bulrushbridge/telemetry'
@@ -143,6 +144,6 @@
   }
 
   #pause(ms: number): Promise<void> {
-    return wait({ now: () => performance.now() }, ms, this.#target.closing)
+    return wait(systemClock, ms, this.#target.closing)
   }
 }
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -1,4 +1,5 @@
 import { setMaxListeners } from 'node:events'
+import { systemClock } from '@bulrushbridge/errors'
 import {
   addAmounts,
   type Amounts,
@@ -411,7 +412,7 @@
     this.#wake = () => {
       woken.abort()
     }
-    await wait({ now: () => performance.now() }, idleCheckMs, woken.signal)
+    await wait(systemClock, idleCheckMs, woken.signal)
     this.#wake = undefined
   }
 
@@ -420,6 +421,6 @@
   }
 
   #pause(ms: number): Promise<void> {
-    return wait({ now: () => performance.now() }, ms, this.#closing.signal)
+    return wait(systemClock, ms, this.#closing.signal)
   }
 }
--- a/packages/dispatcher/src/term.ts
+++ b/packages/dispatcher/src/term.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import { setMaxListeners } from 'node:events'
-import { normalizeError } from '@bulrushbridge/errors'
+import { normalizeError, systemClock } from '@bulrushbridge/errors'
 import {
   createRunnerHealth,
   createRunTimes,
@@ -205,7 +205,7 @@
           onFenced()
           return
         }
-        await wait({ now: () => performance.now() }, takeoverRetryMs, this.#closing.signal)
+        await wait(systemClock, takeoverRetryMs, this.#closing.signal)
       }
     }
   }
--- a/packages/host-program/src/host-program.ts
+++ b/packages/host-program/src/host-program.ts
@@ -1,7 +1,7 @@
 import { createServer, type Server } from 'node:http'
 import { createCallerServer, listen, type CallerServer } from '@bulrushbridge/caller-server'
 import { createDispatcher, type Dispatcher } from '@bulrushbridge/dispatcher'
-import { normalizeError, type RequestError } from '@bulrushbridge/errors'
+import { normalizeError, type RequestError, systemClock } from '@bulrushbridge/errors'
 import { createAcceptor, createJobHandler, type Acceptor } from '@bulrushbridge/job-front'
 import {
   configurationKey,
@@ -290,7 +290,7 @@
 
   async #waitUntil(deadline: number, isDone: () => boolean): Promise<void> {
     while (performance.now() < deadline && !isDone()) {
-      await wait({ now: () => performance.now() }, idleCheckMs)
+      await wait(systemClock, idleCheckMs)
     }
   }
 }
--- a/packages/job-front/src/acceptor.ts
+++ b/packages/job-front/src/acceptor.ts
@@ -1,4 +1,4 @@
-import { RequestError } from '@bulrushbridge/errors'
+import { RequestError, systemClock } from '@bulrushbridge/errors'
 import {
   jobsTable,
   partOf,
@@ -100,7 +100,7 @@
         throw new RequestError('acceptance-unknown', { outcome: 'unknown', cause })
       }
       if (isOver) throw new RequestError('store-unavailable', { retryAfterMs, cause })
-      await wait({ now: () => performance.now() }, retryPauseMs)
+      await wait(systemClock, retryPauseMs)
     }
   }
 }
