perf(dispatcher): store upkeeps when they begin, not when they are over

Change: an accepted upkeep is stored at once; a wave is complete when all have begun and none is away. The record of orders still covers what was not answered.

The new test fails on the old code.

--- a/packages/dispatcher/__tests__/wave-orders.test.ts
+++ b/packages/dispatcher/__tests__/wave-orders.test.ts
@@ -45,6 +45,8 @@
   async t => {
     const machines = [machine('m1', 'up'), machine('m2', 'up')]
     const machineLeaseMs = 1_500
+    // Without an answer the first holder does not know whether the upkeep has begun.
+    const lost: CallResult<MachineAnswer> = { outcome: 'unknown', reason: 'no answer' }
     const orders: { id: string; holder: string; at: number }[] = []
     const accepted: CallResult<MachineAnswer> = { outcome: 'done', value: { refusal: undefined } }
     const fleet = createFleet({
@@ -54,7 +56,7 @@
         list: () => Promise.resolve({ outcome: 'done', value: structuredClone(machines) }),
         upkeep: ({ machine: id, holder }) => {
           orders.push({ id, holder, at: performance.now() })
-          return Promise.resolve(accepted)
+          return Promise.resolve(holder === 'host-1' ? lost : accepted)
         },
         move: () => Promise.resolve(accepted),
         close: () => Promise.resolve(),
@@ -76,3 +78,34 @@
     await second.close()
   },
 )
+
+// Found on trouble-2 of lfta-compat: each of four holders ordered the same eight machines first, and
+// two of 18 were late.
+void t.test('a new holder does not order an upkeep again that has begun', async t => {
+  const machines = [machine('m1', 'up'), machine('m2', 'down')]
+  const orders: string[] = []
+  const accepted: CallResult<MachineAnswer> = { outcome: 'done', value: { refusal: undefined } }
+  const fleet = createFleet({
+    waves: [{ id: 1, machines: ['m1', 'm2'], timeMs: 60_000, maxAway: 2 }],
+    machines: {
+      list: () => Promise.resolve({ outcome: 'done', value: structuredClone(machines) }),
+      upkeep: ({ machine: id, holder }) => {
+        orders.push(`${id} by ${holder}`)
+        return Promise.resolve(accepted)
+      },
+      move: () => Promise.resolve(accepted),
+      close: () => Promise.resolve(),
+    },
+  })
+  const first = fleet.start('host-1')
+  await until(async () => {
+    const row = await fleet.store.read<{ begun: string[] }>('waves', '1')
+    return row?.value.begun.includes('m1') === true
+  })
+  await first.close()
+  Object.assign(machines[1] ?? {}, { state: 'up' })
+  const second = fleet.start('host-2')
+  await until(() => orders.includes('m2 by host-2'))
+  t.same(orders, ['m1 by host-1', 'm2 by host-2'])
+  await second.close()
+})
--- a/packages/dispatcher/src/wave-orders.ts
+++ b/packages/dispatcher/src/wave-orders.ts
@@ -11,17 +11,17 @@
 import type { OrderRecord } from './order-record.js'
 import type { RunnerSession } from './runner-session.js'
 
-/** Table with the machines of each wave that have had their upkeep. */
+/** Table with the machines of each wave whose upkeep has begun. */
 const wavesTable = 'waves'
 
 /** Time beyond an upkeep for the new runner to register, in milliseconds. */
 const returnSlackMs = 600
 
-const waveRowSchema = z.object({ done: z.array(z.string()), isComplete: z.boolean() })
+const waveRowSchema = z.object({ begun: z.array(z.string()), isComplete: z.boolean() })
 
 interface WaveProgress {
-  version: number
-  done: Set<string>
+  /** Machines whose upkeep has begun; each machine has it once. */
+  begun: Set<string>
   isComplete: boolean
 }
 
@@ -57,11 +57,12 @@
 
   /** Whether a machine is due for its upkeep, or in it. */
   concerns(machine: string): boolean {
+    if (this.#ordered.has(machine)) return true
     return this.#opts.view
       .waves()
       .some(
         ({ id, machines }) =>
-          machines.includes(machine) && this.#progress.get(id)?.done.has(machine) === false,
+          machines.includes(machine) && this.#progress.get(id)?.begun.has(machine) === false,
       )
   }
 
@@ -70,8 +71,7 @@
     const row = await this.#opts.store.read(wavesTable, key)
     const parsed = waveRowSchema.safeParse(row?.value)
     this.#progress.set(wave.id, {
-      version: row?.version ?? 0,
-      done: new Set(parsed.success ? parsed.data.done : []),
+      begun: new Set(parsed.success ? parsed.data.begun : []),
       isComplete: parsed.success && parsed.data.isComplete,
     })
     if (row === undefined) await this.#store(wave, 'running')
@@ -81,22 +81,22 @@
     const progress = this.#progress.get(wave.id)
     if (progress === undefined) return
     const byId = new Map(machines.map(machine => [machine.id, machine]))
-    const isChanged = this.#noteReturned(wave, progress, byId, sentAt)
-    const left = wave.machines.filter(id => !progress.done.has(id) && byId.has(id))
+    this.#noteReturned(wave, byId, sentAt)
+    const left = wave.machines.filter(id => !progress.begun.has(id) && byId.has(id))
     const ordered = [...this.#ordered].filter(([, { waveId }]) => waveId === wave.id)
     // An earlier holder may have ordered upkeeps that are under way.
     const down = machines.filter(
       ({ id, state }) => state === 'upkeep' && wave.machines.includes(id),
     )
     const contested = this.#contestedMachines(byId).filter(
-      id => wave.machines.includes(id) && !progress.done.has(id),
+      id => wave.machines.includes(id) && !progress.begun.has(id),
     )
     const away = new Set([...ordered.map(([id]) => id), ...down.map(({ id }) => id), ...contested])
       .size
     const isOver = left.length === 0 && away === 0
-    if (isOver) progress.isComplete = true
-    if (isChanged || isOver) await this.#store(wave, isOver ? 'completed' : 'running')
     if (isOver) {
+      progress.isComplete = true
+      await this.#store(wave, 'completed')
       this.#opts.log.info('wave completed', { wave: wave.id, machines: wave.machines.length })
       return
     }
@@ -125,6 +125,16 @@
       orders.push(this.#orderUpkeep(id, byId.get(id), wave))
     }
     await Promise.all(orders)
+    await this.#storeBegun(wave, progress)
+  }
+
+  /** Stored at once: the next holder would order the same machines once more, before the others. */
+  async #storeBegun(wave: KnownWave, progress: WaveProgress): Promise<void> {
+    const before = progress.begun.size
+    for (const [id, { waveId, isAccepted }] of this.#ordered) {
+      if (waveId === wave.id && isAccepted) progress.begun.add(id)
+    }
+    if (progress.begun.size > before) await this.#store(wave, 'running')
   }
 
   /** Their lasting tasks count as away, because an order of the earlier holder may still take effect. */
@@ -141,15 +151,9 @@
     return ids
   }
 
-  /** Machines whose upkeep is over; returns whether there are new ones. */
-  #noteReturned(
-    wave: KnownWave,
-    progress: WaveProgress,
-    byId: ReadonlyMap<string, Machine>,
-    sentAt: number,
-  ): boolean {
+  /** Notes machines whose upkeep is over. */
+  #noteReturned(wave: KnownWave, byId: ReadonlyMap<string, Machine>, sentAt: number): void {
     const { sessions, timing, log } = this.#opts
-    let isChanged = false
     for (const [id, order] of [...this.#ordered]) {
       if (order.waveId !== wave.id || sentAt < order.orderedAt) continue
       const machine = byId.get(id)
@@ -163,11 +167,8 @@
         session.isLeaving = false
       }
       this.#ordered.delete(id)
-      progress.done.add(id)
-      isChanged = true
       log.info('upkeep over', { wave: wave.id, machine: id, state: machine?.state, isReplaced })
     }
-    return isChanged
   }
 
   #asWaveMachine(machine: Machine): WaveMachine {
@@ -252,7 +253,7 @@
     const progress = this.#progress.get(wave.id)
     if (progress === undefined) return
     const key = String(wave.id)
-    const value = { done: [...progress.done], isComplete: progress.isComplete }
+    const value = { begun: [...progress.begun], isComplete: progress.isComplete }
     const result = await this.#opts.store.commit({
       checks: [this.#opts.check],
       writes: [{ table: wavesTable, key, value }, this.#opts.waveStatusRow(wave.id, state)],
