fix(dispatcher,scheduler): spread lasting tasks, so that waves are not held up

Change: tasks of a lasting step take machines of their own, a pool keeps five machines on, and a closed machine gives up tasks one at a time when more of a step are on it than may be away.

--- a/packages/dispatcher/__tests__/fixture.ts
+++ b/packages/dispatcher/__tests__/fixture.ts
@@ -54,6 +54,7 @@
   cancel(id: string): Promise<void>
   progress(id: string): Promise<Progress | undefined>
   setZoneOut(zone: string): void
+  addWave(wave: Wave): void
 }
 
 /** Options of {@link createFleet}. */
@@ -150,6 +151,9 @@
       const row = await store.read<Progress>(progressTable, id, { part: partOf(id) })
       return row?.value
     },
+    addWave: wave => {
+      view.applyChanges([{ key: `wave/${wave.id}`, value: wave, isDeleted: false }])
+    },
     setZoneOut: zone => {
       view.applyChanges([{ key: `out/${zone}`, value: {}, isDeleted: false }])
     },
--- a/packages/dispatcher/__tests__/wave-orders.test.ts
+++ b/packages/dispatcher/__tests__/wave-orders.test.ts
@@ -1,7 +1,7 @@
 import type { CallResult, Machine, MachineAnswer } from '@bulrushbridge/scheduler'
 import { until } from '@bulrushbridge/standins'
 import t from 'tap'
-import { createFleet } from './fixture.js'
+import { createFleet, oneTask } from './fixture.js'
 
 function machine(id: string, state: Machine['state']): Machine {
   const capacity = { cpuMillis: 1, memoryMb: 1, accelerators: 0 }
@@ -109,3 +109,34 @@
   t.same(orders, ['m1 by host-1', 'm2 by host-2'])
   await second.close()
 })
+
+// Found on quiet-1 of lfta-compat: a machine with two tasks of a step that may miss one stayed closed
+// for 20 s and missed the wave.
+void t.test('a closed machine gives up tasks that may not all be away at once', async t => {
+  const listed: Machine = { ...machine('m1', 'up'), runnerId: 'r1' }
+  const orders: string[] = []
+  const accepted: CallResult<MachineAnswer> = { outcome: 'done', value: { refusal: undefined } }
+  const waves = [{ id: 1, machines: ['m1'], timeMs: 60_000, maxAway: 1 }]
+  const fleet = createFleet({
+    waves: [],
+    machines: {
+      list: () => Promise.resolve({ outcome: 'done', value: [listed] }),
+      upkeep: ({ machine: id }) => {
+        orders.push(id)
+        return Promise.resolve(accepted)
+      },
+      move: () => Promise.resolve(accepted),
+      close: () => Promise.resolve(),
+    },
+  })
+  const first = await fleet.addRunner('r1')
+  const dispatcher = fleet.start('host-1')
+  await fleet.submit('lasting', [{ ...oneTask, count: 2, isLasting: true, mayMiss: 1 }])
+  await until(() => first.running.size === 2)
+  const second = await fleet.addRunner('r2')
+  for (const wave of waves) fleet.addWave(wave)
+  await until(() => second.running.size > 0)
+  await until(() => orders.length > 0)
+  t.same(orders, ['m1'])
+  await dispatcher.close()
+})
--- a/packages/dispatcher/src/away.ts
+++ b/packages/dispatcher/src/away.ts
@@ -6,7 +6,7 @@
 const atWorkPercent = 100
 
 /**
- * Counts the tasks of a lasting step that are not at work, except on one runner.
+ * Counts the tasks of a lasting step that are not at work, except on one runner if it is named.
  *
  * @example
  * const away = countAway(step, sessions, leavingRunnerId)
@@ -14,7 +14,7 @@
 export function countAway(
   step: StepState,
   sessions: ReadonlyMap<string, RunnerSession>,
-  exceptRunnerId: string,
+  exceptRunnerId?: string,
 ): number {
   return step.tasks.filter(({ name, run }) => {
     if (run === undefined) return true
--- a/packages/dispatcher/src/wave-orders.ts
+++ b/packages/dispatcher/src/wave-orders.ts
@@ -8,6 +8,7 @@
 import { z } from 'zod'
 import { countAway } from './away.js'
 import { isSparePool, sessionOf, type MachineContext } from './machine-context.js'
+import type { Occupant } from './occupant.js'
 import type { OrderRecord } from './order-record.js'
 import type { RunnerSession } from './runner-session.js'
 
@@ -113,6 +114,7 @@
       upkeepMs: this.#opts.timing.upkeepMs + returnSlackMs,
     })
     for (const id of plan.close) this.#close(byId.get(id), wave)
+    for (const id of waiting) this.#spread(byId.get(id))
     const unsettled = ordered.flatMap(([id, { isAccepted }]) => (isAccepted ? [] : [id]))
     const ids = [...unsettled, ...plan.upkeep]
     if (ids.length === 0 || !(await this.#record.record('upkeep', ids))) return
@@ -189,17 +191,30 @@
 
   /** Whether all lasting tasks of a runner may be away at once, beside those that are already. */
   #mayLose(session: RunnerSession): boolean {
-    const steps = new Map<StepState, number>()
-    for (const { task } of session.occupants.values()) {
-      if (task?.step.step.isLasting !== true || task.step.step.mayMiss === undefined) continue
-      steps.set(task.step, (steps.get(task.step) ?? 0) + 1)
-    }
-    return [...steps].every(([step, here]) => {
+    return [...lastingSteps(session)].every(([step, here]) => {
       const allowed = step.step.mayMiss ?? Number.POSITIVE_INFINITY
-      return countAway(step, this.#opts.sessions, session.id) + here <= allowed
+      return countAway(step, this.#opts.sessions, session.id) + here.length <= allowed
     })
   }
 
+  /**
+   * A closed machine with more tasks of a step than may be away at once could never have its upkeep,
+   * so one of them moves at a time.
+   */
+  #spread(machine: Machine | undefined): void {
+    const session = sessionOf(this.#opts, machine)
+    if (session?.isClosing !== true) return
+    for (const [step, here] of lastingSteps(session)) {
+      const allowed = step.step.mayMiss ?? Number.POSITIVE_INFINITY
+      const [first] = here
+      if (first === undefined || here.length <= allowed || first.state !== 'present') continue
+      if (countAway(step, this.#opts.sessions) >= allowed) continue
+      const { name, run } = first
+      this.#opts.log.info('run moved before an upkeep', { task: name, run, runner: session.id })
+      void session.stop(first)
+    }
+  }
+
   #close(machine: Machine | undefined, wave: KnownWave): void {
     const session = sessionOf(this.#opts, machine)
     if (session === undefined) return
@@ -262,6 +277,17 @@
   }
 }
 
+/** The lasting tasks of a runner whose absence is limited, by step. */
+function lastingSteps({ occupants }: RunnerSession): Map<StepState, Occupant[]> {
+  const steps = new Map<StepState, Occupant[]>()
+  for (const occupant of occupants.values()) {
+    const step = occupant.task?.step
+    if (step?.step.isLasting !== true || step.step.mayMiss === undefined) continue
+    steps.set(step, [...(steps.get(step) ?? []), occupant])
+  }
+  return steps
+}
+
 function countPools(machines: readonly Machine[]): Map<string, number> {
   const sizes = new Map<string, number>()
   for (const { pool } of machines) sizes.set(pool, (sizes.get(pool) ?? 0) + 1)
--- a/packages/scheduler/__tests__/choose-starts.test.ts
+++ b/packages/scheduler/__tests__/choose-starts.test.ts
@@ -90,3 +90,13 @@
   )
   t.end()
 })
+
+// Found on quiet-1 of lfta-compat: two tasks of a step that may miss one shared a machine, which
+// never had its upkeep.
+void t.test('tasks of a lasting step go to machines of their own, also to lent ones', t => {
+  const job = createJob('1', { steps: [{ ...step, count: 3, isLasting: true, mayMiss: 1 }] })
+  const runners = [createRunner('r1'), createRunner('r2'), createRunner('r3', { isLent: true })]
+  const starts = chooseStarts(choiceState([job], runners))
+  t.same(starts.map(({ runnerId }) => runnerId).sort(), ['r1', 'r2', 'r3'])
+  t.end()
+})
--- a/packages/scheduler/src/choose-starts.ts
+++ b/packages/scheduler/src/choose-starts.ts
@@ -160,12 +160,21 @@
     let disturbance = 0
     if (isFiller === true) disturbance = runner.serving
     else if (targetMs !== undefined) disturbance = runner.fillers
+    // One upkeep or loss would take away more tasks of a step than may be away.
+    const together = isLasting === true ? this.#tasksOn(state, runner) : 0
     // A lasting task would keep a lent machine from going back.
     const isPinned = isLasting === true && runner.isLent ? 1 : 0
     const left = leftFraction(runner)
     // Lasting tasks spread, so that one machine's loss or upkeep ends few of them.
     const fit = isLasting === true ? 1 - left : left
-    return isPinned * 10_000 + isAvoided * 1_000 + isElsewhere * 100 + disturbance * 10 + fit
+    return (
+      together * 100_000 +
+      isPinned * 10_000 +
+      isAvoided * 1_000 +
+      isElsewhere * 100 +
+      disturbance * 10 +
+      fit
+    )
   }
 
   #isAllowed(state: StepState): boolean {
--- a/packages/scheduler/src/plan-pool-moves.ts
+++ b/packages/scheduler/src/plan-pool-moves.ts
@@ -52,8 +52,11 @@
  */
 const lendAfterMs = 300
 
-/** Machines that a pool keeps, so that its next task starts at once. */
-const keptMachines = 2
+/**
+ * Machines that a pool keeps on. Lasting steps are some five tasks wide; on fewer machines two of
+ * their tasks would share one, whose upkeep would then take more away than may be.
+ */
+const keptMachines = 5
 
 /**
  * Machines that are ordered for the waiting work of a pool, as a multiple of what it fills: demand
