perf(store): renew a lease without waiting for the answer to the last renewal

Change: renewals are sent every third of the lifetime and each one that is answered within the lifetime prolongs the lease by its own time. One that is answered after the lease has run out changes nothing.

The new test fails on the old code.

--- a/packages/store/__tests__/slow-renewal.test.ts
+++ b/packages/store/__tests__/slow-renewal.test.ts
@@ -48,3 +48,51 @@
     }),
   ])
 })
+
+// Found on lfta-compat, trouble-2: a store 97 times as slow answered in more than a second, and nobody
+// placed work for three seconds, because each renewal waited for the answer to the one before.
+void t.test(
+  'a store that answers in three fifths of the lifetime keeps the lease renewed',
+  async t => {
+    const clock = createManualClock()
+    const rows = new Map<string, { version: number; value: unknown }>()
+    let answerMs = 0
+    const table: TableService = {
+      read: (name, key) => {
+        const row = rows.get(`${name}/${key}`)
+        return Promise.resolve(row === undefined ? undefined : ({ key, ...row } as Row<never>))
+      },
+      scan: () => Promise.resolve([]),
+      commit: async (tx: Transaction, opts = {}): Promise<CommitResult> => {
+        const leftMs = (opts.deadline ?? Infinity) - clock.now()
+        await clock.sleep(Math.min(answerMs, leftMs))
+        if (answerMs > leftMs) throw new Error('no answer in time')
+        for (const { table: name, key, value } of tx.writes) {
+          const version = (rows.get(`${name}/${key}`)?.version ?? 0) + 1
+          rows.set(`${name}/${key}`, { version, value })
+        }
+        return { committed: true }
+      },
+      close: () => Promise.resolve(),
+    }
+    const duty = createDuty({ table, duty: 'd', holder: 'h', ttlMs, clock })
+    const settle = async () => {
+      for (let i = 0; i < 20; i++) await new Promise(resolve => setImmediate(resolve))
+    }
+    await settle()
+    answerMs = 0.6 * ttlMs
+    for (let passed = 0; passed < 5 * ttlMs; passed += ttlMs / 20) {
+      clock.advance(ttlMs / 20)
+      await settle()
+      if (duty.held() === undefined) break
+    }
+    t.ok(duty.held())
+    answerMs = 0
+    const closing = duty.close()
+    for (let n = 0; n < 40; n++) {
+      clock.advance(ttlMs / 20)
+      await settle()
+    }
+    await closing
+  },
+)
--- a/packages/store/src/duty.ts
+++ b/packages/store/src/duty.ts
@@ -37,7 +37,6 @@
 /** A held lease with its deadline on this process's clock. */
 interface Lease extends HeldDuty {
   deadline: number
-  renewals: number
 }
 
 /** Options of {@link createDuty}. */
@@ -89,9 +88,12 @@
   readonly #closing = new AbortController()
   readonly #listeners = new Set<(held: HeldDuty | undefined) => void>()
   readonly #running: Promise<void>
+  /** Renewals without an answer yet. */
+  readonly #renewals = new Set<Promise<unknown>>()
   #lease: Lease | undefined
   #seen: { version: number; since: number } | undefined
   #reported: number | undefined
+  #renewalCount = 0
 
   constructor(opts: DutyOptions) {
     this.#opts = opts
@@ -116,6 +118,8 @@
     this.#closing.abort()
     await this.#running
     this.#report()
+    // A renewal that took effect after the release would make others wait for the lease's end.
+    await Promise.all(this.#renewals)
     if (this.#lease !== undefined) await this.#release(this.#lease)
     this.#lease = undefined
   }
@@ -142,23 +146,60 @@
     }
   }
 
-  /** Checks the fence only, so that a renewal whose answer was lost does not refuse the next one. */
+  /**
+   * Sends a renewal and waits for its answer until the next one is due. A slow store takes longer
+   * than that; each renewal that is answered within the lifetime prolongs the lease by its own time.
+   */
   async #renew(lease: Lease): Promise<number> {
-    const { duty, ttlMs } = this.#opts
-    const sentAt = this.#clock.now()
-    if (sentAt >= lease.deadline) {
+    const pauseMs = this.#opts.ttlMs / 3
+    if (this.#clock.now() >= lease.deadline) {
       this.#lease = undefined
       return 0
     }
-    const renewals = lease.renewals + 1
-    const value = this.#row(lease.token, renewals)
-    const result = await this.#opts.table.commit(
-      { checks: [lease.check], writes: [{ table: dutiesTable, key: duty, value }] },
-      // A slow store takes longer than the pause between renewals, and may still renew in time.
-      { deadline: Math.min(lease.deadline, sentAt + ttlMs / 2) },
+    const renewal = this.#sendRenewal(lease)
+    const answered = new AbortController()
+    const pause = wait(
+      this.#clock,
+      pauseMs,
+      AbortSignal.any([answered.signal, this.#closing.signal]),
     )
-    this.#lease = result.committed ? { ...lease, renewals, deadline: sentAt + ttlMs } : undefined
-    return ttlMs / 3
+    const result = await Promise.race([renewal, pause.then(() => 'unanswered')])
+    answered.abort()
+    if (result === 'unanswered') return 0
+    const leftMs = lease.deadline - this.#clock.now()
+    return result === 'failed' ? Math.max(1, Math.min(this.#opts.ttlMs / 12, leftMs)) : pauseMs
+  }
+
+  /** Checks the fence only, so that a renewal whose answer was lost does not refuse the next one. */
+  #sendRenewal(lease: Lease): Promise<'answered' | 'failed'> {
+    const { duty, ttlMs, table, onError } = this.#opts
+    const sentAt = this.#clock.now()
+    this.#renewalCount += 1
+    const value = this.#row(lease.token, this.#renewalCount)
+    const tx = { checks: [lease.check], writes: [{ table: dutiesTable, key: duty, value }] }
+    const renewal = table
+      .commit(tx, { deadline: sentAt + ttlMs })
+      .then(({ committed }) => {
+        this.#applyRenewal(lease.token, committed ? sentAt + ttlMs : undefined)
+        return 'answered' as const
+      })
+      .catch((err: unknown) => {
+        onError?.(err)
+        return 'failed' as const
+      })
+      .finally(() => this.#renewals.delete(renewal))
+    this.#renewals.add(renewal)
+    return renewal
+  }
+
+  /** A lease that has run out meanwhile is taken anew, since its holder has stopped by then. */
+  #applyRenewal(token: number, deadline: number | undefined): void {
+    const lease = this.#lease
+    if (lease?.token !== token || this.#clock.now() >= lease.deadline) return
+    this.#lease =
+      deadline === undefined
+        ? undefined
+        : { ...lease, deadline: Math.max(lease.deadline, deadline) }
   }
 
   /** Reads the row and takes the lease if it is free; returns whether it was taken. */
@@ -204,7 +245,7 @@
     const taken = await table.read<FenceRow>(fencesTable, duty, { deadline: sentAt + ttlMs })
     if (taken?.value.token !== token || taken.value.instance !== this.#instance) return false
     const check = { table: fencesTable, key: duty, version: taken.version }
-    this.#lease = { token, check, renewals: 0, deadline: sentAt + ttlMs }
+    this.#lease = { token, check, deadline: sentAt + ttlMs }
     this.#seen = undefined
     return true
   }
