perf(dispatcher): a host does not wait for its own earlier machine orders

Change: the record names the host that ordered, and is emptied when its orders are older than the time between holders. What was ordered still counts as away in a wave.

--- a/packages/dispatcher/__tests__/wave-orders.test.ts
+++ b/packages/dispatcher/__tests__/wave-orders.test.ts
@@ -140,3 +140,41 @@
   t.same(orders, ['m1'])
   await dispatcher.close()
 })
+
+// Found on scale-2 of lfta-compat: after all hosts had lost power, the same host took over and left
+// the machines alone that it had ordered itself; an old record held up machines for nothing.
+void t.test('a host does not wait for its own orders, and an old record is emptied', async t => {
+  const machines = [machine('m1', 'up')]
+  const orders: string[] = []
+  let isAnswered = false
+  const accepted: CallResult<MachineAnswer> = { outcome: 'done', value: { refusal: undefined } }
+  const lost: CallResult<MachineAnswer> = { outcome: 'unknown', reason: 'no answer' }
+  const fleet = createFleet({
+    machineLeaseMs: 1_000,
+    // The unanswered upkeep may still begin, so it counts as one that is away.
+    waves: [{ id: 1, machines: ['m1'], timeMs: 60_000, maxAway: 2 }],
+    machines: {
+      list: () => Promise.resolve({ outcome: 'done', value: structuredClone(machines) }),
+      upkeep: ({ machine: id }) => {
+        orders.push(id)
+        return Promise.resolve(isAnswered ? accepted : lost)
+      },
+      move: () => Promise.resolve(accepted),
+      close: () => Promise.resolve(),
+    },
+  })
+  const before = fleet.start('host-1')
+  await until(() => orders.length > 0)
+  await before.close()
+  isAnswered = true
+  orders.length = 0
+  const takenAt = performance.now()
+  const after = fleet.start('host-1')
+  await until(() => orders.length > 0)
+  t.ok(performance.now() - takenAt < 1_000, 'ordered at once')
+  await until(async () => {
+    const row = await fleet.store.read<object>('machines', 'ordered')
+    return row !== undefined && Object.keys(row.value).length === 0
+  })
+  await after.close()
+})
--- a/packages/dispatcher/src/machine-duty.ts
+++ b/packages/dispatcher/src/machine-duty.ts
@@ -102,6 +102,7 @@
     this.#settleSuspects(suspects, result.value, sentAt)
     for (const wave of waves) await this.#waves.advance(wave, result.value, sentAt)
     await this.#moves.advance(result.value, this.#waves)
+    await this.#record.prune()
     return waves.length + suspects.length > 0 || this.#moves.isBusy
   }
 
--- a/packages/dispatcher/src/order-record.ts
+++ b/packages/dispatcher/src/order-record.ts
@@ -6,10 +6,13 @@
 const recordTable = 'machines'
 const recordKey = 'ordered'
 
-const recordSchema = z.record(z.string(), z.enum(['move', 'upkeep']))
+const orderSchema = z.object({ kind: z.enum(['move', 'upkeep']), holder: z.string() })
+const recordSchema = z.record(z.string(), orderSchema)
+
+type RecordedOrder = z.infer<typeof orderSchema>
 
 /** What a machine is ordered to do. */
-export type OrderKind = 'move' | 'upkeep'
+export type OrderKind = RecordedOrder['kind']
 
 /**
  * The machines that this holder and the last ones have ordered lately, stored before each order.
@@ -20,9 +23,11 @@
   readonly #opts: MachineContext
   readonly #startedAt = performance.now()
   /** Machines that an earlier holder may have ordered lately. */
-  #earlier = new Map<string, OrderKind>()
+  #earlier = new Map<string, RecordedOrder>()
   readonly #own = new Map<string, { kind: OrderKind; orderedAt: number }>()
+  /** Own orders in the stored record. */
   #stored = new Set<string>()
+  #isEmpty = true
   #isLoaded = false
 
   constructor(opts: MachineContext) {
@@ -38,18 +43,20 @@
       this.#opts.log.warn('record of machine orders not readable', { key: recordKey })
     }
     this.#earlier = new Map(parsed.success ? Object.entries(parsed.data) : [])
+    this.#isEmpty = this.#earlier.size === 0
     this.#isLoaded = true
   }
 
-  /** Whether another holder may have ordered the machine too short a time ago. */
+  /** Whether another host may have ordered the machine too short a time ago. */
   isContested(machine: string): boolean {
-    return this.#isRecent && this.#earlier.has(machine)
+    const order = this.#earlier.get(machine)
+    return this.#isRecent && order !== undefined && order.holder !== this.#opts.holder
   }
 
   /** Machines whose upkeep an earlier holder may just have ordered; they may go down any moment. */
   contestedUpkeeps(): string[] {
     if (!this.#isRecent) return []
-    return [...this.#earlier].flatMap(([id, kind]) => (kind === 'upkeep' ? [id] : []))
+    return [...this.#earlier].flatMap(([id, { kind }]) => (kind === 'upkeep' ? [id] : []))
   }
 
   /** Stores machines before they are ordered; false when nothing may be ordered. */
@@ -61,16 +68,28 @@
     const orderedAt = performance.now()
     for (const id of machines) this.#own.set(id, { kind, orderedAt })
     if (writes.length === 0 && machines.every(id => this.#stored.has(id))) return true
-    const value = this.#current(orderedAt)
+    return this.#store(writes)
+  }
+
+  /** Empties a record that is out of date, which would hold up the next holder for nothing. */
+  async prune(): Promise<void> {
+    if (this.#isEmpty || Object.keys(this.#current()).length > 0) return
+    await this.#store([])
+  }
+
+  async #store(writes: readonly Write[]): Promise<boolean> {
+    const value = this.#current()
     const result = await this.#opts.store.commit({
       checks: [this.#opts.check],
       writes: [...writes, { table: recordTable, key: recordKey, value }],
     })
     if (!result.committed) {
-      this.#opts.log.warn('machine orders not stored', { machines: machines.length })
+      this.#opts.log.warn('machine orders not stored', { machines: Object.keys(value).length })
       return false
     }
-    this.#stored = new Set(Object.keys(value))
+    const { holder } = this.#opts
+    this.#stored = new Set(Object.keys(value).filter(id => value[id]?.holder === holder))
+    this.#isEmpty = Object.keys(value).length === 0
     return true
   }
 
@@ -79,13 +98,12 @@
   }
 
   /** What the next holder must know; the orders of earlier holders stay while they are recent. */
-  #current(now: number): Record<string, OrderKind> {
-    const { machineLeaseMs } = this.#opts.timing
-    const current: Record<string, OrderKind> = this.#isRecent
-      ? Object.fromEntries(this.#earlier)
-      : {}
+  #current(): Record<string, RecordedOrder> {
+    const { timing, holder } = this.#opts
+    const now = performance.now()
+    const current = this.#isRecent ? Object.fromEntries(this.#earlier) : {}
     for (const [id, { kind, orderedAt }] of this.#own) {
-      if (now - orderedAt <= machineLeaseMs) current[id] = kind
+      if (now - orderedAt <= timing.machineLeaseMs) current[id] = { kind, holder }
       else this.#own.delete(id)
     }
     return current
