fix(dispatcher): count an upkeep as away while it lasts, also after a takeover

Cause, found by reading: a host that takes over from itself may order an upkeep while its earlier orders are recent; when these aged, the mark of the runner in upkeep was cleared with theirs, and its lasting tasks would not have counted as away.

Change: the mark stays on runners whose upkeep this term has ordered.

--- a/packages/dispatcher/src/wave-orders.ts
+++ b/packages/dispatcher/src/wave-orders.ts
@@ -141,7 +141,8 @@
 
   /** Their lasting tasks count as away, because an order of the earlier holder may still take effect. */
   #contestedMachines(byId: ReadonlyMap<string, Machine>): string[] {
-    for (const session of this.#contested) session.isLeaving = false
+    const ordered = new Set([...this.#ordered.values()].map(({ runnerId }) => runnerId))
+    for (const session of this.#contested) session.isLeaving = ordered.has(session.id)
     this.#contested.clear()
     const ids = this.#record.contestedUpkeeps()
     for (const id of ids) {
