refactor(scheduler): one sum of waiting work for the dispatcher and the simulation

Cause: the simulation of turns summed waiting work by itself, beside sumWaitingWork of the dispatcher, which is a decision without a network.

Change: sumWaitingWork moves to the scheduler and both call it.

--- a/packages/dispatcher/src/placement-pass.ts
+++ b/packages/dispatcher/src/placement-pass.ts
@@ -1,6 +1,7 @@
 import {
   chooseStarts,
   noAmounts,
+  sumWaitingWork,
   type Amounts,
   type JobState,
   type OpenRunner,
@@ -14,7 +15,6 @@
 import { asOpenRunner } from './open-runner.js'
 import type { RunnerSession } from './runner-session.js'
 import { queuesOf, type TermContext } from './term-context.js'
-import { sumWaitingWork } from './waiting-work.js'
 
 /** Starts in one pass; more follow in the next, after others had their turn. */
 const startsPerPass = 200
--- a/packages/scheduler/__tests__/turns.ts
+++ b/packages/scheduler/__tests__/turns.ts
@@ -9,12 +9,11 @@
   planPoolMoves,
   reservedAmounts,
   stepName,
-  timesFitting,
+  sumWaitingWork,
   type Amounts,
   type OpenRunner,
   type Queue,
   type Step,
-  type StepState,
   type Task,
 } from '../src/index.js'
 
@@ -266,15 +265,10 @@
     const steps = [...this.#jobs.values()].flatMap(job => job.startable())
     const byId = new Map(this.#machines.map(machine => [machine.id, machine]))
     const open = this.#machines.filter(({ pool, to }) => pool !== spare && to === undefined)
-    const starts = chooseStarts({
-      steps,
-      queues: this.#queues,
-      runners: open.map(asOpenRunner),
-      times: this.#times,
-      allowance: new Map(),
-      wallNow: this.#now,
-      limit: 200,
-    })
+    const state = { steps, queues: this.#queues, runners: open.map(asOpenRunner) }
+    const allowance = new Map<string, Amounts>()
+    const times = this.#times
+    const starts = chooseStarts({ ...state, times, allowance, wallNow: this.#now, limit: 200 })
     for (const { task, runnerId } of starts) {
       const machine = byId.get(runnerId)
       if (machine === undefined) continue
@@ -285,7 +279,7 @@
       machine.idleSince = undefined
       addAmounts(machine.free, reservedAmounts(task.step), -1)
     }
-    return waitingByPool(steps)
+    return sumWaitingWork({ ...state, allowance })
   }
 
   /** Depends on the task alone, so that two policies are compared on the same work. */
@@ -392,15 +386,3 @@
     isLent,
   }
 }
-
-function waitingByPool(steps: readonly StepState[]): Map<string, Amounts> {
-  const waiting = new Map<string, Amounts>()
-  for (const step of steps) {
-    if (step.pending === 0 || timesFitting(capacity, step.step.amounts) === 0) continue
-    const pool = step.job.job.queue
-    const sum = waiting.get(pool) ?? { ...noAmounts }
-    addAmounts(sum, step.step.amounts, step.pending)
-    waiting.set(pool, sum)
-  }
-  return waiting
-}
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -93,3 +93,4 @@
   waitingTable,
 } from './tables.js'
 export { compareUrgency, objectiveMs, urgencyOf, type Urgency } from './urgency.js'
+export { sumWaitingWork, type WaitingWorkState } from './waiting-work.js'
--- a/packages/dispatcher/src/waiting-work.ts
+++ b/packages/scheduler/src/waiting-work.ts
@@ -1,12 +1,7 @@
-import {
-  addAmounts,
-  noAmounts,
-  timesFitting,
-  type Amounts,
-  type OpenRunner,
-  type Queue,
-  type StepState,
-} from '@bulrushbridge/scheduler'
+import { addAmounts, noAmounts, timesFitting, type Amounts } from './amounts.js'
+import type { OpenRunner } from './choose-starts.js'
+import type { Queue } from './configuration.js'
+import type { StepState } from './job-state.js'
 
 /** What the sum is made from, after the starts of a pass have been recorded. */
 export interface WaitingWorkState {
@@ -19,6 +14,9 @@
 /**
  * Sums by pool what startable tasks take that found no room. Tasks that an organisation's limit
  * holds back do not wait for room, and a task larger than any machine would wait in vain.
+ *
+ * @example
+ * const { cpuMillis = 0 } = sumWaitingWork({ steps, queues, runners, allowance }).get('finder') ?? {}
  */
 export function sumWaitingWork(state: WaitingWorkState): Map<string, Amounts> {
   const waiting = new Map<string, Amounts>()
