refactor(dispatcher): send moves and upkeeps through one function

Cause: PoolMoves and WaveOrders each read the answer, logged, counted and reported a newer fence in the same way.

--- a/packages/dispatcher/src/pool-moves.ts
+++ b/packages/dispatcher/src/pool-moves.ts
@@ -9,6 +9,7 @@
 import { z } from 'zod'
 import { isSparePool, sessionOf, type MachineContext } from './machine-context.js'
 import type { OrderRecord } from './order-record.js'
+import { sendOrder } from './send-order.js'
 import type { WaveOrders } from './wave-orders.js'
 
 /** Most machines that are ordered into other pools in one round. */
@@ -139,7 +140,7 @@
   }
 
   async #orderMove({ machine, to }: PoolMove, listed: Machine | undefined): Promise<void> {
-    const { machines, holder, fence, log, metrics } = this.#opts
+    const { machines, holder, fence } = this.#opts
     const known = this.#moving.get(machine)
     const session = known === undefined ? sessionOf(this.#opts, listed) : undefined
     // Looked at again: a task may have started since the list was asked for.
@@ -147,15 +148,12 @@
     if (session !== undefined) session.isClosing = true
     const move = known ?? { to, runnerId: listed?.runnerId, isAccepted: false }
     this.#moving.set(machine, move)
-    const result = await machines.move({ machine, pool: to, holder, fence })
-    const refusal = result.outcome === 'done' ? result.value.refusal : undefined
-    const reason = result.outcome === 'done' ? (refusal ?? 'accepted') : result.reason
-    log.info('move ordered', { machine, pool: to, fence, outcome: result.outcome, reason })
-    metrics.count('bulrush_moves_total', { outcome: reason })
-    if (refusal === 'fence') this.#opts.onFenced()
-    if (result.outcome === 'done' && refusal === undefined) move.isAccepted = true
-    const isRefused = result.outcome === 'not-done' || refusal !== undefined
-    if (!isRefused || known !== undefined) return
+    const result = await sendOrder(this.#opts, 'move', {
+      fields: { machine, pool: to },
+      call: () => machines.move({ machine, pool: to, holder, fence }),
+    })
+    if (result === 'accepted') move.isAccepted = true
+    if (result !== 'refused' || known !== undefined) return
     this.#moving.delete(machine)
     if (session !== undefined) session.isClosing = false
   }
--- /dev/null
+++ b/packages/dispatcher/src/send-order.ts
@@ -0,0 +1,27 @@
+import type { CallResult, MachineAnswer } from '@bulrushbridge/scheduler'
+import type { MachineContext } from './machine-context.js'
+import type { OrderKind } from './order-record.js'
+
+/** What an order came to; one that is `unanswered` may still be carried out. */
+export type OrderResult = 'accepted' | 'refused' | 'unanswered'
+
+const totals: Record<OrderKind, string> = {
+  move: 'bulrush_moves_total',
+  upkeep: 'bulrush_upkeeps_total',
+}
+
+/** Sends an order for a machine; logs, counts and returns what came of it. */
+export async function sendOrder(
+  { fence, log, metrics, onFenced }: MachineContext,
+  kind: OrderKind,
+  order: { fields: Record<string, unknown>; call: () => Promise<CallResult<MachineAnswer>> },
+): Promise<OrderResult> {
+  const result = await order.call()
+  const refusal = result.outcome === 'done' ? result.value.refusal : undefined
+  const reason = result.outcome === 'done' ? (refusal ?? 'accepted') : result.reason
+  log.info(`${kind} ordered`, { ...order.fields, fence, outcome: result.outcome, reason })
+  metrics.count(totals[kind], { outcome: reason })
+  if (refusal === 'fence') onFenced()
+  if (result.outcome === 'not-done' || refusal !== undefined) return 'refused'
+  return result.outcome === 'done' ? 'accepted' : 'unanswered'
+}
--- a/packages/dispatcher/src/wave-orders.ts
+++ b/packages/dispatcher/src/wave-orders.ts
@@ -11,6 +11,7 @@
 import type { Occupant } from './occupant.js'
 import type { OrderRecord } from './order-record.js'
 import type { RunnerSession } from './runner-session.js'
+import { sendOrder } from './send-order.js'
 
 /** Table with the machines of each wave whose upkeep has begun. */
 const wavesTable = 'waves'
@@ -229,7 +230,7 @@
   }
 
   async #orderUpkeep(id: string, machine: Machine | undefined, wave: KnownWave): Promise<void> {
-    const { machines, holder, fence, log, metrics } = this.#opts
+    const { machines, holder, fence } = this.#opts
     const session = sessionOf(this.#opts, machine)
     const known = this.#ordered.get(id)
     if (known === undefined && session !== undefined) session.isClosing = true
@@ -240,26 +241,17 @@
       isAccepted: false,
     }
     this.#ordered.set(id, order)
-    const result = await machines.upkeep({ machine: id, wave: wave.id, holder, fence })
-    const refusal = result.outcome === 'done' ? result.value.refusal : undefined
-    const reason = result.outcome === 'done' ? (refusal ?? 'accepted') : result.reason
-    log.info('upkeep ordered', {
-      wave: wave.id,
-      machine: id,
-      fence,
-      outcome: result.outcome,
-      reason,
+    const result = await sendOrder(this.#opts, 'upkeep', {
+      fields: { wave: wave.id, machine: id },
+      call: () => machines.upkeep({ machine: id, wave: wave.id, holder, fence }),
     })
-    metrics.count('bulrush_upkeeps_total', { outcome: reason })
-    if (refusal === 'fence') this.#opts.onFenced()
     // What ran there counts as running until the list shows that its runner is gone: the order may
     // be carried out later, and an upkeep that is over already ends nothing.
-    if (result.outcome === 'done' && refusal === undefined) {
+    if (result === 'accepted') {
       order.isAccepted = true
       order.orderedAt = performance.now()
     }
-    const isRefused = result.outcome === 'not-done' || refusal !== undefined
-    if (!isRefused || known !== undefined) return
+    if (result !== 'refused' || known !== undefined) return
     this.#ordered.delete(id)
     if (session === undefined) return
     session.isClosing = false
