refactor(dispatcher,scheduler): derive what the order record and the plan of moves count

Cause: the record of orders kept a set of own orders and a flag beside what is stored, and the plan looked its own moves up again to count what stays.

Change: both follow from one value, the stored record and the count that each move changes. A record that a host's earlier term has stored is not written again for the same machines.

--- a/packages/dispatcher/src/order-record.ts
+++ b/packages/dispatcher/src/order-record.ts
@@ -22,12 +22,11 @@
 export class OrderRecord {
   readonly #opts: MachineContext
   readonly #startedAt = performance.now()
-  /** Machines that an earlier holder may have ordered lately. */
-  #earlier = new Map<string, RecordedOrder>()
+  /** What the last holder stored. */
+  #earlier: Record<string, RecordedOrder> = {}
+  /** What is stored now. */
+  #stored: Record<string, RecordedOrder> = {}
   readonly #own = new Map<string, { kind: OrderKind; orderedAt: number }>()
-  /** Own orders in the stored record. */
-  #stored = new Set<string>()
-  #isEmpty = true
   #isLoaded = false
 
   constructor(opts: MachineContext) {
@@ -42,21 +41,23 @@
     if (row !== undefined && !parsed.success) {
       this.#opts.log.warn('record of machine orders not readable', { key: recordKey })
     }
-    this.#earlier = new Map(parsed.success ? Object.entries(parsed.data) : [])
-    this.#isEmpty = this.#earlier.size === 0
+    this.#earlier = parsed.success ? parsed.data : {}
+    this.#stored = this.#earlier
     this.#isLoaded = true
   }
 
   /** Whether another host may have ordered the machine too short a time ago. */
   isContested(machine: string): boolean {
-    const order = this.#earlier.get(machine)
+    const order = this.#earlier[machine]
     return this.#isRecent && order !== undefined && order.holder !== this.#opts.holder
   }
 
   /** Machines whose upkeep an earlier holder may just have ordered; they may go down any moment. */
   contestedUpkeeps(): string[] {
     if (!this.#isRecent) return []
-    return [...this.#earlier].flatMap(([id, { kind }]) => (kind === 'upkeep' ? [id] : []))
+    return Object.entries(this.#earlier).flatMap(([id, { kind }]) =>
+      kind === 'upkeep' ? [id] : [],
+    )
   }
 
   /** Stores machines before they are ordered; false when nothing may be ordered. */
@@ -67,13 +68,15 @@
   ): Promise<boolean> {
     const orderedAt = performance.now()
     for (const id of machines) this.#own.set(id, { kind, orderedAt })
-    if (writes.length === 0 && machines.every(id => this.#stored.has(id))) return true
+    const { holder } = this.#opts
+    const isStored = machines.every(id => this.#stored[id]?.holder === holder)
+    if (isStored && writes.length === 0) return true
     return this.#store(writes)
   }
 
   /** Empties a record that is out of date, which would hold up the next holder for nothing. */
   async prune(): Promise<void> {
-    if (this.#isEmpty || Object.keys(this.#current()).length > 0) return
+    if (isEmpty(this.#stored) || !isEmpty(this.#current())) return
     await this.#store([])
   }
 
@@ -87,9 +90,7 @@
       this.#opts.log.warn('machine orders not stored', { machines: Object.keys(value).length })
       return false
     }
-    const { holder } = this.#opts
-    this.#stored = new Set(Object.keys(value).filter(id => value[id]?.holder === holder))
-    this.#isEmpty = Object.keys(value).length === 0
+    this.#stored = value
     return true
   }
 
@@ -101,7 +102,7 @@
   #current(): Record<string, RecordedOrder> {
     const { timing, holder } = this.#opts
     const now = performance.now()
-    const current = this.#isRecent ? Object.fromEntries(this.#earlier) : {}
+    const current = this.#isRecent ? { ...this.#earlier } : {}
     for (const [id, { kind, orderedAt }] of this.#own) {
       if (now - orderedAt <= timing.machineLeaseMs) current[id] = { kind, holder }
       else this.#own.delete(id)
@@ -109,3 +110,7 @@
     return current
   }
 }
+
+function isEmpty(record: Record<string, RecordedOrder>): boolean {
+  return Object.keys(record).length === 0
+}
--- a/packages/scheduler/src/plan-pool-moves.ts
+++ b/packages/scheduler/src/plan-pool-moves.ts
@@ -77,6 +77,13 @@
   const { machines, pools, limit } = state
   const moves: PoolMove[] = []
   const taken = new Set<string>()
+  /** Machines of each pool that are up and stay. */
+  const staying = new Map(pools.map(({ name, up }) => [name, up]))
+  const take = ({ id, pool }: MovableMachine, to: string): void => {
+    taken.add(id)
+    staying.set(pool, (staying.get(pool) ?? 0) - 1)
+    moves.push({ machine: id, to })
+  }
   const spare = pools.find(({ isSpare }) => isSpare)
   const needy = pools
     .map(pool => ({ pool, missing: missingMachines(pool, machines) }))
@@ -86,24 +93,17 @@
     for (let count = 0; count < missing && moves.length < limit; count++) {
       const donor = pickDonor(state, pool, taken)
       if (donor === undefined) break
-      taken.add(donor.id)
-      moves.push({ machine: donor.id, to: pool.name })
+      take(donor, pool.name)
     }
   }
   if (spare === undefined) return moves
   const isNeedy = new Set(needy.map(({ pool }) => pool.name))
-  const left = new Map(pools.map(({ name, up }) => [name, up]))
-  for (const { machine } of moves) {
-    const { pool = '' } = machines.find(({ id }) => id === machine) ?? {}
-    left.set(pool, (left.get(pool) ?? 0) - 1)
-  }
-  for (const { id, pool, ...machine } of machines) {
+  for (const machine of machines) {
+    const { id, pool } = machine
     if (moves.length >= limit) break
     if (taken.has(id) || pool === spare.name || isNeedy.has(pool)) continue
-    const staying = (left.get(pool) ?? 0) - 1
-    if (staying < keptMachines || !isIdleFor(machine, state.now, switchOffAfterMs)) continue
-    left.set(pool, staying)
-    moves.push({ machine: id, to: spare.name })
+    if ((staying.get(pool) ?? 0) <= keptMachines) continue
+    if (isIdleFor(machine, state.now, switchOffAfterMs)) take(machine, spare.name)
   }
   return moves
 }
@@ -141,10 +141,6 @@
   )
 }
 
-function isIdleFor(
-  { idleSince }: Pick<MovableMachine, 'idleSince'>,
-  now: number,
-  ms: number,
-): boolean {
+function isIdleFor({ idleSince }: MovableMachine, now: number, ms: number): boolean {
   return idleSince !== undefined && now - idleSince >= ms
 }
