refactor(dispatcher): one pause that can be woken

Cause: the duty for machines and the session of a runner each built a pause that others end early from an abort controller.

Change: IdlePause serves both. The comment of the session's pause said what it does not do and is corrected. 35 tests of the dispatcher pass.

--- /dev/null
+++ b/packages/dispatcher/src/idle-pause.ts
@@ -0,0 +1,19 @@
+import { systemClock } from '@bulrushbridge/errors'
+import { wait } from '@bulrushbridge/store'
+
+/** A pause of one task that others can end early. */
+export class IdlePause {
+  #pausing: AbortController | undefined
+
+  /** Waits for `ms` milliseconds, or until it is woken. */
+  async wait(ms: number): Promise<void> {
+    this.#pausing = new AbortController()
+    await wait(systemClock, ms, this.#pausing.signal)
+    this.#pausing = undefined
+  }
+
+  /** Ends the pause; without one nothing happens. */
+  wake(): void {
+    this.#pausing?.abort()
+  }
+}
--- a/packages/dispatcher/src/machine-duty.ts
+++ b/packages/dispatcher/src/machine-duty.ts
@@ -1,6 +1,7 @@
 import { normalizeError, systemClock } from '@bulrushbridge/errors'
 import type { Machine } from '@bulrushbridge/scheduler'
 import { wait } from '@bulrushbridge/store'
+import { IdlePause } from './idle-pause.js'
 import type { MachineContext } from './machine-context.js'
 import { OrderRecord } from './order-record.js'
 import { PoolMoves } from './pool-moves.js'
@@ -36,8 +37,7 @@
   readonly #moves: PoolMoves
   readonly #closing = new AbortController()
   readonly #running: Promise<void>
-  /** Ends the pause of a duty that has nothing to do. */
-  #endIdlePause: (() => void) | undefined
+  readonly #idlePause = new IdlePause()
   readonly #record: OrderRecord
 
   constructor(ctx: MachineContext) {
@@ -49,7 +49,7 @@
   }
 
   wake(): void {
-    this.#endIdlePause?.()
+    this.#idlePause.wake()
   }
 
   async close(): Promise<void> {
@@ -67,20 +67,10 @@
         this.#opts.log.warn('round of the machines failed', { reason: normalizeError(err).message })
       }
       if (isBusy) await wait(systemClock, roundPauseMs, this.#closing.signal)
-      else await this.#idle()
+      else if (!this.#isClosed()) await this.#idlePause.wait(idlePauseMs)
     }
   }
 
-  async #idle(): Promise<void> {
-    if (this.#isClosed()) return
-    const pause = new AbortController()
-    this.#endIdlePause = () => {
-      pause.abort()
-    }
-    await wait(systemClock, idlePauseMs, pause.signal)
-    this.#endIdlePause = undefined
-  }
-
   #isClosed(): boolean {
     return this.#closing.signal.aborted
   }
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -10,6 +10,7 @@
 } from '@bulrushbridge/scheduler'
 import { wait } from '@bulrushbridge/store'
 import type { Logger } from '@bulrushbridge/telemetry'
+import { IdlePause } from './idle-pause.js'
 import { occupantKey, type Occupant } from './occupant.js'
 import { EndsLedger } from './ends-ledger.js'
 import { createRunnerClock, type RunnerClock } from './runner-clock.js'
@@ -18,7 +19,7 @@
 /** Pause after a look that failed, in milliseconds. */
 const failedLookPauseMs = 150
 
-/** A failed look does not say more than this often. */
+/** Longest pause of a session that has nothing to look for; it is woken earlier. In milliseconds. */
 const idleCheckMs = 60_000
 
 /** Time for which ends are waited to be stored before the lease is renewed without them. */
@@ -100,7 +101,7 @@
   #isReconciled = false
   /** The next look must acknowledge nothing, because the runner may have begun anew. */
   #needsFreshLook = true
-  #wake: (() => void) | undefined
+  readonly #idlePause = new IdlePause()
 
   constructor(opts: RunnerSessionOptions) {
     this.#opts = opts
@@ -155,14 +156,14 @@
       before.bornAt === entry.bornAt &&
       before.address === entry.address
     if (isSame) return
-    this.#wakeUp()
+    this.#idlePause.wake()
     this.#opts.events.onChange(this)
   }
 
   /** The runner's entry is gone; what runs there is watched until its lease has ended. */
   unregister(): void {
     this.#isRegistered = false
-    this.#wakeUp()
+    this.#idlePause.wake()
   }
 
   /** Adds a run that was recorded. */
@@ -170,7 +171,7 @@
     this.occupants.set(occupantKey(occupant.name, occupant.run), occupant)
     addAmounts(this.free, occupant.amounts, -1)
     this.#opts.events.onOccupancy(occupant, 1)
-    this.#wakeUp()
+    this.#idlePause.wake()
   }
 
   /** Removes a run that is over or was never ordered. */
@@ -204,7 +205,7 @@
 
   async close(): Promise<void> {
     this.#closing.abort()
-    this.#wakeUp()
+    this.#idlePause.wake()
     await this.#api?.close()
     await this.#running
   }
@@ -212,7 +213,7 @@
   async #run(): Promise<void> {
     while (!this.#closing.signal.aborted) {
       if (this.#isIdle()) {
-        await this.#sleepUntilWoken()
+        await this.#idlePause.wait(idleCheckMs)
         // The runner may have begun anew meanwhile, so the next look acknowledges nothing.
         this.#needsFreshLook = this.occupants.size > 0
         continue
@@ -367,7 +368,7 @@
       },
       lookSoon: () => {
         this.#needsFreshLook = true
-        this.#wakeUp()
+        this.#idlePause.wake()
       },
       onConfirmed: occupant => {
         events.onConfirmed(this, occupant)
@@ -390,7 +391,7 @@
       this.#opts.log.warn('runner lost', { runner: this.id, reason, runs: this.occupants.size })
       this.#opts.events.onChange(this)
     }
-    this.#wakeUp()
+    this.#idlePause.wake()
   }
 
   #connect(entry: RunnerEntry): void {
@@ -407,19 +408,6 @@
     for (const { amounts } of this.occupants.values()) addAmounts(this.free, amounts, -1)
   }
 
-  async #sleepUntilWoken(): Promise<void> {
-    const woken = new AbortController()
-    this.#wake = () => {
-      woken.abort()
-    }
-    await wait(systemClock, idleCheckMs, woken.signal)
-    this.#wake = undefined
-  }
-
-  #wakeUp(): void {
-    this.#wake?.()
-  }
-
   #pause(ms: number): Promise<void> {
     return wait(systemClock, ms, this.#closing.signal)
   }
