refactor(caller-server,entry,job-front): one function answers with JSON

Cause: answers were written with the same head in answerError, the jobs handler of the entry and the handler of job-front, and the time after which a caller may come back stood in two files of job-front.

Change: answerJson of caller-server serves all three, and job-front has the time once.

--- a/packages/caller-server/src/index.ts
+++ b/packages/caller-server/src/index.ts
@@ -1,3 +1,4 @@
+export { answerJson } from './answer.js'
 export {
   createCallerServer,
   listen,
--- a/packages/entry/src/jobs-handler.ts
+++ b/packages/entry/src/jobs-handler.ts
@@ -6,8 +6,12 @@
 import { StoreError } from '@bulrushbridge/store'
 import type { Keyring } from '@bulrushbridge/team-keys'
 import { z } from 'zod'
-import type { CallerHandler } from '@bulrushbridge/caller-server'
-import { bufferedBodyBytes, readBody } from '@bulrushbridge/caller-server'
+import {
+  answerJson,
+  bufferedBodyBytes,
+  readBody,
+  type CallerHandler,
+} from '@bulrushbridge/caller-server'
 
 /** Most ids in one cancellation; two rows change for each. */
 const maxCancelIds = 5_000
@@ -221,12 +225,5 @@
 
 /** The outcome is that of the call itself; the state of a job is in its row. */
 function answer({ res, requestId }: JobsRequest, status: number, body: unknown): void {
-  const text = JSON.stringify(body)
-  res.writeHead(status, {
-    'content-type': 'application/json',
-    'content-length': Buffer.byteLength(text),
-    'bulrush-request-id': requestId,
-    'bulrush-outcome': 'finished',
-  })
-  res.end(text)
+  answerJson(res, status, body, { 'bulrush-request-id': requestId, 'bulrush-outcome': 'finished' })
 }
--- a/packages/job-front/src/acceptor.ts
+++ b/packages/job-front/src/acceptor.ts
@@ -34,7 +34,7 @@
 const refusedForMs = 250
 
 /** When a caller may come back after the store has refused, in milliseconds. */
-const retryAfterMs = 1_000
+export const retryAfterMs = 1_000
 
 /** Stores jobs. */
 export interface Acceptor {
--- a/packages/job-front/src/job-handler.ts
+++ b/packages/job-front/src/job-handler.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { readBody, type CallerHandler } from '@bulrushbridge/caller-server'
+import { answerJson, readBody, type CallerHandler } from '@bulrushbridge/caller-server'
 import { RequestError, systemClock } from '@bulrushbridge/errors'
 import {
   cancelSuffix,
@@ -20,7 +20,7 @@
 } from '@bulrushbridge/scheduler'
 import { StoreError, type TableService } from '@bulrushbridge/store'
 import type { Logger, Metrics } from '@bulrushbridge/telemetry'
-import type { Acceptor } from './acceptor.js'
+import { retryAfterMs, type Acceptor } from './acceptor.js'
 
 /** Time that a caller waits when it does not say, in milliseconds. */
 const defaultDeadlineMs = 3_000
@@ -34,9 +34,6 @@
 /** Time for storing a cancellation before it is tried again, in milliseconds. */
 const cancelAttemptMs = 900
 
-/** When a caller may come back after the store has refused, in milliseconds. */
-const retryAfterMs = 1_000
-
 /** How requests of callers are read and answered. */
 export interface CallerCodec {
   /** Name of the header with the caller's time, in milliseconds. */
@@ -241,15 +238,6 @@
   }
 }
 
-function answerJson(res: ServerResponse, status: number, value: unknown): void {
-  const body = JSON.stringify(value)
-  res.writeHead(status, {
-    'content-type': 'application/json',
-    'content-length': Buffer.byteLength(body),
-  })
-  res.end(body)
-}
-
 async function readJson(req: IncomingMessage, maxBytes: number): Promise<unknown> {
   const length = req.headers['content-length']
   const contentLength = length === undefined ? undefined : Number(length)
