--- a/packages/dispatcher/src/job-tracker.ts
+++ b/packages/dispatcher/src/job-tracker.ts
@@ -124,7 +124,9 @@
         const { taskName, runNumber, task, orderedAt } = allocation
         if (task?.step.job.hasEnded === true) void session.stop(allocation)
         if (orderedAt === undefined) return
-        metrics.observe('bulrush_start_ms', {}, performance.now() - orderedAt)
+        const startMs = performance.now() - orderedAt
+        metrics.observe('bulrush_start_ms', {}, startMs)
+        this.#ctx.onStartConfirmed(startMs)
         log.info('run started', { task: taskName, run: runNumber, runner: session.id })
       },
       onAllocationChange: (allocation, sign) => {
--- a/packages/dispatcher/src/placement-pass.ts
+++ b/packages/dispatcher/src/placement-pass.ts
@@ -26,6 +26,7 @@
   readonly #advice: AdviceCache | undefined
   /** Sum of the amounts, by pool, of startable tasks for which the last pass found no runner. */
   #waiting = new Map<string, Amounts>()
+  #waitingTaskCount = 0
 
   constructor(ctx: TermContext, jobTracker: JobTracker, advice: AdviceCache | undefined) {
     this.#ctx = ctx
@@ -38,6 +39,11 @@
     return this.#waiting.get(pool) ?? noAmounts
   }
 
+  /** Number of startable tasks that the last pass left without a run. */
+  get waitingTaskCount(): number {
+    return this.#waitingTaskCount
+  }
+
   /** Whether the last pass found no runner for startable tasks of any pool. */
   get hasWaitingTasks(): boolean {
     return [...this.#waiting.values()].some(({ cpuMillis }) => cpuMillis > 0)
@@ -47,6 +53,7 @@
   place(): void {
     const steps = this.#startableSteps()
     this.#waiting = new Map()
+    this.#waitingTaskCount = 0
     if (steps.length === 0) return
     const allowance = this.#ctx.usage.allowance(
       this.#ctx.opts.view.configuration()?.organisations ?? [],
@@ -65,6 +72,7 @@
     })
     for (const { task, runnerId } of starts) this.#beginRun(task, runnerId)
     this.#waiting = sumWaitingWork({ steps, queues, runners, allowance })
+    this.#waitingTaskCount = steps.reduce((sum, { pendingCount }) => sum + pendingCount, 0)
   }
 
   #advisedRunners(
--- a/packages/dispatcher/src/term-context.ts
+++ b/packages/dispatcher/src/term-context.ts
@@ -31,6 +31,8 @@
   isActive: () => boolean
   /** Called when a runner, the platform or the store has seen a later dispatcher. */
   onFenced: () => void
+  /** Called when a runner has confirmed a start, with the time since the order was first sent. */
+  onStartConfirmed: (ms: number) => void
 }
 
 /** The queues of the current configuration, by name. */
--- a/packages/dispatcher/src/term.ts
+++ b/packages/dispatcher/src/term.ts
@@ -21,6 +21,7 @@
 import { createAdviceCache, type AdviceCache } from './advice-cache.js'
 import type { DispatcherOptions } from './dispatcher.js'
 import { JobTracker } from './job-tracker.js'
+import { createLoadLog, type LoadLog } from './load-log.js'
 import { createMachineController, type MachineController } from './machine-controller.js'
 import { createOrganisationUsage } from './organisation-usage.js'
 import { createPartWriter, FencedError, type PartWriter } from './part-writer.js'
@@ -65,6 +66,7 @@
   readonly #placement: PlacementPass
   readonly #monitor: RunMonitor
   readonly #advice: AdviceCache | undefined
+  readonly #loadLog: LoadLog
   #followers: TableFollower[] = []
   #machineController: MachineController | undefined
   #retention: ProgressRetention | undefined
@@ -93,6 +95,19 @@
     this.#runnerSessions = new RunnerSessions(ctx, this.#jobTracker.events())
     this.#placement = new PlacementPass(ctx, this.#jobTracker, this.#advice)
     this.#monitor = createRunMonitor({ ...ctx, log })
+    this.#loadLog = createLoadLog({
+      fence: held.token,
+      log,
+      readState: () => ({
+        jobs: ctx.jobs.size,
+        runs: [...ctx.sessions.values()].reduce(
+          (sum, { allocations }) => sum + allocations.size,
+          0,
+        ),
+        waitingTasks: this.#placement.waitingTaskCount,
+        storeLagMs: this.#storeLagMs(),
+      }),
+    })
   }
 
   get fence(): number {
@@ -139,6 +154,7 @@
     this.#closing.abort()
     this.#stopWatchingView?.()
     clearTimeout(this.#passTimer)
+    this.#loadLog.close()
     await Promise.all([
       this.#machineController?.close(),
       this.#retention?.close(),
@@ -164,6 +180,9 @@
       },
       isActive: () => !this.#isSuspended && this.#isTakeoverComplete && !this.#isClosed(),
       onFenced,
+      onStartConfirmed: ms => {
+        this.#loadLog.addStart(ms)
+      },
     }
   }
 
@@ -281,12 +300,18 @@
   }
 
   #pass(): void {
-    const lagMs = Math.max(...[...this.#writers.values()].map(writer => writer.lagMs()))
-    if (!this.#ctx.isActive() || lagMs > maxStoreLagMs) return
+    if (!this.#ctx.isActive() || this.#storeLagMs() > maxStoreLagMs) return
+    const startedAt = performance.now()
     this.#placement.place()
+    this.#loadLog.addPass(performance.now() - startedAt)
     if (this.#placement.hasWaitingTasks) this.#machineController?.wake()
   }
 
+  /** How long the oldest unwritten change of a job has waited, in milliseconds. */
+  #storeLagMs(): number {
+    return Math.max(0, ...[...this.#writers.values()].map(writer => writer.lagMs()))
+  }
+
   /** A method, because the compiler assumes that the property does not change during awaits. */
   #isClosed(): boolean {
     return this.#closing.signal.aborted
