fix(store): give the dispatcher's lease to a host with capacity for it

Cause: any host could take the lease of the dispatcher and kept it. Of 32 hosts 24 have 0.324 cores and 7 Mbit/s; 8 have 1.35 cores and 140 Mbit/s.

Change: the lease row states the holder's capacity in starts a second, from the processor and the link in the settings. A candidate with 1.5 times as much asks for the lease, and the holder ends its term and releases it; weaker candidates leave a free lease to others for half of its lifetime.

--- a/packages/dispatcher/__tests__/fixture.ts
+++ b/packages/dispatcher/__tests__/fixture.ts
@@ -48,7 +48,7 @@
   store: MemoryStore
   runners: Map<string, MemoryRunner>
   cfg: SchedulerConfiguration
-  start(holder: string): Dispatcher
+  start(holder: string, opts?: { startsPerSecond?: number }): Dispatcher
   addRunner(id: string, entry?: Partial<RunnerEntry>): Promise<MemoryRunner>
   submit(id: string, steps: readonly Step[], organisation?: string): Promise<void>
   cancel(id: string): Promise<void>
@@ -90,8 +90,9 @@
     store,
     runners,
     cfg,
-    start: holder =>
+    start: (holder, startOpts = {}) =>
       createDispatcher({
+        ...startOpts,
         store,
         holder,
         timing: { ...timing, machineOrderGapMs: opts.machineLeaseMs ?? timing.machineOrderGapMs },
--- a/packages/dispatcher/__tests__/takeover.test.ts
+++ b/packages/dispatcher/__tests__/takeover.test.ts
@@ -89,3 +89,22 @@
   t.same([...runner.running], [[task, 2]])
   await second.close()
 })
+
+// In the incident SHORT a host with a quarter of the others' processor time placed all work for
+// 23 s, because nothing moved the lease to a stronger host.
+void t.test('a weak host hands its term over to a strong one, and runs continue', async t => {
+  const fleet = createFleet()
+  const runner = await fleet.addRunner('r1')
+  await fleet.submit(id, [{ ...oneTask, count: 2 }])
+  const weak = fleet.start('weak', { startsPerSecond: 300 })
+  await waitUntil(() => runner.running.size === 2)
+  const strong = fleet.start('strong', { startsPerSecond: 1_300 })
+  t.teardown(() => Promise.all([weak.close(), strong.close()]))
+  await waitUntil(() => strong.isHolder)
+  t.equal(weak.isHolder, false)
+  runner.end(task, 'done')
+  runner.end(`${id}.0.0.1`, 'done')
+  await waitUntil(async () => (await fleet.progress(id))?.status === 'completed')
+  t.ok(strong.isHolder, 'the weak host does not take the lease back')
+  t.equal(runner.startedRuns.length, 2, 'no task is started again')
+})
--- a/packages/dispatcher/src/dispatcher.ts
+++ b/packages/dispatcher/src/dispatcher.ts
@@ -46,6 +46,11 @@
   store: FollowableTableService
   /** Name of this host, under which it holds the lease. */
   holder: string
+  /**
+   * Starts a second that this host can place. The lease goes to a host with much more of it than
+   * the holder. Without it, all hosts are equal.
+   */
+  startsPerSecond?: number
   timing: DispatcherTiming
   view: OperatorView
   runners: { table: string; decode(id: string, value: unknown): RunnerEntry | undefined }
@@ -88,7 +93,7 @@
 
   constructor(opts: DispatcherOptions) {
     this.#opts = opts
-    const { store, holder, timing } = opts
+    const { store, holder, timing, startsPerSecond } = opts
     let lastLoggedAt = -leaseErrorLogIntervalMs
     const onError = (err: unknown) => {
       if (performance.now() - lastLoggedAt < leaseErrorLogIntervalMs) return
@@ -103,6 +108,15 @@
       holder,
       ttlMs: timing.dispatcherLeaseMs,
       isSoleHolder: true,
+      ...(startsPerSecond === undefined ? {} : { capacity: startsPerSecond }),
+      onHandoverRequest: ({ name, capacity }) => {
+        opts.log.info('stronger host asks for the lease of the dispatcher', {
+          candidate: name,
+          startsPerSecond: capacity,
+          ownStartsPerSecond: startsPerSecond,
+        })
+        this.#enqueue(() => this.#handOver())
+      },
       onError,
     })
     this.#duty.onChange(held => {
@@ -142,6 +156,13 @@
     })
   }
 
+  /** Ends the term and leaves the lease to a stronger host, which takes over within moments. */
+  async #handOver(): Promise<void> {
+    if (this.#term === undefined) return
+    await this.#endTerm('handed over')
+    await this.#duty.handOver()
+  }
+
   /**
    * The lease has expired and no successor is known. No new decisions are made, but runners' leases
    * are renewed for `suspendedMs`, so that runs survive a short outage of the store.
@@ -158,7 +179,8 @@
 
   /**
    * Ends the current term, if there is one. `reason` is logged: `stopped` (the dispatcher is
-   * closed), `lease lost` (not regained within `suspendedMs`), `superseded by an own term` (this
+   * closed), `lease lost` (not regained within `suspendedMs`), `handed over`
+   * (to a stronger host), `superseded by an own term` (this
    * dispatcher has gained the lease again), or `deposed` (a later dispatcher has been seen).
    */
   async #endTerm(reason: string): Promise<void> {
--- a/packages/host-program/src/host-program.ts
+++ b/packages/host-program/src/host-program.ts
@@ -34,6 +34,7 @@
   type TableFollower,
 } from '@bulrushbridge/store'
 import { createMetrics, type Logger, type Metrics } from '@bulrushbridge/telemetry'
+import { dispatchCapacity } from './dispatch-capacity.js'
 import { dispatcherTiming } from './timing.js'
 
 /** Pause between two calls that wait for changes of the operators' table, in milliseconds. */
@@ -127,7 +128,7 @@
   }
 
   async start(): Promise<void> {
-    const { name, zone } = this.#cfg
+    const { name, zone, processorCores, linkMbps } = this.#cfg
     const [host = '', port = ''] = this.#cfg.callerAddress.split(':')
     this.#callerServer = await createCallerServer({
       host,
@@ -140,7 +141,13 @@
     })
     await this.#serveReadiness()
     await this.#serveMetrics()
-    this.#log.info('host program started', { host: name, zone })
+    this.#log.info('host program started', {
+      host: name,
+      zone,
+      processorCores,
+      linkMbps,
+      startsPerSecond: dispatchCapacity(this.#cfg),
+    })
   }
 
   reload(): void {
@@ -203,6 +210,7 @@
     return createDispatcher({
       store: this.#store,
       holder: cfg.name,
+      startsPerSecond: dispatchCapacity(cfg),
       timing: dispatcherTiming(cfg, dispatcherLeaseMs),
       view: this.#view,
       runners: { table: runnersTable, decode: decodeRunner },
--- a/packages/store/__tests__/duty-lease.test.ts
+++ b/packages/store/__tests__/duty-lease.test.ts
@@ -1,6 +1,11 @@
 import t, { type Test } from 'tap'
 import { createManualClock, createTableStandin, waitUntil } from '@bulrushbridge/standins'
-import { createDutyLease, createHttpTableService, type DutyLease } from '../src/index.js'
+import {
+  createDutyLease,
+  createHttpTableService,
+  type DutyLease,
+  type DutyLeaseOptions,
+} from '../src/index.js'
 
 const ttlMs = 3_000
 
@@ -12,10 +17,10 @@
     for (const close of closers) await close()
     await standin.close()
   })
-  const host = (holder: string) => {
+  const host = (holder: string, more: Partial<DutyLeaseOptions> = {}) => {
     const clock = createManualClock()
     const table = createHttpTableService({ url: standin.url, clock })
-    const duty = createDutyLease({ table, duty: 'd', holder, ttlMs, clock })
+    const duty = createDutyLease({ table, duty: 'd', holder, ttlMs, clock, ...more })
     closers.push(async () => {
       await duty.close()
       await table.close()
@@ -121,3 +126,55 @@
   })
   t.equal(tokenOf(second.duty), 2)
 })
+
+// On a deployment with hosts of different sizes, the lease went to any of them after a failure. A
+// small host then kept it although it could not do the work of the duty.
+void t.test(
+  'a much stronger candidate gets the lease of a weak holder that is at work',
+  async t => {
+    const { host } = await setup(t)
+    const requests: { name: string; capacity: number }[] = []
+    const weak: ReturnType<typeof host> = host('weak', {
+      capacity: 300,
+      onHandoverRequest: candidate => {
+        requests.push(candidate)
+        void weak.duty.handOver()
+      },
+    })
+    await waitUntil(() => tokenOf(weak.duty) === 1)
+    const strong = host('strong', { capacity: 1_300 })
+    await waitUntil(async () => {
+      await Promise.all([advanceInSteps(weak, 250), advanceInSteps(strong, 250)])
+      return tokenOf(strong.duty) === 2
+    })
+    t.equal(tokenOf(weak.duty), undefined)
+    await Promise.all([advanceInSteps(weak, 2 * ttlMs), advanceInSteps(strong, 2 * ttlMs)])
+    t.equal(tokenOf(strong.duty), 2, 'the weaker host does not take it back')
+    t.same(requests, [{ name: 'strong', capacity: 1_300 }], 'the lease is asked for once')
+  },
+)
+
+void t.test('candidates of nearly the same capacity leave the lease where it is', async t => {
+  const { host } = await setup(t)
+  const first = host('a', { capacity: 1_000, onHandoverRequest: () => t.fail('asked for') })
+  await waitUntil(() => tokenOf(first.duty) === 1)
+  const second = host('b', { capacity: 1_200 })
+  await Promise.all([advanceInSteps(first, 2 * ttlMs), advanceInSteps(second, 2 * ttlMs)])
+  t.equal(tokenOf(first.duty), 1)
+})
+
+// Whichever host looked at the row first took the lease of a failed holder.
+void t.test('a weak candidate leaves a free lease to stronger ones for a moment', async t => {
+  const { host } = await setup(t)
+  const failed = host('failed', { capacity: 1_300 })
+  await waitUntil(() => tokenOf(failed.duty) === 1)
+  await failed.duty.close()
+  const weak = host('weak', { capacity: 300 })
+  await advanceInSteps(weak, ttlMs / 3)
+  t.equal(tokenOf(weak.duty), undefined)
+  const strong = host('strong', { capacity: 1_300 })
+  await waitUntil(() => tokenOf(strong.duty) === 2)
+  await strong.duty.close()
+  await advanceInSteps(weak, ttlMs)
+  t.equal(tokenOf(weak.duty), 3, 'it takes the lease when no stronger candidate does')
+})
--- a/packages/store/src/duty-lease.ts
+++ b/packages/store/src/duty-lease.ts
@@ -1,34 +1,18 @@
 import { randomUUID } from 'node:crypto'
 import { systemClock } from '@bulrushbridge/errors'
+import { isMuchStronger, readHandoverRequest, requestHandover } from './duty-handover.js'
+import { fencesTable, leasesTable, type DutyLeaseRow, type FenceRow } from './duty-tables.js'
 import type { Check, Row, TableService } from './table-service.js'
 import { wait, type WaitingClock } from './wait.js'
 
-/** Holds the lease of each duty; a duty is a role that one process at a time performs. */
-const leasesTable = 'duties'
-
-/** Holds the fence of each duty, which the holder checks in its transactions. */
-const fencesTable = 'duty-fences'
-
 /** Processes wait longer than the lease by this ratio, because clocks run at different speeds. */
 const clockDriftRatio = 0.02
 
-/** Value of a row in the table `duties`; it changes with each renewal. */
-export interface DutyLeaseRow {
-  /** Name of the holder; undefined after a release. */
-  holder?: string
-  /** Random id of the process, which tells a restarted holder from its predecessor. */
-  instance: string
-  /** Fencing token of the acquisition. */
-  token: number
-  ttlMs: number
-  renewals: number
-}
-
-/** Value of a row in the table `duty-fences`; it changes only with an acquisition. */
-interface FenceRow {
-  token: number
-  instance: string
-}
+/**
+ * Share of a lease's lifetime for which a candidate leaves a free lease to those with much more
+ * capacity. They look at the row six times in that lifetime.
+ */
+const deferralRatio = 0.5
 
 /** A lease that this process holds. */
 export interface HeldLease {
@@ -58,6 +42,17 @@
    * to a predecessor that has ended, and is taken without waiting until it expires.
    */
   isSoleHolder?: boolean
+  /**
+   * Capacity of this process for the duty, in a unit that all candidates share. A candidate with
+   * much more of it than the holder asks for the lease, and one with much less than the last holder
+   * leaves a free lease to others for a moment. Without it, all candidates are equal.
+   */
+  capacity?: number
+  /**
+   * Called once for each lease when a candidate with much more capacity asks for it. The holder
+   * finishes its work and calls {@link DutyLease.handOver}.
+   */
+  onHandoverRequest?: (candidate: { name: string; capacity: number }) => void
   /** Called with the error of each failed call to the table service. */
   onError?: (err: unknown) => void
 }
@@ -68,6 +63,8 @@
   held(): HeldLease | undefined
   /** Calls `listener` after each acquisition and loss; returns a function that removes it. */
   onChange(listener: (held: HeldLease | undefined) => void): () => void
+  /** Releases the lease to a candidate that asked for it, and goes on competing. */
+  handOver(): Promise<void>
   /** Releases the lease and stops competing for it. */
   close(): Promise<void>
 }
@@ -96,6 +93,14 @@
   readonly #pendingRenewals = new Set<Promise<unknown>>()
   #lease: LeaseWithDeadline | undefined
   #observedRow: { version: number; since: number } | undefined
+  /** When this candidate first saw the lease free. */
+  #freeSince: number | undefined
+  /** Token of the lease that this candidate has asked for. */
+  #requestedToken: number | undefined
+  /** Request of a stronger candidate for the held lease. */
+  #handoverRequest: { token: number; capacity: number } | undefined
+  #isHandingOver = false
+  #isCheckingHandover = false
   #notifiedToken: number | undefined
   #renewalCount = 0
 
@@ -117,6 +122,20 @@
     return () => this.#listeners.delete(listener)
   }
 
+  async handOver(): Promise<void> {
+    const lease = this.#lease
+    if (lease === undefined) return
+    this.#isHandingOver = true
+    this.#lease = undefined
+    this.#notifyListeners()
+    try {
+      await Promise.all(this.#pendingRenewals)
+      await this.#release(lease, this.#handoverRequest?.capacity)
+    } finally {
+      this.#isHandingOver = false
+    }
+  }
+
   async close(): Promise<void> {
     if (this.#closing.signal.aborted) return this.#loop
     this.#closing.abort()
@@ -141,6 +160,7 @@
     const { ttlMs } = this.#opts
     try {
       if (this.#lease !== undefined) return await this.#renew(this.#lease)
+      if (this.#isHandingOver) return ttlMs / 6
       return (await this.#acquireIfFree()) ? ttlMs / 3 : ttlMs / 6
     } catch (err) {
       // After any failure the lease expires at its deadline unless the next attempt succeeds.
@@ -162,6 +182,7 @@
       return 0
     }
     const renewal = this.#sendRenewal(lease)
+    void this.#checkHandoverRequest(lease)
     const responded = new AbortController()
     const pause = wait(
       this.#clock,
@@ -219,7 +240,13 @@
     const now = this.#clock.now()
     const version = row?.version ?? 0
     if (this.#observedRow?.version !== version) this.#observedRow = { version, since: now }
-    if (!this.#isLeaseFree(row, now - this.#observedRow.since)) return false
+    if (!this.#isLeaseFree(row, now - this.#observedRow.since)) {
+      this.#freeSince = undefined
+      if (row !== undefined) await this.#requestFromWeakerHolder(row.value)
+      return false
+    }
+    this.#freeSince ??= now
+    if (now - this.#freeSince < this.#deferralMs(row)) return false
     return this.#acquire(version)
   }
 
@@ -229,6 +256,43 @@
     return unchangedMs >= row.value.ttlMs * (1 + clockDriftRatio)
   }
 
+  /** How long a free lease is left to candidates with much more capacity, in milliseconds. */
+  #deferralMs(row: Row<DutyLeaseRow> | undefined): number {
+    const { capacity, ttlMs } = this.#opts
+    if (capacity === undefined || row?.value.capacity === undefined) return 0
+    return isMuchStronger(row.value.capacity, capacity) ? deferralRatio * ttlMs : 0
+  }
+
+  /** Asks the holder once for its lease, if this candidate has much more capacity. */
+  async #requestFromWeakerHolder({ token, capacity: holderCapacity }: DutyLeaseRow): Promise<void> {
+    const { table, duty, holder: candidate, capacity, ttlMs } = this.#opts
+    if (capacity === undefined || !isMuchStronger(capacity, holderCapacity)) return
+    if (this.#requestedToken === token) return
+    const deadline = this.#clock.now() + ttlMs / 3
+    await requestHandover(table, duty, { token, candidate, capacity }, { deadline })
+    this.#requestedToken = token
+  }
+
+  /** Looks once in each renewal interval for a request of a stronger candidate. */
+  async #checkHandoverRequest({ token }: HeldLease): Promise<void> {
+    const { table, duty, ttlMs, onHandoverRequest, onError } = this.#opts
+    if (onHandoverRequest === undefined || this.#handoverRequest?.token === token) return
+    // Renewals follow each other quickly while the store fails; one read at a time is enough.
+    if (this.#isCheckingHandover) return
+    this.#isCheckingHandover = true
+    try {
+      const deadline = this.#clock.now() + ttlMs / 3
+      const request = await readHandoverRequest(table, duty, token, { deadline })
+      if (request === undefined || this.#lease?.token !== token) return
+      this.#handoverRequest = request
+      onHandoverRequest({ name: request.candidate, capacity: request.capacity })
+    } catch (err) {
+      onError?.(err)
+    } finally {
+      this.#isCheckingHandover = false
+    }
+  }
+
   async #acquire(version: number): Promise<boolean> {
     const { table, duty, ttlMs } = this.#opts
     const readDeadline = this.#clock.now() + ttlMs / 3
@@ -256,18 +320,29 @@
     const check = { table: fencesTable, key: duty, version: writtenFence.version }
     this.#lease = { token, check, deadline: sentAt + ttlMs }
     this.#observedRow = undefined
+    this.#freeSince = undefined
     return true
   }
 
   #createLeaseRow(token: number, renewals: number): DutyLeaseRow {
-    const { holder, ttlMs } = this.#opts
-    return { holder, instance: this.#instance, token, ttlMs, renewals }
+    const { holder, ttlMs, capacity } = this.#opts
+    const row = { holder, instance: this.#instance, token, ttlMs, renewals }
+    return capacity === undefined ? row : { ...row, capacity }
   }
 
-  /** Releases the lease; if that fails, other processes wait until it expires. */
-  async #release(lease: HeldLease): Promise<void> {
+  /**
+   * Releases the lease; if that fails, other processes wait until it expires. `capacity` is that of
+   * the candidate to which weaker ones leave the lease, by default of this process.
+   */
+  async #release(lease: HeldLease, capacity = this.#opts.capacity): Promise<void> {
     const { duty, ttlMs } = this.#opts
-    const value: DutyLeaseRow = { instance: this.#instance, token: lease.token, ttlMs, renewals: 0 }
+    const value: DutyLeaseRow = {
+      instance: this.#instance,
+      token: lease.token,
+      ttlMs,
+      renewals: 0,
+      ...(capacity === undefined ? {} : { capacity }),
+    }
     const write = { table: leasesTable, key: duty, value }
     const deadline = this.#clock.now() + ttlMs / 3
     await this.#opts.table
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -2,9 +2,9 @@
   createDutyLease,
   type DutyLease,
   type DutyLeaseOptions,
-  type DutyLeaseRow,
   type HeldLease,
 } from './duty-lease.js'
+export type { DutyLeaseRow } from './duty-tables.js'
 export { hasFenceCheckFailed } from './fence-check.js'
 export {
   createGroupCommitter,
