fix(telemetry): keep frequent log messages from displacing rare ones

Cause: the output drops whatever exceeds 1,000 lines a second.

Change: at most 400 lines a second have the same message.

Test: 'a frequent message does not displace a rare one' failed before.

--- a/packages/telemetry/__tests__/bounded-output.test.ts
+++ b/packages/telemetry/__tests__/bounded-output.test.ts
@@ -48,3 +48,21 @@
   t.equal(read.length, 200)
   for (const line of read) JSON.parse(line)
 })
+
+// Guards against losing the lines that explain an overload: at 900 starts a second, the lines about
+// runs used up the rate limit, and the line about the load was dropped.
+void t.test('a frequent message does not displace a rare one', async t => {
+  const file = join(mkdtempSync(join(tmpdir(), 'bulrush-log-')), 'log')
+  const output = createBoundedOutput({
+    descriptor: openSync(file, 'w'),
+    onSuppressed: () => undefined,
+  })
+  const log = createLogger({ program: 'test' })
+  for (let i = 0; i < 2 * maxLinesPerSecond; i++) log.info('run started', { i })
+  log.info('dispatcher load', { eventLoopUse: 1 })
+  await output.close()
+  const written = readFileSync(file, 'utf8').trimEnd().split('\n')
+  const hasRareLine = written.some(line => line.includes('"message":"dispatcher load"'))
+  t.ok(hasRareLine, 'the rare line is written')
+  t.ok(written.length <= maxLinesPerSecond)
+})
--- a/packages/telemetry/src/bounded-output.ts
+++ b/packages/telemetry/src/bounded-output.ts
@@ -9,6 +9,9 @@
 /** Maximum number of lines per second; further lines of that second are dropped. */
 const maxLinesPerSecond = 1_000
 
+/** Maximum number of lines with the same message per second, so that rare messages get through. */
+const maxLinesPerMessage = 400
+
 /** Delay before the rest of a partial write is written, in milliseconds. */
 const retryPauseMs = 5
 
@@ -30,7 +33,7 @@
 
 /**
  * Writes all log lines of the process to a file descriptor and never blocks on its reader. Lines
- * that exceed the rate limit or the buffer are dropped and counted.
+ * that exceed a rate limit or the buffer are dropped and counted.
  *
  * @example
  * const output = createBoundedOutput({ descriptor: 1, onSuppressed: lines => log.warn('lines suppressed', { lines }) })
@@ -42,6 +45,7 @@
   let reportedCount = 0
   let currentSecond = 0
   let linesThisSecond = 0
+  const linesByMessage = new Map<string, number>()
   let flushWaiters: (() => void)[] = []
   const flush = () => {
     if (isWriting || pendingLines.length === 0) {
@@ -72,22 +76,27 @@
       flush()
     })
   }
-  const isOverRateLimit = () => {
+  const isOverRateLimit = (line: string) => {
     const now = Math.floor(performance.now() / 1_000)
     if (now !== currentSecond) {
       currentSecond = now
       linesThisSecond = 0
+      linesByMessage.clear()
       if (suppressedCount > reportedCount) {
         const lines = suppressedCount - reportedCount
         reportedCount = suppressedCount
         opts.onSuppressed(lines)
       }
     }
+    const message = messageOf(line)
+    const sameLines = (linesByMessage.get(message) ?? 0) + 1
+    if (sameLines > maxLinesPerMessage) return true
+    linesByMessage.set(message, sameLines)
     linesThisSecond += 1
     return linesThisSecond > maxLinesPerSecond
   }
   ROARR.write = line => {
-    if (isOverRateLimit() || pendingLines.length >= maxPendingLines) {
+    if (isOverRateLimit(line) || pendingLines.length >= maxPendingLines) {
       suppressedCount += 1
       return
     }
@@ -103,3 +112,8 @@
       }),
   }
 }
+
+/** The message of a log line; lines that differ only in their fields have the same one. */
+function messageOf(line: string): string {
+  return /"message":"([^"]*)"/.exec(line)?.[1] ?? ''
+}
