fix(dispatcher): log and count each ended job once

Change: the outcome is logged by the end that ended the job.

Test: 'a cancelled job with several runs is counted as ended once' failed before.

--- a/packages/dispatcher/__tests__/fixture.ts
+++ b/packages/dispatcher/__tests__/fixture.ts
@@ -18,7 +18,7 @@
   type MemoryRunner,
   type MemoryStore,
 } from '@bulrushbridge/standins'
-import { createLogger, createMetrics } from '@bulrushbridge/telemetry'
+import { createLogger, createMetrics, type Metrics } from '@bulrushbridge/telemetry'
 import { createDispatcher, type Dispatcher } from '../src/index.js'
 
 export const queueName = 'finder'
@@ -47,6 +47,8 @@
 export interface Fleet {
   store: MemoryStore
   runners: Map<string, MemoryRunner>
+  /** Metrics of all dispatchers. */
+  metrics: Metrics
   cfg: SchedulerConfiguration
   start(holder: string, opts?: { startsPerSecond?: number }): Dispatcher
   addRunner(id: string, entry?: Partial<RunnerEntry>): Promise<MemoryRunner>
@@ -86,9 +88,11 @@
     ...(opts.waves ?? []).map(wave => ({ key: `wave/${wave.id}`, value: wave, isDeleted: false })),
   ])
   const log = createLogger({ program: 'test', level: 'silent' })
+  const metrics = createMetrics()
   return {
     store,
     runners,
+    metrics,
     cfg,
     start: (holder, startOpts = {}) =>
       createDispatcher({
@@ -107,7 +111,7 @@
           value: { state },
         }),
         log,
-        metrics: createMetrics(),
+        metrics,
       }),
     addRunner: async (id, entry = {}) => {
       const runner = runners.get(id) ?? createMemoryRunner()
--- a/packages/dispatcher/__tests__/runs.test.ts
+++ b/packages/dispatcher/__tests__/runs.test.ts
@@ -173,3 +173,18 @@
   t.ok(last)
   await dispatcher.close()
 })
+
+// Guards against counting a cancelled job once for each of its runs, which hid how many jobs had
+// ended, in the metrics as in the log.
+void t.test('a cancelled job with several runs is counted as ended once', async t => {
+  const fleet = createFleet()
+  const runner = await fleet.addRunner('r1')
+  const dispatcher = fleet.start('host-1')
+  t.teardown(() => dispatcher.close())
+  await fleet.submit(id, [{ ...oneTask, count: 3 }])
+  await waitUntil(() => runner.running.size === 3)
+  await fleet.cancel(id)
+  await waitUntil(() => runner.acknowledged === 3)
+  const ended = /^bulrush_jobs_ended_total.* (\d+)$/m.exec(fleet.metrics.render())
+  t.equal(ended?.[1], '1')
+})
--- a/packages/dispatcher/src/job-tracker.ts
+++ b/packages/dispatcher/src/job-tracker.ts
@@ -141,6 +141,7 @@
     allocation: Allocation | undefined,
   ): Promise<void> {
     const { log, metrics } = this.#ctx.opts
+    const hadJobEnded = findTask(this.#ctx.jobs, end.task)?.step.job.hasEnded === true
     const applied = applyEnd(this.#endContext, session.id, end, allocation)
     const { task, run, how } = end
     const jobStatus = applied.job?.status
@@ -153,7 +154,7 @@
     if (job === undefined) return
     if (applied.shouldStopJob || job.hasEnded) this.#stopRuns(job)
     if (applied.taskToStop !== undefined) this.#stopRunsOf(applied.taskToStop)
-    if (job.hasEnded) this.#logOutcome(job)
+    if (job.hasEnded && !hadJobEnded) this.#logOutcome(job)
     this.#ctx.requestPass()
     await this.#ctx.storeJob(job)
     this.#forgetIfEnded(job)
