--- a/packages/store/src/duty-handover.ts
+++ b/packages/store/src/duty-handover.ts
@@ -1,5 +1,5 @@
-import type { CallOptions, TableService } from './table-service.js'
 import { leasesTable } from './duty-tables.js'
+import type { CallOptions, TableService } from './table-service.js'
 
 /**
  * A candidate asks for a lease, and a weaker candidate leaves it alone, only if their capacities
@@ -16,12 +16,12 @@
   capacity: number
 }
 
-/** Whether a candidate has so much more capacity that it should hold the lease instead. */
-export function isMuchStronger(capacity: number, than: number | undefined): boolean {
-  return than !== undefined && capacity >= than * minCapacityRatio
+/** Whether `capacity` is so much more than `other` that it is worth a change of the holder. */
+export function isMuchStronger(capacity: number, other: number): boolean {
+  return capacity >= other * minCapacityRatio
 }
 
-/** Asks the holder of the lease with this token to hand it over. */
+/** Asks the holder of the lease with the token of `request` to hand it over. */
 export async function requestHandover(
   table: TableService,
   duty: string,
@@ -32,15 +32,49 @@
   await table.commit({ checks: [], writes: [write] }, opts)
 }
 
-/** Reads the request to hand over the lease with this token; undefined if there is none. */
-export async function readHandoverRequest(
-  table: TableService,
-  duty: string,
-  token: number,
-  opts: CallOptions,
-): Promise<HandoverRequest | undefined> {
-  const row = await table.read<HandoverRequest>(leasesTable, handoverKey(duty), opts)
-  return row?.value.token === token ? row.value : undefined
+/** Options of {@link HandoverWatch}. */
+export interface HandoverWatchOptions {
+  table: TableService
+  duty: string
+  /** Called once for each lease that a candidate asks for. */
+  onRequest: (candidate: { name: string; capacity: number }) => void
+  onError?: ((err: unknown) => void) | undefined
+}
+
+/** Looks for requests of stronger candidates while this process holds a lease. */
+export class HandoverWatch {
+  readonly #opts: HandoverWatchOptions
+  #request: HandoverRequest | undefined
+  #isReading = false
+
+  constructor(opts: HandoverWatchOptions) {
+    this.#opts = opts
+  }
+
+  /** Capacity of the candidate that has asked for the lease with this token, if one has. */
+  requestedCapacity(token: number): number | undefined {
+    return this.#request?.token === token ? this.#request.capacity : undefined
+  }
+
+  /**
+   * Reads the request for the lease with this token, once at a time, as renewals follow each other
+   * quickly while the store fails. `isHeld` tells whether the lease is still held afterwards.
+   */
+  async check(token: number, opts: CallOptions, isHeld: () => boolean): Promise<void> {
+    const { table, duty, onRequest, onError } = this.#opts
+    if (this.#isReading || this.#request?.token === token) return
+    this.#isReading = true
+    try {
+      const row = await table.read<HandoverRequest>(leasesTable, handoverKey(duty), opts)
+      if (row?.value.token !== token || !isHeld()) return
+      this.#request = row.value
+      onRequest({ name: row.value.candidate, capacity: row.value.capacity })
+    } catch (err) {
+      onError?.(err)
+    } finally {
+      this.#isReading = false
+    }
+  }
 }
 
 function handoverKey(duty: string): string {
--- a/packages/store/src/duty-lease.ts
+++ b/packages/store/src/duty-lease.ts
@@ -1,8 +1,9 @@
 import { randomUUID } from 'node:crypto'
 import { systemClock } from '@bulrushbridge/errors'
-import { isMuchStronger, readHandoverRequest, requestHandover } from './duty-handover.js'
+import { HandoverWatch, isMuchStronger, requestHandover } from './duty-handover.js'
+import type { DutyLease, DutyLeaseOptions, HeldLease } from './duty-lease-api.js'
 import { fencesTable, leasesTable, type DutyLeaseRow, type FenceRow } from './duty-tables.js'
-import type { Check, Row, TableService } from './table-service.js'
+import type { Row } from './table-service.js'
 import { wait, type WaitingClock } from './wait.js'
 
 /** Processes wait longer than the lease by this ratio, because clocks run at different speeds. */
@@ -14,61 +15,11 @@
  */
 const deferralRatio = 0.5
 
-/** A lease that this process holds. */
-export interface HeldLease {
-  /** Fencing token; it increases by one with each acquisition by any process. */
-  token: number
-  /** Check that the holder includes in each transaction, so that it fails after a takeover. */
-  check: Check
-}
-
 /** A held lease with its deadline on the clock of this process. */
 interface LeaseWithDeadline extends HeldLease {
   deadline: number
 }
 
-/** Options of {@link createDutyLease}. */
-export interface DutyLeaseOptions {
-  table: TableService
-  /** Name of the duty; it is the key of its rows. */
-  duty: string
-  /** Name of the process, shown to operators as the holder. */
-  holder: string
-  /** Lifetime of the lease after its last renewal, in milliseconds. */
-  ttlMs: number
-  clock?: WaitingClock
-  /**
-   * Whether only one process at a time uses the name `holder`. A lease under that name then belongs
-   * to a predecessor that has ended, and is taken without waiting until it expires.
-   */
-  isSoleHolder?: boolean
-  /**
-   * Capacity of this process for the duty, in a unit that all candidates share. A candidate with
-   * much more of it than the holder asks for the lease, and one with much less than the last holder
-   * leaves a free lease to others for a moment. Without it, all candidates are equal.
-   */
-  capacity?: number
-  /**
-   * Called once for each lease when a candidate with much more capacity asks for it. The holder
-   * finishes its work and calls {@link DutyLease.handOver}.
-   */
-  onHandoverRequest?: (candidate: { name: string; capacity: number }) => void
-  /** Called with the error of each failed call to the table service. */
-  onError?: (err: unknown) => void
-}
-
-/** Competes for the lease of a duty and renews it while this process holds it. */
-export interface DutyLease {
-  /** The lease, or undefined when this process does not hold it or its deadline has passed. */
-  held(): HeldLease | undefined
-  /** Calls `listener` after each acquisition and loss; returns a function that removes it. */
-  onChange(listener: (held: HeldLease | undefined) => void): () => void
-  /** Releases the lease to a candidate that asked for it, and goes on competing. */
-  handOver(): Promise<void>
-  /** Releases the lease and stops competing for it. */
-  close(): Promise<void>
-}
-
 /**
  * Starts to compete for the lease of a duty. The lease is free when its row has no holder, or when
  * the row has not changed for the lifetime of the lease, measured on the clock of this process.
@@ -88,6 +39,7 @@
   readonly #instance = randomUUID()
   readonly #closing = new AbortController()
   readonly #listeners = new Set<(held: HeldLease | undefined) => void>()
+  readonly #handoverWatch: HandoverWatch | undefined
   readonly #loop: Promise<void>
   /** Renewals whose responses have not arrived yet. */
   readonly #pendingRenewals = new Set<Promise<unknown>>()
@@ -97,16 +49,16 @@
   #freeSince: number | undefined
   /** Token of the lease that this candidate has asked for. */
   #requestedToken: number | undefined
-  /** Request of a stronger candidate for the held lease. */
-  #handoverRequest: { token: number; capacity: number } | undefined
   #isHandingOver = false
-  #isCheckingHandover = false
   #notifiedToken: number | undefined
   #renewalCount = 0
 
   constructor(opts: DutyLeaseOptions) {
     this.#opts = opts
     this.#clock = opts.clock ?? systemClock
+    const { table, duty, onHandoverRequest: onRequest, onError } = opts
+    this.#handoverWatch =
+      onRequest === undefined ? undefined : new HandoverWatch({ table, duty, onRequest, onError })
     this.#loop = this.#run()
   }
 
@@ -130,7 +82,7 @@
     this.#notifyListeners()
     try {
       await Promise.all(this.#pendingRenewals)
-      await this.#release(lease, this.#handoverRequest?.capacity)
+      await this.#release(lease, this.#handoverWatch?.requestedCapacity(lease.token))
     } finally {
       this.#isHandingOver = false
     }
@@ -182,7 +134,11 @@
       return 0
     }
     const renewal = this.#sendRenewal(lease)
-    void this.#checkHandoverRequest(lease)
+    void this.#handoverWatch?.check(
+      lease.token,
+      { deadline: this.#clock.now() + pauseMs },
+      () => this.#lease?.token === lease.token,
+    )
     const responded = new AbortController()
     const pause = wait(
       this.#clock,
@@ -266,33 +222,14 @@
   /** Asks the holder once for its lease, if this candidate has much more capacity. */
   async #requestFromWeakerHolder({ token, capacity: holderCapacity }: DutyLeaseRow): Promise<void> {
     const { table, duty, holder: candidate, capacity, ttlMs } = this.#opts
-    if (capacity === undefined || !isMuchStronger(capacity, holderCapacity)) return
+    if (capacity === undefined || holderCapacity === undefined) return
+    if (!isMuchStronger(capacity, holderCapacity)) return
     if (this.#requestedToken === token) return
     const deadline = this.#clock.now() + ttlMs / 3
     await requestHandover(table, duty, { token, candidate, capacity }, { deadline })
     this.#requestedToken = token
   }
 
-  /** Looks once in each renewal interval for a request of a stronger candidate. */
-  async #checkHandoverRequest({ token }: HeldLease): Promise<void> {
-    const { table, duty, ttlMs, onHandoverRequest, onError } = this.#opts
-    if (onHandoverRequest === undefined || this.#handoverRequest?.token === token) return
-    // Renewals follow each other quickly while the store fails; one read at a time is enough.
-    if (this.#isCheckingHandover) return
-    this.#isCheckingHandover = true
-    try {
-      const deadline = this.#clock.now() + ttlMs / 3
-      const request = await readHandoverRequest(table, duty, token, { deadline })
-      if (request === undefined || this.#lease?.token !== token) return
-      this.#handoverRequest = request
-      onHandoverRequest({ name: request.candidate, capacity: request.capacity })
-    } catch (err) {
-      onError?.(err)
-    } finally {
-      this.#isCheckingHandover = false
-    }
-  }
-
   async #acquire(version: number): Promise<boolean> {
     const { table, duty, ttlMs } = this.#opts
     const readDeadline = this.#clock.now() + ttlMs / 3
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,9 +1,5 @@
-export {
-  createDutyLease,
-  type DutyLease,
-  type DutyLeaseOptions,
-  type HeldLease,
-} from './duty-lease.js'
+export { createDutyLease } from './duty-lease.js'
+export type { DutyLease, DutyLeaseOptions, HeldLease } from './duty-lease-api.js'
 export type { DutyLeaseRow } from './duty-tables.js'
 export { hasFenceCheckFailed } from './fence-check.js'
 export {
