--- a/packages/store/__tests__/duty-lease.test.ts
+++ b/packages/store/__tests__/duty-lease.test.ts
@@ -178,3 +178,28 @@
   await advanceInSteps(weak, ttlMs)
   t.equal(tokenOf(weak.duty), 3, 'it takes the lease when no stronger candidate does')
 })
+
+// A holder whose release failed sees its own name in the row and takes the lease again. The
+// stronger candidate must then ask for the new lease too.
+void t.test('a handover is asked for again when the release of the lease failed', async t => {
+  const { host, standin } = await setup(t)
+  let requestCount = 0
+  const weak: ReturnType<typeof host> = host('weak', {
+    capacity: 300,
+    onHandoverRequest: () => {
+      requestCount += 1
+      standin.faults.down = requestCount === 1
+      void weak.duty.handOver().then(() => {
+        standin.faults.down = false
+      })
+    },
+  })
+  await waitUntil(() => tokenOf(weak.duty) === 1)
+  const strong = host('strong', { capacity: 1_300 })
+  await waitUntil(async () => {
+    await Promise.all([advanceInSteps(weak, 250), advanceInSteps(strong, 250)])
+    return tokenOf(strong.duty) !== undefined
+  })
+  t.equal(requestCount, 2)
+  t.equal(tokenOf(weak.duty), undefined)
+})
