fix(store): ask again for a lease that a weak holder keeps

Cause, found by reading: the store may carry out a request for a lease seconds late, over a newer one; the candidate asked once for each lease, so the weak holder would have kept it.

Change: the candidate asks again after a lifetime of the lease.

--- a/packages/dispatcher/__tests__/fixture.ts
+++ b/packages/dispatcher/__tests__/fixture.ts
@@ -66,6 +66,8 @@
   machines?: MachineApi<Machine>
   /** Least time between orders of two dispatchers for one machine, in milliseconds. */
   machineLeaseMs?: number
+  /** Lease of the dispatcher, for tests in which it must not expire, in milliseconds. */
+  dispatcherLeaseMs?: number
 }
 
 /** Creates a deployment; runners and dispatchers are added by its methods. */
@@ -99,7 +101,11 @@
         ...startOpts,
         store,
         holder,
-        timing: { ...timing, machineOrderGapMs: opts.machineLeaseMs ?? timing.machineOrderGapMs },
+        timing: {
+          ...timing,
+          dispatcherLeaseMs: opts.dispatcherLeaseMs ?? timing.dispatcherLeaseMs,
+          machineOrderGapMs: opts.machineLeaseMs ?? timing.machineOrderGapMs,
+        },
         view,
         runners: { table: 'servers', decode: (_id, value) => value as RunnerEntry },
         createRunner: ({ runnerId }) => (runners.get(runnerId) ?? createMemoryRunner()).api(),
--- a/packages/store/src/duty-lease.ts
+++ b/packages/store/src/duty-lease.ts
@@ -47,8 +47,8 @@
   #observedRow: { version: number; since: number } | undefined
   /** When this candidate first saw the lease free. */
   #freeSince: number | undefined
-  /** Token of the lease that this candidate has asked for. */
-  #requestedToken: number | undefined
+  /** The lease that this candidate last asked for, and when. */
+  #requested: { token: number; at: number } | undefined
   #isHandingOver = false
   #notifiedToken: number | undefined
   #renewalCount = 0
@@ -219,15 +219,19 @@
     return isMuchStronger(row.value.capacity, capacity) ? deferralRatio * ttlMs : 0
   }
 
-  /** Asks the holder once for its lease, if this candidate has much more capacity. */
+  /**
+   * Asks the holder for its lease, if this candidate has much more capacity; again after a lifetime,
+   * because a request can be overwritten by an earlier one that takes effect late.
+   */
   async #requestFromWeakerHolder({ token, capacity: holderCapacity }: DutyLeaseRow): Promise<void> {
     const { table, duty, holder: candidate, capacity, ttlMs } = this.#opts
     if (capacity === undefined || holderCapacity === undefined) return
     if (!isMuchStronger(capacity, holderCapacity)) return
-    if (this.#requestedToken === token) return
-    const deadline = this.#clock.now() + ttlMs / 3
-    await requestHandover(table, duty, { token, candidate, capacity }, { deadline })
-    this.#requestedToken = token
+    const now = this.#clock.now()
+    if (this.#requested?.token === token && now < this.#requested.at + ttlMs) return
+    const request = { token, candidate, capacity }
+    await requestHandover(table, duty, request, { deadline: now + ttlMs / 3 })
+    this.#requested = { token, at: now }
   }
 
   async #acquire(version: number): Promise<boolean> {
