fix(host-program): bytes of a start in one direction

Cause: the capacity of a host counted the bytes of both directions against a link that carries them at the same time.

Measured: a harness with stand-ins on loopback, 5,855 and 2,656 starts: 1.9 and 2.2 KB sent, 1.6 and 2.2 KB received for each start, without headers of TCP.

--- a/packages/host-program/src/dispatch-capacity.ts
+++ b/packages/host-program/src/dispatch-capacity.ts
@@ -6,8 +6,8 @@
  */
 const processorMsPerStart = 1
 
-/** Bytes that a dispatcher sends and receives for each start. */
-const bytesPerStart = 5_000
+/** Bytes that a dispatcher sends for each start; it receives about as many. */
+const bytesPerStart = 2_500
 
 const bytesPerMegabit = 125_000
 
