fix(dispatcher): store a change made as an earlier one was stored

Cause, found by reading: the writer of a part noted the end of its loop one microtask after its last look for pending changes. A run that must not start any more is given up in between, by the caller whose record was just stored; that change then waited for the next one in its part. After 2 s the age of the change stops all placement, and with it the next change, if no run of that part is left.

Change: the end of the loop is noted in the same step as the last look.

Test: 'a change made when an earlier one has just been stored is stored too' failed before (condition not met within 10 s).

--- a/packages/dispatcher/src/part-writer.ts
+++ b/packages/dispatcher/src/part-writer.ts
@@ -90,6 +90,7 @@
   #pending = new Map<string, PendingWrite>()
   #version = 0
   #loopDone: Promise<void> | undefined
+  #isWriting = false
   #oldestInFlightSince: number | undefined
   #isFenced = false
 
@@ -126,9 +127,7 @@
       if (existing === undefined) {
         this.#pending.set(id, { job, since: performance.now(), resolvers: [resolve] })
       } else existing.resolvers.push(resolve)
-      this.#loopDone ??= this.#writeLoop().finally(() => {
-        this.#loopDone = undefined
-      })
+      if (!this.#isWriting) this.#loopDone = this.#writeLoop()
     })
   }
 
@@ -144,6 +143,7 @@
   }
 
   async #writeLoop(): Promise<void> {
+    this.#isWriting = true
     // Changes made in the same synchronous step share a transaction.
     await Promise.resolve()
     while (this.#pending.size > 0 && !this.#isStopped()) {
@@ -154,6 +154,9 @@
       else this.#requeue(batch)
       this.#oldestInFlightSince = undefined
     }
+    // Reset in the same step as the last check for pending writes: a change made by a caller whose
+    // write has just been stored must start a new loop.
+    this.#isWriting = false
   }
 
   #isStopped(): boolean {
