test(job-front): a request that arrives while the view is refreshed, known red

Cause: a host whose view is outdated refreshes it only for requests that it would refuse. A request for an added queue then waits for the newer configuration, and a later one for a removed queue is served by the older one.

The test fails on this commit: 200 for a removed queue, 404 expected.

--- /dev/null
+++ b/packages/job-front/__tests__/job-handler.test.ts
@@ -0,0 +1,110 @@
+import { EventEmitter, once } from 'node:events'
+import { createCallerServer } from '@bulrushbridge/caller-server'
+import {
+  createOperatorView,
+  type JobQueue,
+  type SchedulerConfiguration,
+} from '@bulrushbridge/scheduler'
+import { createMemoryStore, waitUntil } from '@bulrushbridge/standins'
+import { createLogger, createMetrics } from '@bulrushbridge/telemetry'
+import t, { type Test } from 'tap'
+import { createJobAcceptor, createJobHandler } from '../src/index.js'
+
+const queueWithPrefix = (name: string): JobQueue => ({
+  name,
+  hostName: '127.0.0.1',
+  pathPrefix: `/${name}/`,
+  pool: 'pool',
+  priority: 0,
+  maxAttempts: 1,
+  stretch: 1,
+  targetLatencyMs: 0,
+  isAnonymousAllowed: true,
+  advice: undefined,
+})
+
+const configurationWithQueue = (version: number, queue: string): SchedulerConfiguration => ({
+  version,
+  queues: [queueWithPrefix(queue)],
+  pools: [{ name: 'pool', isSpare: false }],
+  organisations: [],
+  maxBodyBytes: 10_000,
+})
+
+/** An entry host whose view is outdated until `completeRefresh` is called. */
+async function setup(t: Test) {
+  const view = createOperatorView({
+    decoders: {
+      configurationKey: 'config',
+      configuration: value => value as SchedulerConfiguration,
+      withdrawnZoneOf: () => undefined,
+      wave: () => undefined,
+    },
+    onApplied: () => undefined,
+    onUnreadable: () => undefined,
+  })
+  const adopt = (value: SchedulerConfiguration) => {
+    view.applyChanges([{ key: 'config', value, isDeleted: false }])
+  }
+  adopt(configurationWithQueue(1, 'removed'))
+  let refreshCount = 0
+  const refresh = new EventEmitter()
+  const refreshed = once(refresh, 'complete')
+  const completeRefresh = () => {
+    adopt(configurationWithQueue(2, 'added'))
+    refresh.emit('complete')
+  }
+  const store = createMemoryStore()
+  const acceptor = createJobAcceptor(store)
+  const server = await createCallerServer({
+    host: '127.0.0.1',
+    port: 0,
+    nextRequestId: () => 'request',
+    routes: {
+      '/**': createJobHandler({
+        view,
+        store,
+        acceptor,
+        codec: {
+          deadlineHeader: 'deadline-ms',
+          isJobId: () => true,
+          decodeKey: () => undefined,
+          decodeJob: () => undefined,
+          encodeStatus: status => ({ status }),
+          encodeWaitingCount: waiting => ({ waiting }),
+        },
+        refreshView: () => {
+          refreshCount += 1
+          return refreshed.then(() => undefined)
+        },
+        log: createLogger({ program: 'test', level: 'silent' }),
+        metrics: createMetrics(),
+      }),
+    },
+    onError: () => undefined,
+  })
+  t.teardown(async () => {
+    completeRefresh()
+    await server.close()
+    await acceptor.close()
+  })
+  const get = async (path: string) => (await fetch(`http://${server.address}${path}`)).status
+  return { get, refreshCount: () => refreshCount, completeRefresh }
+}
+
+// Guards against a host that answers by a newer configuration and, to a request sent later, by an
+// older one. A request for an added queue waits for the refresh of an outdated view; a later one for
+// a removed queue was served meanwhile by the outdated view.
+void t.test(
+  'a request that arrives while the view is refreshed is answered by the new one',
+  async t => {
+    const host = await setup(t)
+    const first = host.get('/added/')
+    await waitUntil(() => host.refreshCount() === 1)
+    const second = host.get('/removed/')
+    await new Promise(resolve => setTimeout(resolve, 100))
+    host.completeRefresh()
+    t.equal(await first, 200)
+    t.equal(await second, 404)
+  },
+)
