--- a/packages/job-front/src/job-handler.ts
+++ b/packages/job-front/src/job-handler.ts
@@ -89,6 +89,8 @@
 class JobHandler {
   readonly #opts: JobHandlerOptions
   readonly #handlersByMethod: Record<string, ((ctx: RequestContext) => Promise<void>) | undefined>
+  /** Settles when the refresh of the view that is in progress is over. */
+  #refreshing: Promise<void> | undefined
 
   constructor(opts: JobHandlerOptions) {
     this.#opts = opts
@@ -114,7 +116,8 @@
 
   /**
    * Finds the queue and the caller's organisation. When the request would be refused, the view is
-   * brought up to date and the request is checked a second time.
+   * brought up to date and the request is checked a second time. A request that arrives meanwhile
+   * waits: answered by the old view, it could follow one that a newer configuration has answered.
    */
   async #authorize(
     req: IncomingMessage,
@@ -122,8 +125,9 @@
     requestId: string,
     startedAt: number,
   ): Promise<RequestContext> {
+    await this.#refreshing
     const firstResult = this.#tryAuthorize(req)
-    if (firstResult instanceof RequestError) await this.#opts.refreshView()
+    if (firstResult instanceof RequestError) await this.#refreshView()
     const result = firstResult instanceof RequestError ? this.#tryAuthorize(req) : firstResult
     if (result instanceof RequestError) throw result
     const callerWaitMs = Number(req.headers[this.#opts.codec.deadlineHeader] ?? defaultDeadlineMs)
@@ -132,6 +136,13 @@
     return { req, res, requestId, deadline, ...result }
   }
 
+  async #refreshView(): Promise<void> {
+    this.#refreshing ??= this.#opts.refreshView().finally(() => {
+      this.#refreshing = undefined
+    })
+    await this.#refreshing
+  }
+
   #tryAuthorize(
     req: IncomingMessage,
   ): Pick<RequestContext, 'cfg' | 'queue' | 'organisation' | 'subpath'> | RequestError {
