feat(runner-relay): send the dispatcher's calls to runners through hosts near them

Alternatives: a holder for each pool or shard of runners, cheaper calls (docs/platform.md). Change: hosts announce a relay in the table relays; for 100 runners or more the holder sends calls through one relay for every 40 runners of an availability zone, batched on one connection. Fencing tokens, run numbers and lease deadlines go with each call; a relay refuses lower fencing tokens, drops what arrived while it was paused, and leaves pending orders unknown when it fails.

--- a/packages/dispatcher/__tests__/fixture.ts
+++ b/packages/dispatcher/__tests__/fixture.ts
@@ -108,7 +108,10 @@
         },
         view,
         runners: { table: 'servers', decode: (_id, value) => value as RunnerEntry },
-        createRunner: ({ runnerId }) => (runners.get(runnerId) ?? createMemoryRunner()).api(),
+        connectRunners: () => ({
+          createRunner: ({ runnerId }) => (runners.get(runnerId) ?? createMemoryRunner()).api(),
+          close: () => Promise.resolve(),
+        }),
         machines: opts.machines,
         advice: undefined,
         waveStatusRow: (wave, state) => ({
--- a/packages/dispatcher/src/dispatcher.ts
+++ b/packages/dispatcher/src/dispatcher.ts
@@ -41,6 +41,12 @@
   statusKeptMs: number
 }
 
+/** Creates the clients of runners, and closes what these share. */
+export interface RunnerConnections {
+  createRunner(opts: { address: string; runnerId: string; zone: string }): RunnerApi
+  close(): Promise<void>
+}
+
 /** Options of {@link createDispatcher}. */
 export interface DispatcherOptions {
   store: FollowableTableService
@@ -54,7 +60,8 @@
   timing: DispatcherTiming
   view: OperatorView
   runners: { table: string; decode(id: string, value: unknown): RunnerEntry | undefined }
-  createRunner: (opts: { address: string; runnerId: string }) => RunnerApi
+  /** Opens the connections to runners of one term. */
+  connectRunners: () => RunnerConnections
   machines: MachineApi<Machine> | undefined
   advice: AdviceApi | undefined
   /** Creates the row that shows operators the state of a maintenance wave. */
--- a/packages/dispatcher/src/index.ts
+++ b/packages/dispatcher/src/index.ts
@@ -3,4 +3,5 @@
   type Dispatcher,
   type DispatcherOptions,
   type DispatcherTiming,
+  type RunnerConnections,
 } from './dispatcher.js'
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -69,7 +69,7 @@
   pollWaitMs: number
   /** Time by which all leases that earlier dispatchers granted have certainly ended. */
   assumedLeaseEnd: number
-  createRunner: (opts: { address: string; runnerId: string }) => RunnerApi
+  createRunner: (opts: { address: string; runnerId: string; zone: string }) => RunnerApi
   events: SessionEvents
   log: Logger
 }
@@ -434,7 +434,8 @@
 
   #connect(entry: RunnerEntry): void {
     void this.#api?.close()
-    this.#api = this.#opts.createRunner({ address: entry.address, runnerId: entry.id })
+    const { address, id: runnerId, zone } = entry
+    this.#api = this.#opts.createRunner({ address, runnerId, zone })
     this.#needsResync = true
     this.#recomputeFree()
   }
--- a/packages/dispatcher/src/runner-sessions.ts
+++ b/packages/dispatcher/src/runner-sessions.ts
@@ -51,7 +51,8 @@
 
   /** Opens the session of a runner; `entry` is undefined for one that is not registered. */
   openSession(id: string, entry: RunnerEntry | undefined): RunnerSession {
-    const { timing, createRunner, log } = this.#ctx.opts
+    const { connections, opts } = this.#ctx
+    const { timing, log } = opts
     // An earlier dispatcher renews runners' leases for `suspendedMs` after it lost its own lease.
     const assumedMs = (timing.runnerLeaseMs + timing.suspendedMs) * assumedLeaseMargin
     const session = createRunnerSession({
@@ -61,7 +62,7 @@
       leaseMs: timing.runnerLeaseMs,
       pollWaitMs: timing.pollWaitMs,
       assumedLeaseEnd: this.#ctx.startedAt + assumedMs,
-      createRunner,
+      createRunner: runner => connections.createRunner(runner),
       events: this.#events,
       log,
     })
--- a/packages/dispatcher/src/term-context.ts
+++ b/packages/dispatcher/src/term-context.ts
@@ -4,7 +4,7 @@
   RunnerFailureTracker,
   RunTimeEstimator,
 } from '@bulrushbridge/scheduler'
-import type { DispatcherOptions } from './dispatcher.js'
+import type { DispatcherOptions, RunnerConnections } from './dispatcher.js'
 import type { OrganisationUsage } from './organisation-usage.js'
 import type { RunnerSession } from './runner-session.js'
 
@@ -17,6 +17,7 @@
   readonly startedAt: number
   readonly jobs: Map<string, JobExecution>
   readonly sessions: Map<string, RunnerSession>
+  readonly connections: RunnerConnections
   readonly usage: OrganisationUsage
   readonly runnerFailures: RunnerFailureTracker
   readonly runTimes: RunTimeEstimator
--- a/packages/dispatcher/src/term.ts
+++ b/packages/dispatcher/src/term.ts
@@ -162,6 +162,7 @@
       ...[...this.#ctx.sessions.values()].map(session => session.close()),
       ...[...this.#writers.values()].map(writer => writer.close()),
     ])
+    await this.#ctx.connections.close()
   }
 
   #createContext(opts: DispatcherOptions, onFenced: () => void): TermContext {
@@ -171,6 +172,7 @@
       startedAt: performance.now(),
       jobs: new Map(),
       sessions: new Map(),
+      connections: opts.connectRunners(),
       usage: createOrganisationUsage(),
       runnerFailures: createRunnerFailureTracker(),
       runTimes: createRunTimeEstimator(),
--- a/packages/host-program/src/host-program.ts
+++ b/packages/host-program/src/host-program.ts
@@ -26,6 +26,13 @@
   waveStatusRow,
   type HostSettings,
 } from '@bulrushbridge/platform'
+import {
+  announceRelay,
+  createRelayedRunners,
+  createRelayServer,
+  type RelayAnnouncer,
+  type RelayServer,
+} from '@bulrushbridge/runner-relay'
 import { createOperatorView, type OperatorView } from '@bulrushbridge/scheduler'
 import {
   followTable,
@@ -111,6 +118,8 @@
   readonly #acceptor: JobAcceptor
   readonly #dispatcher: Dispatcher
   #internalServers: Server[] = []
+  #relayServer: RelayServer | undefined
+  #relayAnnouncer: RelayAnnouncer | undefined
   #callerServer: CallerServer | undefined
   #isShuttingDown = false
   #requestCount = 0
@@ -141,6 +150,7 @@
     })
     await this.#serveReadiness()
     await this.#serveMetrics()
+    await this.#serveRelay()
     this.#log.info('host program started', {
       host: name,
       zone,
@@ -171,7 +181,7 @@
       active: this.#callerServer?.activeRequests(),
     })
     this.#callerServer?.drain()
-    await this.#dispatcher.close()
+    await Promise.all([this.#dispatcher.close(), this.#relayAnnouncer?.close()])
     await this.#waitUntil(startedAt + servingFraction * this.#cfg.shutdownTimeoutMs, () => false)
     this.#callerServer?.closeIdle()
     await this.#waitUntil(
@@ -182,6 +192,7 @@
     await this.#acceptor.close()
     await this.#operatorFollower.close()
     await this.#store.close()
+    await this.#relayServer?.close()
     for (const server of this.#internalServers) server.close()
     this.#log.info('host program stopped', { tookMs: Math.round(performance.now() - startedAt) })
   }
@@ -214,7 +225,13 @@
       timing: dispatcherTiming(cfg, dispatcherLeaseMs),
       view: this.#view,
       runners: { table: runnersTable, decode: decodeRunner },
-      createRunner: createRunnerClient,
+      connectRunners: () =>
+        createRelayedRunners({
+          store: this.#store,
+          host: cfg.name,
+          createRunner: createRunnerClient,
+          log: this.#log,
+        }),
       machines:
         cfg.machineServiceAddress === ''
           ? undefined
@@ -274,6 +291,23 @@
     )
   }
 
+  /** Serves calls to runners for the dispatcher of another host, and announces that. */
+  async #serveRelay(): Promise<void> {
+    const { ip, relayPort, name, zone } = this.#cfg
+    this.#relayServer = await createRelayServer({
+      host: ip,
+      port: relayPort,
+      createRunner: createRunnerClient,
+      log: this.#log,
+      onCall: kind => {
+        this.#metrics.count('bulrush_relayed_calls_total', { kind })
+      },
+    })
+    const { address, instance } = this.#relayServer
+    const relay = { address, instance, zone, startsPerSecond: dispatchCapacity(this.#cfg) }
+    this.#relayAnnouncer = announceRelay({ store: this.#store, host: name, relay, log: this.#log })
+  }
+
   async #serve(
     address: string,
     respond: (path: string) => { status: number; body: string },
--- /dev/null
+++ b/packages/runner-relay/src/line-stream.ts
@@ -0,0 +1,57 @@
+import type { Readable, Writable } from 'node:stream'
+
+/** Longest line that a peer may send, in characters; a list of 500 ended runs takes 100,000. */
+const maxLineLength = 4_000_000
+
+/** Most bytes that may wait for a peer that does not read. */
+const maxBufferedBytes = 16_000_000
+
+/**
+ * Calls `onLine` for each line of a stream of UTF-8 text, and `onError` when a line is too long.
+ *
+ * @example
+ * readLines(req, line => handle(JSON.parse(line)), () => req.destroy())
+ */
+export function readLines(
+  input: Readable,
+  onLine: (line: string) => void,
+  onError: () => void,
+): void {
+  let rest = ''
+  input.setEncoding('utf8')
+  input.on('data', (chunk: string) => {
+    const lines = (rest + chunk).split('\n')
+    rest = lines.pop() ?? ''
+    for (const line of lines) if (line !== '') onLine(line)
+    if (rest.length > maxLineLength) onError()
+  })
+}
+
+/** Writes lines to a stream in batches. */
+export interface LineWriter {
+  write(line: string): void
+}
+
+/**
+ * Creates a writer whose lines wait up to `delayMs` so that several share a packet; with 0, lines of
+ * one pass of the event loop share one. Destroys the stream if its peer does not read.
+ */
+export function createLineWriter(output: Writable, delayMs: number): LineWriter {
+  let waiting = ''
+  const flush = () => {
+    const text = waiting
+    waiting = ''
+    if (output.destroyed) return
+    output.write(text)
+    if (output.writableLength > maxBufferedBytes) output.destroy()
+  }
+  return {
+    write: line => {
+      if (waiting === '') {
+        if (delayMs === 0) setImmediate(flush)
+        else setTimeout(flush, delayMs)
+      }
+      waiting += `${line}\n`
+    },
+  }
+}
--- /dev/null
+++ b/packages/runner-relay/src/relay-server.ts
@@ -0,0 +1,221 @@
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import { randomUUID } from 'node:crypto'
+import { normalizeError } from '@bulrushbridge/errors'
+import type { CallResult, RunnerApi } from '@bulrushbridge/scheduler'
+import type { Logger } from '@bulrushbridge/telemetry'
+import { createLineWriter, readLines, type LineWriter } from './line-stream.js'
+import { createPauseDetector } from './pause-detector.js'
+import {
+  aliveId,
+  instanceHeader,
+  relayedCallSchema,
+  relayPath,
+  type RelayedCall,
+} from './relay-messages.js'
+
+/** Interval at which a relay shows on each connection that it is alive, in milliseconds. */
+const aliveIntervalMs = 200
+
+/**
+ * Delay of that interval from which the process counts as paused, in milliseconds. The dispatcher
+ * gives a silent relay up after about as long, and then calls the runners itself.
+ */
+const pauseToleranceMs = 400
+
+/** Time for which results wait so that several share a packet, in milliseconds. */
+const resultDelayMs = 8
+
+/** Options of {@link createRelayServer}. */
+export interface RelayServerOptions {
+  host: string
+  port: number
+  createRunner: (opts: { address: string; runnerId: string }) => RunnerApi
+  log: Logger
+  /** Called for each call that is made to a runner. */
+  onCall?: (kind: RelayedCall['kind']) => void
+}
+
+/**
+ * Makes the calls of a dispatcher to the runners near this host. It decides nothing and repeats
+ * nothing: each call is made once, as soon as it arrives, and its result is returned as it is.
+ */
+export interface RelayServer {
+  /** `ip:port` of the server. */
+  readonly address: string
+  /** Identifies this process to dispatchers. */
+  readonly instance: string
+  /** Ends all connections; calls in progress are aborted. */
+  close(): Promise<void>
+}
+
+/**
+ * Starts a relay.
+ *
+ * @throws The server's error when the port is taken.
+ * @example
+ * const relay = await createRelayServer({ host: '10.1.0.23', port: 7001, createRunner, log })
+ */
+export async function createRelayServer(opts: RelayServerOptions): Promise<RelayServer> {
+  const instance = randomUUID()
+  const connections = new Set<RelayServerConnection>()
+  // Highest fencing token seen; calls of earlier dispatchers are refused without reaching a runner.
+  const fence = { highest: 0 }
+  const server = createServer((req, res) => {
+    if (req.method !== 'POST' || req.url !== relayPath) {
+      res.writeHead(404).end()
+      return
+    }
+    res.writeHead(200, { [instanceHeader]: instance, 'content-type': 'application/x-ndjson' })
+    res.flushHeaders()
+    const connection = new RelayServerConnection(req, res, opts, fence)
+    connections.add(connection)
+    res.on('close', () => {
+      connections.delete(connection)
+      connection.close()
+    })
+  })
+  // The body of a request goes on for as long as the dispatcher's term.
+  server.requestTimeout = 0
+  const pauseDetector = createPauseDetector({
+    intervalMs: aliveIntervalMs,
+    toleranceMs: pauseToleranceMs,
+  })
+  const aliveTimer = setInterval(() => {
+    const pausedMs = pauseDetector.check()
+    if (pausedMs > 0 && connections.size > 0) {
+      // The calls that arrived meanwhile are outdated, so none of them may be read.
+      opts.log.warn('relay was paused, its connections are closed', { pausedMs })
+      for (const connection of connections) connection.close()
+      return
+    }
+    for (const connection of connections) connection.showAlive()
+  }, aliveIntervalMs)
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(opts.port, opts.host, resolve)
+  })
+  const bound = server.address()
+  const port = typeof bound === 'object' && bound !== null ? bound.port : opts.port
+  return {
+    address: `${opts.host}:${port}`,
+    instance,
+    close: async () => {
+      clearInterval(aliveTimer)
+      for (const connection of connections) connection.close()
+      server.closeAllConnections()
+      await new Promise(resolve => server.close(resolve))
+    },
+  }
+}
+
+class RelayServerConnection {
+  readonly #req: IncomingMessage
+  readonly #res: ServerResponse
+  readonly #opts: RelayServerOptions
+  readonly #fence: { highest: number }
+  readonly #results: LineWriter
+  readonly #runners = new Map<string, RunnerApi>()
+  #isClosed = false
+
+  constructor(
+    req: IncomingMessage,
+    res: ServerResponse,
+    opts: RelayServerOptions,
+    fence: { highest: number },
+  ) {
+    this.#req = req
+    this.#res = res
+    this.#opts = opts
+    this.#fence = fence
+    this.#results = createLineWriter(res, resultDelayMs)
+    const reject = () => {
+      opts.log.warn('malformed call to the relay, its connection is closed')
+      this.close()
+    }
+    req.on('error', () => {
+      this.close()
+    })
+    req.on('end', () => {
+      this.close()
+    })
+    readLines(
+      req,
+      line => {
+        if (this.#isClosed) return
+        const call = parseCall(line)
+        if (call === undefined) reject()
+        else void this.#carryOut(call)
+      },
+      reject,
+    )
+  }
+
+  showAlive(): void {
+    this.#results.write(`{"id":${aliveId}}`)
+  }
+
+  close(): void {
+    if (this.#isClosed) return
+    this.#isClosed = true
+    this.#req.destroy()
+    this.#res.destroy()
+    for (const runner of this.#runners.values()) void runner.close()
+  }
+
+  async #carryOut(call: RelayedCall): Promise<void> {
+    const { fence } = call.order
+    this.#fence.highest = Math.max(this.#fence.highest, fence)
+    let result: CallResult<unknown>
+    if (fence < this.#fence.highest) result = { outcome: 'done', value: fencedAnswers[call.kind] }
+    else {
+      this.#opts.onCall?.(call.kind)
+      try {
+        result = await callRunner(this.#runnerOf(call), call)
+      } catch (err) {
+        result = { outcome: 'unknown', reason: normalizeError(err).message }
+      }
+    }
+    if (!this.#isClosed) this.#results.write(JSON.stringify({ id: call.id, result }))
+  }
+
+  #runnerOf({ address, runnerId }: RelayedCall): RunnerApi {
+    const key = `${address} ${runnerId}`
+    let runner = this.#runners.get(key)
+    if (runner === undefined) {
+      runner = this.#opts.createRunner({ address, runnerId })
+      this.#runners.set(key, runner)
+    }
+    return runner
+  }
+}
+
+/** Answers to calls whose fencing token is lower than one seen before. */
+const fencedAnswers: Record<RelayedCall['kind'], unknown> = {
+  start: { refusal: 'fence' },
+  stop: { refusal: 'fence' },
+  pace: { refusal: 'fence' },
+  poll: { isFenced: true },
+}
+
+function callRunner(runner: RunnerApi, call: RelayedCall): Promise<CallResult<unknown>> {
+  switch (call.kind) {
+    case 'start':
+      return runner.start({ ...call.order, ticket: call.order.ticket })
+    case 'stop':
+      return runner.stop(call.order)
+    case 'pace':
+      return runner.pace(call.order)
+    case 'poll':
+      return runner.poll({ ...call.order, leaseDeadline: call.order.leaseDeadline })
+  }
+}
+
+function parseCall(line: string): RelayedCall | undefined {
+  try {
+    const parsed = relayedCallSchema.safeParse(JSON.parse(line))
+    return parsed.success ? parsed.data : undefined
+  } catch {
+    // Not JSON; the caller logs it and closes the connection.
+    return undefined
+  }
+}
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -65,20 +65,21 @@
 } from './plan-upkeep-wave.js'
 export { progressSchema, type Progress, type TaskProgress } from './progress.js'
 export { createRunTimeEstimator, type RunTimeEstimator } from './run-time-estimator.js'
-export type {
-  AdviceApi,
-  AdvisedRunner,
-  CallResult,
-  PollAnswer,
-  PollRequest,
-  MachineAnswer,
-  MachineApi,
-  MachineOrder,
-  RunnerOrderAnswer,
-  OrderRefusal,
-  RunId,
-  RunnerApi,
-  StartOrder,
+export {
+  orderRefusals,
+  type AdviceApi,
+  type AdvisedRunner,
+  type CallResult,
+  type PollAnswer,
+  type PollRequest,
+  type MachineAnswer,
+  type MachineApi,
+  type MachineOrder,
+  type RunnerOrderAnswer,
+  type OrderRefusal,
+  type RunId,
+  type RunnerApi,
+  type StartOrder,
 } from './runner-api.js'
 export {
   runEnds,
--- a/packages/scheduler/src/runner-api.ts
+++ b/packages/scheduler/src/runner-api.ts
@@ -34,7 +34,18 @@
  * - `unhealthy`: the runner answered with status 429 or 503.
  * - `malformed`: the runner could not read the order, or gave an unknown reason.
  */
-export type OrderRefusal = 'fence' | 'old' | 'late' | 'room' | 'ticket' | 'unhealthy' | 'malformed'
+export const orderRefusals = [
+  'fence',
+  'old',
+  'late',
+  'room',
+  'ticket',
+  'unhealthy',
+  'malformed',
+] as const
+
+/** One of {@link orderRefusals}. */
+export type OrderRefusal = (typeof orderRefusals)[number]
 
 /** Answer of a runner to an order. */
 export interface RunnerOrderAnswer {
