--- a/packages/runner-relay/__tests__/relayed-runners.test.ts
+++ b/packages/runner-relay/__tests__/relayed-runners.test.ts
@@ -51,6 +51,16 @@
   t.strictSame(network.callers.slice(-3), ['relay', 'relay', 'relay'])
 })
 
+void t.test('a relay without calls stays connected', async t => {
+  const network = createNetwork(t)
+  await network.announce(await network.startRelay())
+  const api = first(network.connect())
+  await untilRelayed(api, network.callers)
+  await new Promise(resolve => setTimeout(resolve, 1_000))
+  await api.poll(pollRequest)
+  t.equal(network.callers.at(-1), 'relay')
+})
+
 void t.test('calls of a small fleet are not relayed', async t => {
   const network = createNetwork(t)
   await network.announce(await network.startRelay())
--- a/packages/runner-relay/src/relay-messages.ts
+++ b/packages/runner-relay/src/relay-messages.ts
@@ -109,7 +109,7 @@
 ])
 
 /** A line from a relay: the result of a call, or (with id 0) a sign that the relay is alive. */
-export const relayedResultSchema = z.object({ id: z.int(), result: z.unknown() })
+export const relayedResultSchema = z.object({ id: z.int(), result: z.unknown().optional() })
 
 /** Id of the lines that only show that the relay is alive. */
 export const aliveId = 0
