perf(dispatcher): keep the sums over a runner's allocations up to date

Change: a runner's allocations keep free capacity and task counts with each change; the name of a step is kept with the step.

--- a/packages/dispatcher/src/advice-cache.ts
+++ b/packages/dispatcher/src/advice-cache.ts
@@ -1,9 +1,4 @@
-import {
-  stepName,
-  type AdviceApi,
-  type AdviceTerms,
-  type StepExecution,
-} from '@bulrushbridge/scheduler'
+import { type AdviceApi, type AdviceTerms, type StepExecution } from '@bulrushbridge/scheduler'
 import type { Logger } from '@bulrushbridge/telemetry'
 
 /**
@@ -81,14 +76,14 @@
   }
   return {
     runnersFor: (step, terms, runnerIds) => {
-      const name = stepName(step)
+      const { name } = step
       const advice = current(name)
       if (advice !== undefined) return new Set(advice.tickets.keys())
       const canFetch = !isFetching && performance.now() >= retryAt && runnerIds.length > 0
       if (canFetch) void fetchAdvice(name, terms, runnerIds)
       return undefined
     },
-    ticketFor: (step, runnerId) => current(stepName(step))?.tickets.get(runnerId),
+    ticketFor: (step, runnerId) => current(step.name)?.tickets.get(runnerId),
     forgetJob: jobId => {
       for (const name of adviceByStep.keys())
         if (name.startsWith(`${jobId}.`)) adviceByStep.delete(name)
--- a/packages/dispatcher/src/placement-pass.ts
+++ b/packages/dispatcher/src/placement-pass.ts
@@ -58,8 +58,8 @@
     const allowance = this.#ctx.usage.allowance(
       this.#ctx.opts.view.configuration()?.organisations ?? [],
     )
-    const runners = this.#availableRunners()
     const queues = queuesOf(this.#ctx)
+    const runners = this.#availableRunners()
     const starts = chooseStarts({
       steps,
       queues,
--- /dev/null
+++ b/packages/dispatcher/src/runner-allocations.ts
@@ -0,0 +1,51 @@
+import { addAmounts, type Amounts, type Task } from '@bulrushbridge/scheduler'
+import { allocationKey, type Allocation } from './allocation.js'
+
+/**
+ * The allocations of one runner, with the sums over them that the choice of a runner needs. The sums
+ * are kept up to date with each change, as a pass over a large fleet would spend most of its time on
+ * counting them anew.
+ */
+export class RunnerAllocations {
+  readonly byKey = new Map<string, Allocation>()
+  /** Capacity of the runner that no allocation takes. */
+  readonly free: Amounts = { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
+  /** Number of tasks on the runner by step name; steps without tasks are absent. */
+  readonly tasksByStep = new Map<string, number>()
+  servingTasks = 0
+  fillerTasks = 0
+
+  /** Sets the capacity of the runner, which is not known before its registry entry is. */
+  setCapacity(capacity: Amounts): void {
+    Object.assign(this.free, capacity)
+    for (const { amounts } of this.byKey.values()) addAmounts(this.free, amounts, -1)
+  }
+
+  add(allocation: Allocation): void {
+    const key = allocationKey(allocation.taskName, allocation.runNumber)
+    const replaced = this.byKey.get(key)
+    if (replaced !== undefined) this.remove(replaced)
+    this.byKey.set(key, allocation)
+    addAmounts(this.free, allocation.amounts, -1)
+    this.#countTask(allocation.task, 1)
+  }
+
+  /** Removes an allocation; returns whether the runner had it. */
+  remove(allocation: Allocation): boolean {
+    const key = allocationKey(allocation.taskName, allocation.runNumber)
+    if (!this.byKey.delete(key)) return false
+    addAmounts(this.free, allocation.amounts)
+    this.#countTask(allocation.task, -1)
+    return true
+  }
+
+  #countTask(task: Task | undefined, change: 1 | -1): void {
+    if (task === undefined) return
+    const { name, definition } = task.step
+    const count = (this.tasksByStep.get(name) ?? 0) + change
+    if (count > 0) this.tasksByStep.set(name, count)
+    else this.tasksByStep.delete(name)
+    if (definition.isFiller === true) this.fillerTasks += change
+    else if (definition.targetMs !== undefined) this.servingTasks += change
+  }
+}
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -1,18 +1,12 @@
 import { setMaxListeners } from 'node:events'
 import { systemClock } from '@bulrushbridge/errors'
-import {
-  addAmounts,
-  type Amounts,
-  type ReportedEnd,
-  type RunnerApi,
-  type RunnerEntry,
-  type RunnerReport,
-} from '@bulrushbridge/scheduler'
+import type { ReportedEnd, RunnerApi, RunnerEntry, RunnerReport } from '@bulrushbridge/scheduler'
 import { wait } from '@bulrushbridge/store'
 import type { Logger } from '@bulrushbridge/telemetry'
 import { IdlePause } from './idle-pause.js'
 import { allocationKey, type Allocation } from './allocation.js'
 import { EndTracker } from './end-tracker.js'
+import { RunnerAllocations } from './runner-allocations.js'
 import { createRunnerClock, type RunnerClock } from './runner-clock.js'
 import { RunnerOrders, type RunnerOrdersOptions } from './runner-orders.js'
 
@@ -91,9 +85,9 @@
  */
 export class RunnerSession {
   readonly id: string
-  readonly allocations = new Map<string, Allocation>()
-  /** Capacity of the runner that no allocation takes. */
-  readonly free: Amounts = { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
+  /** What the allocations take, and the tasks they are for. */
+  readonly load = new RunnerAllocations()
+  readonly allocations: ReadonlyMap<string, Allocation> = this.load.byKey
   /** No new runs start, because the machine is about to begin its upkeep or leave the pool. */
   isCordoned = false
   /** A pool move brought the machine into a working pool, see `PoolMoves`. */
@@ -190,16 +184,14 @@
 
   /** Adds the allocation of a recorded run. */
   add(allocation: Allocation): void {
-    this.allocations.set(allocationKey(allocation.taskName, allocation.runNumber), allocation)
-    addAmounts(this.free, allocation.amounts, -1)
+    this.load.add(allocation)
     this.#opts.events.onAllocationChange(allocation, 1)
     this.#idlePause.wake()
   }
 
   /** Removes the allocation of a run that is over or was never ordered. */
   remove(allocation: Allocation): void {
-    if (!this.allocations.delete(allocationKey(allocation.taskName, allocation.runNumber))) return
-    addAmounts(this.free, allocation.amounts)
+    if (!this.load.remove(allocation)) return
     this.#opts.events.onAllocationChange(allocation, -1)
   }
 
@@ -441,10 +433,7 @@
   }
 
   #recomputeFree(): void {
-    const capacity = this.#entry?.capacity
-    if (capacity === undefined) return
-    Object.assign(this.free, capacity)
-    for (const { amounts } of this.allocations.values()) addAmounts(this.free, amounts, -1)
+    if (this.#entry !== undefined) this.load.setCapacity(this.#entry.capacity)
   }
 
   #pause(ms: number): Promise<void> {
--- a/packages/scheduler/__tests__/demand-bursts.ts
+++ b/packages/scheduler/__tests__/demand-bursts.ts
@@ -8,7 +8,6 @@
   latencyObjectiveMs,
   planPoolMoves,
   reservedAmounts,
-  stepName,
   sumWaitingWork,
   type Amounts,
   type AvailableRunner,
@@ -391,7 +390,7 @@
 function asOpenRunner({ id, pool, free, tasks, isLent }: SimulatedMachine): AvailableRunner {
   const tasksByStep = new Map<string, number>()
   for (const task of tasks.keys()) {
-    const name = stepName(task.step)
+    const name = task.step.name
     tasksByStep.set(name, (tasksByStep.get(name) ?? 0) + 1)
   }
   return {
--- a/packages/scheduler/src/choose-starts.ts
+++ b/packages/scheduler/src/choose-starts.ts
@@ -59,14 +59,6 @@
   runnerId: string
 }
 
-/**
- * Name of a step that is unique across all jobs, `<job>.<occurrence>.<step>`, with the number of the
- * step. The name of a task is the name of its step followed by `.<index>`.
- */
-export function stepName(step: StepExecution): string {
-  return `${step.job.definition.id}.${step.occurrence}.${step.number}`
-}
-
 /**
  * Chooses which tasks start now and on which runners. The most urgent step goes first. Among
  * runners that suit a task equally, it goes to the one with the least free capacity (best fit), so
@@ -183,7 +175,7 @@
   }
 
   #tasksOn(step: StepExecution, runner: AvailableRunner): number {
-    const name = stepName(step)
+    const { name } = step
     return (
       (runner.tasksByStep.get(name) ?? 0) + (this.#startedTasks.get(`${runner.id} ${name}`) ?? 0)
     )
@@ -241,7 +233,7 @@
     addAmounts(runner.free, reservedAmounts(step), -times)
     if (step.definition.isFiller === true) runner.fillerTasks += times
     else if (step.definition.targetMs !== undefined) runner.servingTasks += times
-    const name = `${runner.id} ${stepName(step)}`
+    const name = `${runner.id} ${step.name}`
     this.#startedTasks.set(name, (this.#startedTasks.get(name) ?? 0) + times)
     const { organisation } = step.job.definition
     const remaining =
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -9,7 +9,6 @@
 export {
   chooseStarts,
   reservedAmounts,
-  stepName,
   type StartChoiceInput,
   type AvailableRunner,
   type TaskStart,
--- a/packages/scheduler/src/job-execution.ts
+++ b/packages/scheduler/src/job-execution.ts
@@ -34,6 +34,11 @@
 
 /** The tasks of one step in one occurrence of a job. */
 export interface StepExecution {
+  /**
+   * Name of the step, `<job>.<occurrence>.<number>`, unique across all jobs. The name of a task is
+   * the name of its step followed by `.<index>`.
+   */
+  readonly name: string
   readonly job: JobExecution
   readonly occurrence: number
   readonly number: number
@@ -192,6 +197,7 @@
   #createOccurrence(number: number, stored?: TaskProgress[][]): Occurrence {
     const steps = this.definition.steps.map((step, stepIndex) => {
       const execution: StepExecution = {
+        name: `${this.definition.id}.${number}.${stepIndex}`,
         job: this,
         occurrence: number,
         number: stepIndex,
@@ -201,8 +207,11 @@
         doneCount: 0,
       }
       for (let index = 0; index < step.count; index++) {
-        const name = `${this.definition.id}.${number}.${stepIndex}.${index}`
-        const task = decodeTask(name, execution, stored?.[stepIndex]?.[index] ?? 0)
+        const task = decodeTask(
+          `${execution.name}.${index}`,
+          execution,
+          stored?.[stepIndex]?.[index] ?? 0,
+        )
         execution.tasks.push(task)
         if (task.isDone) execution.doneCount += 1
         else if (task.run === undefined) execution.pendingCount += 1
