fix(dispatcher): limit the starts of a pass by the delay of its event loop

Cause: a pass began up to 200 starts however long they take. Alternatives: a limit of the starts in flight by the time to their confirmation; runners that do not answer would shrink it, though the dispatcher is not overloaded. Change: a pass that begins more than 200 ms late halves the limit, one that is on time raises it; a full pass requests the next one at once and leaves the demand for machines as it was.

--- a/packages/dispatcher/src/placement-pass.ts
+++ b/packages/dispatcher/src/placement-pass.ts
@@ -16,9 +16,6 @@
 import type { RunnerSession } from './runner-session.js'
 import { queuesOf, type TermContext } from './term-context.js'
 
-/** Most starts in one pass; more follow in the next pass, after other work had its turn. */
-const maxStartsPerPass = 200
-
 /** Places work: chooses which tasks start where, stores the runs, then sends the start orders. */
 export class PlacementPass {
   readonly #ctx: TermContext
@@ -49,12 +46,17 @@
     return [...this.#waiting.values()].some(({ cpuMillis }) => cpuMillis > 0)
   }
 
-  /** Places work once; each start order is sent once its run is stored. */
-  place(): void {
+  /**
+   * Places at most `maxStarts` tasks; each start order is sent once its run is stored. Returns
+   * whether it placed that many, so that there may be more to place.
+   */
+  place(maxStarts: number): boolean {
     const steps = this.#startableSteps()
-    this.#waiting = new Map()
     this.#waitingTaskCount = 0
-    if (steps.length === 0) return
+    if (steps.length === 0) {
+      this.#waiting = new Map()
+      return false
+    }
     const allowance = this.#ctx.usage.allowance(
       this.#ctx.opts.view.configuration()?.organisations ?? [],
     )
@@ -68,11 +70,14 @@
       allowance,
       advisedRunners: step => this.#advisedRunners(step, queues, runners),
       wallNow: Date.now(),
-      maxStarts: maxStartsPerPass,
+      maxStarts,
     })
     for (const { task, runnerId } of starts) this.#beginRun(task, runnerId)
-    this.#waiting = sumWaitingWork({ steps, queues, runners, allowance })
     this.#waitingTaskCount = steps.reduce((sum, { pendingCount }) => sum + pendingCount, 0)
+    // What a full pass left out has not been offered to a runner, so it does not lack capacity.
+    if (starts.length >= maxStarts) return true
+    this.#waiting = sumWaitingWork({ steps, queues, runners, allowance })
+    return false
   }
 
   #advisedRunners(
--- a/packages/dispatcher/src/term.ts
+++ b/packages/dispatcher/src/term.ts
@@ -29,6 +29,7 @@
 import { createProgressRetention, type ProgressRetention } from './progress-retention.js'
 import { createRunMonitor, type RunMonitor } from './run-monitor.js'
 import { RunnerSessions } from './runner-sessions.js'
+import { createStartLimit } from './start-limit.js'
 import type { TermContext } from './term-context.js'
 
 /** Delay from a change to the placement pass, so that several changes share a pass; in ms. */
@@ -67,6 +68,7 @@
   readonly #monitor: RunMonitor
   readonly #advice: AdviceCache | undefined
   readonly #loadLog: LoadLog
+  readonly #startLimit = createStartLimit()
   #followers: TableFollower[] = []
   #machineController: MachineController | undefined
   #retention: ProgressRetention | undefined
@@ -285,9 +287,10 @@
   #requestPass(): void {
     if (this.#isPassDue) return
     this.#isPassDue = true
+    const dueAt = performance.now() + passDelayMs
     setTimeout(() => {
       this.#isPassDue = false
-      this.#pass()
+      this.#pass(dueAt)
     }, passDelayMs)
   }
 
@@ -295,16 +298,17 @@
     if (this.#isClosed()) return
     if (this.#ctx.isActive()) this.#monitor.check()
     this.#jobTracker.removeOldEndedIds()
-    this.#pass()
+    this.#requestPass()
     this.#passTimer = setTimeout(() => {
       this.#passLoop()
     }, passIntervalMs)
   }
 
-  #pass(): void {
-    if (!this.#ctx.isActive() || this.#storeLagMs() > maxStoreLagMs) return
+  #pass(dueAt: number): void {
     const startedAt = performance.now()
-    this.#placement.place()
+    const maxStarts = this.#startLimit.next(startedAt - dueAt)
+    if (!this.#ctx.isActive() || this.#storeLagMs() > maxStoreLagMs) return
+    if (this.#placement.place(maxStarts)) this.#requestPass()
     this.#loadLog.addPass(performance.now() - startedAt)
     if (this.#placement.hasWaitingTasks) this.#machineController?.wake()
   }
