perf(dispatcher): put more changes into one transaction; relays for weak holders too

Cause: with changes waiting, each of the eight parts wrote again as soon as its last transaction was answered, up to 100 times a second with one or two jobs each. Relays were used by the number of runners alone, so a weak holder of a small fleet (0.12 cores, 70 runners) made all calls itself. Change: 15 ms pause between transactions of a part that has more to write; relays are used below 10 starts a second of the holder's capacity for each runner (sites of 40 runners and 0.675 cores: direct). Tests of dispatcher and runner-relay pass.

--- a/packages/dispatcher/src/part-writer.ts
+++ b/packages/dispatcher/src/part-writer.ts
@@ -25,6 +25,12 @@
  */
 const commitTimeoutMs = 1_500
 
+/**
+ * Pause after a transaction while more changes wait, in milliseconds, so that the next transaction
+ * carries more of them. Ends and starts of the tasks of a job come close together and share a row.
+ */
+const batchPauseMs = 15
+
 /** Pause after a failed transaction, in milliseconds; its result may be unknown. */
 const retryPauseMs = 100
 
@@ -153,6 +159,7 @@
       if (isStored) for (const { resolvers } of batch) for (const resolve of resolvers) resolve()
       else this.#requeue(batch)
       this.#oldestInFlightSince = undefined
+      if (this.#pending.size > 0) await wait(systemClock, batchPauseMs, this.#closing.signal)
     }
     // Reset in the same step as the last check for pending writes: a change made by a caller whose
     // write has just been stored must start a new loop.
--- a/packages/host-program/src/host-program.ts
+++ b/packages/host-program/src/host-program.ts
@@ -229,6 +229,7 @@
         createRelayedRunners({
           store: this.#store,
           host: cfg.name,
+          startsPerSecond: dispatchCapacity(cfg),
           createRunner: createRunnerClient,
           log: this.#log,
         }),
--- a/packages/runner-relay/__tests__/fixture.ts
+++ b/packages/runner-relay/__tests__/fixture.ts
@@ -85,6 +85,7 @@
     const pool = createRelayedRunners({
       store,
       host: 'front-1',
+      startsPerSecond: 10 * largeFleet,
       createRunner: createClient('dispatcher'),
       log,
     })
--- a/packages/runner-relay/src/relayed-runners.ts
+++ b/packages/runner-relay/src/relayed-runners.ts
@@ -13,10 +13,10 @@
 } from './relay-messages.js'
 
 /**
- * Least number of runners for which calls are relayed. For smaller fleets the dispatcher's own calls
- * cost less than the longer way.
+ * Starts a second of the dispatcher's capacity for each runner, below which its calls are relayed.
+ * With more, its own calls cost less than the longer way.
  */
-const minRelayedRunners = 100
+const relayedStartsPerRunner = 10
 
 /** Time for which a relay is not used after it failed, in milliseconds. */
 const failedRelayPauseMs = 5_000
@@ -44,12 +44,14 @@
   store: FollowableTableService
   /** Name of this host, whose own relay is not used. */
   host: string
+  /** Starts a second that this host can place without relays. */
+  startsPerSecond: number
   /** Creates the client with which this host calls a runner itself. */
   createRunner: (opts: { address: string; runnerId: string }) => RunnerApi
   log: Logger
 }
 
-/** Calls the runners of a large fleet through hosts in the runners' availability zones. */
+/** Calls the runners of a fleet that is large for this host through hosts in the runners' zones. */
 export interface RelayedRunners {
   createRunner(target: RunnerTarget): RunnerApi
   close(): Promise<void>
@@ -57,12 +59,12 @@
 
 /**
  * Starts to follow the relays that hosts announce. A call is made by this host itself while the
- * fleet is small and while no relay of the runner's zone is connected. If a relay fails, its pending
+ * fleet is small for it and while no relay of the runner's zone is connected. If a relay fails, its pending
  * orders have an unknown outcome, like those whose answer is lost, and its polls are repeated by
  * this host.
  *
  * @example
- * const runners = createRelayedRunners({ store, host: 'front-1', createRunner: createRunnerClient, log })
+ * const runners = createRelayedRunners({ store, host: 'front-1', startsPerSecond: 1_350, createRunner, log })
  * const runner = runners.createRunner({ address: '10.128.0.9:8080', runnerId: 'i-7f', zone: 'euw-a' })
  */
 export function createRelayedRunners(opts: RelayedRunnersOptions): RelayedRunners {
@@ -116,7 +118,8 @@
 
   /** The connection for a call to a runner; undefined if this host is to make the call itself. */
   connectionFor({ target, slot }: RelayedRunner): RelayConnection | undefined {
-    if (this.#runners.size < minRelayedRunners || this.#isClosed) return undefined
+    const startsPerRunner = this.#opts.startsPerSecond / this.#runners.size
+    if (startsPerRunner > relayedStartsPerRunner || this.#isClosed) return undefined
     if (performance.now() > this.#chooseAgainAt) this.#chooseHosts()
     const hosts = this.#hostsByZone.get(target.zone) ?? []
     const host = hosts[slot % hosts.length]
