feat(runner-relay): name the relay in the outcome of an order, log failed calls at the relay

Change: the reason of an order without a result names the host of the relay, and the relay logs one line for each call to a runner that failed, so that a late start can be followed from the holder to the host that carried it. 47 tests of runner-relay pass.

--- a/packages/runner-relay/src/relay-connection.ts
+++ b/packages/runner-relay/src/relay-connection.ts
@@ -29,6 +29,8 @@
 
 /** Options of {@link openRelayConnection}. */
 export interface RelayConnectionOptions {
+  /** Name of the host of the relay. */
+  host: string
   /** `ip:port` of the relay. */
   address: string
   /** The process that is expected there. */
@@ -41,6 +43,8 @@
 
 /** A dispatcher's connection to one relay. */
 export interface RelayConnection {
+  /** Name of the host of the relay. */
+  readonly host: string
   readonly isOpen: boolean
   /**
    * Makes a call through the relay. Resolves to undefined when it is not known whether the call was
@@ -61,7 +65,7 @@
  * a call.
  *
  * @example
- * const connection = openRelayConnection({ address: '10.1.0.23:7001', instance, onOpen, onClosed })
+ * const connection = openRelayConnection({ host: 'front-2', address, instance, onOpen, onClosed })
  */
 export function openRelayConnection(opts: RelayConnectionOptions): RelayConnection {
   return new HttpRelayConnection(opts)
@@ -74,6 +78,7 @@
 }
 
 class HttpRelayConnection implements RelayConnection {
+  readonly host: string
   readonly #opts: RelayConnectionOptions
   readonly #req: ClientRequest
   readonly #calls: LineWriter
@@ -86,6 +91,7 @@
 
   constructor(opts: RelayConnectionOptions) {
     this.#opts = opts
+    this.host = opts.host
     const [host, port] = opts.address.split(':')
     this.#silenceDeadline = performance.now() + openTimeoutMs
     this.#req = request({ host, port, path: relayPath, method: 'POST', agent: false })
--- a/packages/runner-relay/src/relay-server.ts
+++ b/packages/runner-relay/src/relay-server.ts
@@ -175,9 +175,16 @@
         result = { outcome: 'unknown', reason: normalizeError(err).message }
       }
     }
+    if (result.outcome !== 'done') this.#logFailure(call, result.reason)
     if (!this.#isClosed) this.#results.write(JSON.stringify({ id: call.id, result }))
   }
 
+  #logFailure({ kind, runnerId, order }: RelayedCall, reason: string): void {
+    const task = 'task' in order ? order.task : undefined
+    const fields = { call: kind, runner: runnerId, task, fence: order.fence, reason }
+    this.#opts.log.info('relayed call to a runner failed', fields)
+  }
+
   #runnerOf({ address, runnerId }: RelayedCall): RunnerApi {
     const key = `${address} ${runnerId}`
     let runner = this.#runners.get(key)
--- a/packages/runner-relay/src/relayed-runners.ts
+++ b/packages/runner-relay/src/relayed-runners.ts
@@ -163,6 +163,7 @@
     const connected = {
       instance,
       connection: openRelayConnection({
+        host,
         address,
         instance,
         onOpen: () => {
@@ -241,7 +242,7 @@
       performance.now() + request.waitMs + pollResultMarginMs,
     )
     if (result !== undefined) return toPollResult(result)
-    if (this.#isClosed) return unknownOutcome
+    if (this.#isClosed) return unknownOutcome(connection.host)
     // A poll may be made twice, and this one may have been made without an answer.
     return this.#direct.poll({ ...request, waitMs: 0 })
   }
@@ -264,14 +265,13 @@
       orderResultSchema,
       performance.now() + orderResultMs,
     )
-    return result === undefined ? unknownOutcome : toOrderResult(result)
+    return result === undefined ? unknownOutcome(connection.host) : toOrderResult(result)
   }
 }
 
 type KindAndOrder<C> = C extends RelayedCall ? Pick<C, 'kind' | 'order'> : never
 type OrderCall = KindAndOrder<Extract<RelayedCall, { kind: 'start' | 'stop' | 'pace' }>>
 
-const unknownOutcome: CallResult<never> = {
-  outcome: 'unknown',
-  reason: 'the relay did not return a result',
+function unknownOutcome(host: string): CallResult<never> {
+  return { outcome: 'unknown', reason: `the relay at ${host} did not return a result` }
 }
