perf(scheduler): compare a backlog with a full pool once in a pass

Cause: each waiting step was compared with every runner of its pool in each pass. Change: amounts for which no runner of a pool has room are noted for the pass; tasks that need as much or more are skipped, unless a label, a limit for each runner, advice or a gang restricts them.

--- a/packages/scheduler/__tests__/choose-starts.test.ts
+++ b/packages/scheduler/__tests__/choose-starts.test.ts
@@ -101,3 +101,47 @@
   t.same(starts.map(({ runnerId }) => runnerId).sort(), ['r1', 'r2', 'r3'])
   t.end()
 })
+
+// Pattern: backlog after a takeover. Thousands of tasks wait for a full pool, and a pass that compared
+// each of their steps with each runner took most of the time of the dispatcher.
+void t.test('a backlog for a full pool is not compared with each runner', t => {
+  const full = { cpuMillis: 500, memoryMb: 8_000, accelerators: 0 }
+  let reads = 0
+  const runners = Array.from({ length: 400 }, (_, index) => {
+    const runner = createRunner(`r${index}`, { free: { ...full } })
+    return {
+      ...runner,
+      get free() {
+        reads += 1
+        return full
+      },
+    }
+  })
+  const jobs = Array.from({ length: 1_000 }, (_, index) =>
+    createJob(String(index), {
+      steps: [{ ...step, amounts: { ...step.amounts, cpuMillis: 1_000 + index } }],
+    }),
+  )
+  const input = { ...createInput(jobs, []), runners }
+  t.equal(chooseStarts(input).length, 0)
+  t.ok(reads < 10 * runners.length, `${reads} comparisons`)
+  t.end()
+})
+
+void t.test('tasks that are smaller, or limited in another way, are still compared', t => {
+  const free = { cpuMillis: 1_500, memoryMb: 2_000, accelerators: 0 }
+  const withAmounts = (id: string, cpuMillis: number, changes = {}) =>
+    createJob(id, { steps: [{ ...step, ...changes, amounts: { ...step.amounts, cpuMillis } }] })
+  const jobs = [
+    withAmounts('labelled', 500, { needs: 'fast' }),
+    withAmounts('large', 2_000),
+    withAmounts('larger', 3_000),
+    withAmounts('small', 1_000),
+  ]
+  const starts = chooseStarts(createInput(jobs, [createRunner('r1', { free })]))
+  t.same(
+    starts.map(({ task }) => task.step.job.definition.id),
+    ['small'],
+  )
+  t.end()
+})
--- a/packages/scheduler/src/choose-starts.ts
+++ b/packages/scheduler/src/choose-starts.ts
@@ -90,6 +90,11 @@
   readonly starts: TaskStart[] = []
   readonly #input: StartChoiceInput
   readonly #runnersByPool = new Map<string, AvailableRunner[]>()
+  /**
+   * Amounts for which no runner of a pool has room, by pool. Free capacity only falls during a pass,
+   * so tasks that need as much or more are not compared with each runner again.
+   */
+  readonly #unfitAmounts = new Map<string, Amounts[]>()
   /** Number of tasks started so far, by `<runner id> <step name>`. */
   readonly #startedTasks = new Map<string, number>()
 
@@ -155,6 +160,7 @@
   ): AvailableRunner | undefined {
     const amounts = reservedAmounts(step)
     if (!this.#isWithinAllowance(step)) return undefined
+    if (this.#isKnownUnfit(queue.pool, amounts)) return undefined
     const advised = queue.advice === undefined ? undefined : this.#input.advisedRunners?.(step)
     if (queue.advice !== undefined && advised === undefined) return undefined
     let best: { runner: AvailableRunner; cost: number } | undefined
@@ -164,9 +170,20 @@
       const cost = this.#costOf(step, task, runner)
       if (best === undefined || cost < best.cost) best = { runner, cost }
     }
+    if (best === undefined && isUnconstrained(step, queue)) this.#noteUnfit(queue.pool, amounts)
     return best?.runner
   }
 
+  #isKnownUnfit(pool: string, amounts: Amounts): boolean {
+    return this.#unfitAmounts.get(pool)?.some(unfit => countFitting(amounts, unfit) >= 1) === true
+  }
+
+  #noteUnfit(pool: string, amounts: Amounts): void {
+    const noted = this.#unfitAmounts.get(pool)
+    if (noted === undefined) this.#unfitAmounts.set(pool, [amounts])
+    else noted.push(amounts)
+  }
+
   #canRun(step: StepExecution, runner: AvailableRunner, amounts: Amounts): boolean {
     const { needs, maxPerRunner } = step.definition
     if (needs !== undefined && !runner.labels.includes(needs)) return false
@@ -242,6 +259,17 @@
   }
 }
 
+/**
+ * Whether a task of a step may go to every runner of its pool that has room. The tasks of a gang hold
+ * capacity that they may give back in the same pass.
+ */
+function isUnconstrained({ definition }: StepExecution, { advice }: JobQueue): boolean {
+  const { needs, maxPerRunner, isGang } = definition
+  return (
+    advice === undefined && needs === undefined && maxPerRunner === undefined && isGang !== true
+  )
+}
+
 /**
  * Resources that a task of a step reserves on its runner. A filler reserves no processor time,
  * because it uses only what other tasks leave.
