--- a/packages/dispatcher/__tests__/fixture.ts
+++ b/packages/dispatcher/__tests__/fixture.ts
@@ -19,7 +19,7 @@
   type MemoryStore,
 } from '@bulrushbridge/standins'
 import { createLogger, createMetrics, type Metrics } from '@bulrushbridge/telemetry'
-import { createDispatcher, type Dispatcher } from '../src/index.js'
+import { createDispatcher, type Dispatcher, type RunnerConnections } from '../src/index.js'
 
 export const queueName = 'finder'
 
@@ -64,6 +64,8 @@
   cfg?: Partial<SchedulerConfiguration>
   waves?: UpkeepWave[]
   machines?: MachineApi<Machine>
+  /** Connects a term to its runners; by default it calls the runners in memory itself. */
+  connectRunners?: (fleet: Pick<Fleet, 'store' | 'runners'>) => RunnerConnections
   /** Least time between orders of two dispatchers for one machine, in milliseconds. */
   machineLeaseMs?: number
   /** Lease of the dispatcher, for tests in which it must not expire, in milliseconds. */
@@ -108,10 +110,11 @@
         },
         view,
         runners: { table: 'servers', decode: (_id, value) => value as RunnerEntry },
-        connectRunners: () => ({
-          createRunner: ({ runnerId }) => (runners.get(runnerId) ?? createMemoryRunner()).api(),
-          close: () => Promise.resolve(),
-        }),
+        connectRunners: () =>
+          opts.connectRunners?.({ store, runners }) ?? {
+            createRunner: ({ runnerId }) => (runners.get(runnerId) ?? createMemoryRunner()).api(),
+            close: () => Promise.resolve(),
+          },
         machines: opts.machines,
         advice: undefined,
         waveStatusRow: (wave, state) => ({
