--- a/packages/runner-relay/src/relayed-runners.ts
+++ b/packages/runner-relay/src/relayed-runners.ts
@@ -59,9 +59,9 @@
 
 /**
  * Starts to follow the relays that hosts announce. A call is made by this host itself while the
- * fleet is small for it and while no relay of the runner's zone is connected. If a relay fails, its pending
- * orders have an unknown outcome, like those whose answer is lost, and its polls are repeated by
- * this host.
+ * fleet is small for it and while no relay of the runner's zone is connected. If a relay fails, its
+ * pending orders have an unknown outcome, like those whose answer is lost, and its polls are repeated
+ * by this host.
  *
  * @example
  * const runners = createRelayedRunners({ store, host: 'front-1', startsPerSecond: 1_350, createRunner, log })
