--- a/packages/runner-relay/__tests__/relayed-runners.test.ts
+++ b/packages/runner-relay/__tests__/relayed-runners.test.ts
@@ -13,7 +13,7 @@
 }
 
 /** A relay that accepts connections and whose lines the test writes. */
-async function startFakeRelay(t: Test, instance = 'fake') {
+async function startFakeRelay(t: Test, instance: string) {
   const responses: ServerResponse[] = []
   let received = ''
   const server = createServer((req, res) => {
@@ -37,6 +37,20 @@
   }
 }
 
+/** Connects a dispatcher to a fake relay that is announced as the process `fake`. */
+async function connectToFakeRelay(t: Test, instance = 'fake') {
+  const network = createNetwork(t)
+  const relay = await startFakeRelay(t, instance)
+  await network.announce({ address: relay.address, instance: 'fake' })
+  const api = first(network.connect())
+  await waitUntil(() => {
+    void api.poll(pollRequest)
+    return relay.connections() > 0
+  })
+  await new Promise(resolve => setTimeout(resolve, 50))
+  return { network, relay, api }
+}
+
 void t.test('calls of a large fleet are made by a relay in the zone of the runner', async t => {
   const network = createNetwork(t)
   await network.announce(await network.startRelay())
@@ -75,15 +89,7 @@
 // Guards against a relay that was paused or cut: the outcome of its orders is not known, so a run
 // must not count as never started, and the runners must be reached without it.
 void t.test('a silent relay leaves orders unknown, and polls are made without it', async t => {
-  const network = createNetwork(t)
-  const relay = await startFakeRelay(t)
-  await network.announce({ address: relay.address, instance: 'fake' })
-  const api = first(network.connect())
-  await waitUntil(() => {
-    void api.poll(pollRequest)
-    return relay.connections() > 0
-  })
-  await new Promise(resolve => setTimeout(resolve, 50))
+  const { network, relay, api } = await connectToFakeRelay(t)
   const [started, polled] = await Promise.all([
     api.start(startOrder('j.0.0.0')),
     api.poll(pollRequest),
@@ -118,15 +124,7 @@
 // Guards against a malformed line that takes the dispatcher down or is taken for an answer.
 for (const line of ['{', '[]', '{"id":"1"}', '{"id":1,"result":{"outcome":"done"}}']) {
   void t.test(`a malformed line of a relay ends only its connection: ${line}`, async t => {
-    const network = createNetwork(t)
-    const relay = await startFakeRelay(t)
-    await network.announce({ address: relay.address, instance: 'fake' })
-    const api = first(network.connect())
-    await waitUntil(() => {
-      void api.poll(pollRequest)
-      return relay.connections() > 0
-    })
-    await new Promise(resolve => setTimeout(resolve, 50))
+    const { relay, api } = await connectToFakeRelay(t)
     const starting = api.start(startOrder('j.0.0.0'))
     await waitUntil(() => relay.received().includes('j.0.0.0'))
     relay.write(line)
@@ -137,15 +135,7 @@
 
 // Guards against calls through a process that got the address of a relay which has left.
 void t.test('another process at the address of a relay is not used', async t => {
-  const network = createNetwork(t)
-  const relay = await startFakeRelay(t, 'another')
-  await network.announce({ address: relay.address, instance: 'fake' })
-  const api = first(network.connect())
-  await waitUntil(() => {
-    void api.poll(pollRequest)
-    return relay.connections() > 0
-  })
-  await new Promise(resolve => setTimeout(resolve, 50))
+  const { network, relay, api } = await connectToFakeRelay(t, 'another')
   t.match(await api.start(startOrder('j.0.0.0')), { outcome: 'done' })
   t.equal(network.callers.at(-1), 'dispatcher')
   t.equal(relay.received(), '')
