--- a/packages/dispatcher/src/machine-controller.ts
+++ b/packages/dispatcher/src/machine-controller.ts
@@ -120,7 +120,12 @@
       const since = session.unreachableSince
       if ((since !== undefined && since > listRequestedAt) || runnersOnUpMachines.has(session.id))
         continue
-      this.#opts.log.info('runner given up, no machine that is up runs it', { runner: session.id })
+      this.#opts.log.info('runner given up, no machine that is up runs it', {
+        runner: session.id,
+        runs: session.allocations.size,
+        unreachableMs: since === undefined ? undefined : Math.round(performance.now() - since),
+        listTookMs: Math.round(performance.now() - listRequestedAt),
+      })
       session.markMachineUnavailable()
     }
   }
--- a/packages/dispatcher/src/runner-orders.ts
+++ b/packages/dispatcher/src/runner-orders.ts
@@ -96,7 +96,9 @@
       const result = await api.stop({ task, run, fence: this.#opts.fence })
       this.#observeClock(result)
       if (result.outcome === 'done') {
-        if (result.value.refusal === 'fence') this.#opts.onFenced()
+        const { refusal } = result.value
+        if (refusal !== undefined) this.#logOrder('stop', allocation, refusal)
+        if (refusal === 'fence') this.#opts.onFenced()
         // From now on the runner lists the run's end, or the run is not there and never will be.
         else allocation.confirmedAt ??= performance.now()
         this.#opts.pollSoon()
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -320,10 +320,16 @@
 
   /** Handles a new start time of the runner: it restarted, or this is its first report. */
   #beginIncarnation(startedAt: number | undefined): void {
-    const isFirst = this.#runnerStartedAt === undefined
+    const previous = this.#runnerStartedAt
     this.#runnerStartedAt = startedAt
     this.#endTracker.reset()
-    if (!isFirst) {
+    if (previous !== undefined) {
+      this.#opts.log.info('runner restarted', {
+        runner: this.id,
+        startedAt,
+        previous,
+        runs: this.allocations.size,
+      })
       this.#clock.reset()
       this.isCordoned = false
       this.isUpkeepExpected = false
