--- a/packages/standins/src/memory-runner.ts
+++ b/packages/standins/src/memory-runner.ts
@@ -16,8 +16,11 @@
  * - `unreachable`: calls do not reach the runner.
  * - `lose-after`: orders are carried out and their responses are lost.
  * - `late`: orders are kept until {@link MemoryRunner.applyDelayed} and get no response.
+ * - `late-polls`: the same for polls; orders are carried out.
+ * - `unhealthy`: orders are refused and not carried out; polls are answered.
  */
-export type RunnerFault = 'none' | 'unreachable' | 'lose-after' | 'late'
+export type RunnerFault =
+  'none' | 'unreachable' | 'lose-after' | 'late' | 'late-polls' | 'unhealthy'
 
 /** A runner in memory with fault injection. */
 export interface MemoryRunner {
@@ -32,7 +35,9 @@
   readonly acknowledged: number
   /** Ends the current run of a task, if it has one. */
   end(task: string, how: RunEnd, checkpoint?: string): void
-  /** Carries out the orders that the fault `late` has delayed. */
+  /** Number of calls that were delayed and are not carried out yet. */
+  readonly delayedCalls: number
+  /** Carries out the calls that the faults `late` and `late-polls` have delayed. */
   applyDelayed(): void
   /** Simulates a crash and a restart under the same id; all state is lost. */
   restart(): void
@@ -62,7 +67,7 @@
   #highestFence = 0
   /** Highest run of each task that was stopped or has ended; it and earlier runs never start. */
   readonly #highestEndedRuns = new Map<string, number>()
-  readonly #delayed: (() => void)[] = []
+  readonly #delayed: (() => unknown)[] = []
   readonly #waiters = new Set<() => void>()
 
   api(): RunnerApi {
@@ -86,6 +91,10 @@
     for (const finishWait of this.#waiters) finishWait()
   }
 
+  get delayedCalls(): number {
+    return this.#delayed.length
+  }
+
   applyDelayed(): void {
     for (const apply of this.#delayed.splice(0)) apply()
   }
@@ -110,6 +119,9 @@
       this.#delayed.push(apply)
       return Promise.resolve({ outcome: 'unknown', reason: 'no answer in time' })
     }
+    if (this.fault === 'unhealthy') {
+      return Promise.resolve({ outcome: 'done', value: { refusal: 'unhealthy', clockMs } })
+    }
     const refusal = apply()
     if (this.fault === 'lose-after') {
       return Promise.resolve({ outcome: 'unknown', reason: 'no answer in time' })
@@ -135,10 +147,12 @@
 
   async #hold(order: PollRequest): Promise<CallResult<PollAnswer>> {
     if (this.fault === 'unreachable') return { outcome: 'unknown', reason: 'no answer in time' }
+    if (this.fault === 'late-polls') {
+      this.#delayed.push(() => this.#acknowledge(order))
+      return { outcome: 'unknown', reason: 'no answer in time' }
+    }
     const { processStartedAt } = this
-    if (this.#isStaleFence(order.fence)) return { outcome: 'done', value: { isFenced: true } }
-    this.acknowledged = Math.max(this.acknowledged, order.acknowledged)
-    this.#pendingEnds = this.#pendingEnds.filter(({ number }) => number > order.acknowledged)
+    if (!this.#acknowledge(order)) return { outcome: 'done', value: { isFenced: true } }
     if (this.#pendingEnds.length === 0 && order.waitMs > 0) await this.#waitForEnd(order.waitMs)
     if (processStartedAt !== this.processStartedAt)
       return { outcome: 'unknown', reason: 'connection reset' }
@@ -159,6 +173,14 @@
     return { outcome: 'done', value: { isFenced: false, report } }
   }
 
+  /** Forgets the ends that a poll acknowledges; returns false, and does nothing, if it is fenced. */
+  #acknowledge({ fence, acknowledged }: PollRequest): boolean {
+    if (this.#isStaleFence(fence)) return false
+    this.acknowledged = Math.max(this.acknowledged, acknowledged)
+    this.#pendingEnds = this.#pendingEnds.filter(({ number }) => number > acknowledged)
+    return true
+  }
+
   /** Whether a higher fencing token was seen; otherwise records this one as the highest. */
   #isStaleFence(fence: number): boolean {
     if (fence < this.#highestFence) return true
