fix(dispatcher): repeat a stop order that the runner refused

Any answer to a stop order counted as success, also 400, 429 and 503, with which a runner says that it has done nothing; the run stayed in the state stopping, in which no other stop is sent. If its start was still under way, the next poll gave it up, and the task ran elsewhere as well.

Only an accepted stop, or a refusal as old or by the fence, now ends the repetition: after these the run is over or can't start.

--- a/packages/dispatcher/__tests__/uncertain-orders.test.ts
+++ b/packages/dispatcher/__tests__/uncertain-orders.test.ts
@@ -28,3 +28,20 @@
   late.applyDelayed()
   t.same([...late.running], [], 'the task runs once')
 })
+
+// Guards against UNASKED: an unhealthy runner refused the stop of a cancelled job's run without
+// carrying it out, and the run went on until the end of the day.
+void t.test('a stop that an unhealthy runner refuses is sent again', async t => {
+  const fleet = createFleet()
+  const runner = await fleet.addRunner('r1')
+  const dispatcher = fleet.start('host-1')
+  t.teardown(() => dispatcher.close())
+  await fleet.submit(id, [oneTask])
+  await waitUntil(() => runner.running.has(task))
+  runner.fault = 'unhealthy'
+  await fleet.cancel(id)
+  await waitUntil(() => runner.refusedOrders > 0)
+  runner.fault = 'none'
+  await waitUntil(() => runner.running.size === 0)
+  t.same(runner.startedRuns, [{ task, run: 1 }])
+})
--- a/packages/dispatcher/src/runner-orders.ts
+++ b/packages/dispatcher/src/runner-orders.ts
@@ -95,16 +95,15 @@
       const { taskName: task, runNumber: run } = allocation
       const result = await api.stop({ task, run, fence: this.#opts.fence })
       this.#observeClock(result)
-      if (result.outcome === 'done') {
-        const { refusal } = result.value
-        if (refusal !== undefined) this.#logOrder('stop', allocation, refusal)
-        if (refusal === 'fence') this.#opts.onFenced()
+      const answer = result.outcome === 'done' ? result.value : undefined
+      if (answer !== undefined && !wasStopRefused(answer)) {
+        if (answer.refusal === 'fence') this.#opts.onFenced()
         // From now on the runner lists the run's end, or the run is not there and never will be.
         else allocation.confirmedAt ??= performance.now()
         this.#opts.pollSoon()
         return
       }
-      this.#logOrder('stop', allocation, result.reason)
+      this.#logOrder('stop', allocation, reasonOf(result))
       await this.#pause(stopRetryPauseMs)
     }
   }
@@ -159,3 +158,12 @@
     return wait(systemClock, ms, this.#opts.closing)
   }
 }
+
+/** Whether the runner did nothing about a stop order, so that the run may go on or still start. */
+function wasStopRefused({ refusal }: RunnerOrderAnswer): boolean {
+  return refusal !== undefined && refusal !== 'fence' && refusal !== 'old'
+}
+
+function reasonOf(result: CallResult<RunnerOrderAnswer>): string {
+  return result.outcome === 'done' ? (result.value.refusal ?? '') : result.reason
+}
--- a/packages/standins/src/memory-runner.ts
+++ b/packages/standins/src/memory-runner.ts
@@ -35,6 +35,8 @@
   readonly acknowledged: number
   /** Ends the current run of a task, if it has one. */
   end(task: string, how: RunEnd, checkpoint?: string): void
+  /** Number of orders that the fault `unhealthy` has refused. */
+  readonly refusedOrders: number
   /** Number of calls that were delayed and are not carried out yet. */
   readonly delayedCalls: number
   /** Carries out the calls that the faults `late` and `late-polls` have delayed. */
@@ -59,6 +61,7 @@
   fault: RunnerFault = 'none'
   processStartedAt = 1
   acknowledged = 0
+  refusedOrders = 0
   readonly startedRuns: RunId[] = []
   readonly running = new Map<string, number>()
   /** Ends that are not acknowledged yet. */
@@ -120,6 +123,7 @@
       return Promise.resolve({ outcome: 'unknown', reason: 'no answer in time' })
     }
     if (this.fault === 'unhealthy') {
+      this.refusedOrders += 1
       return Promise.resolve({ outcome: 'done', value: { refusal: 'unhealthy', clockMs } })
     }
     const refusal = apply()
