fix(dispatcher): stop a run whose first start may still be carried out

A start order without an answer is repeated. A runner that refused the repetition (unhealthy, no room, ticket) had its run given up as not started, and the task went to another runner, while the first order was carried out up to twelve seconds later.

A refusal now counts for its own attempt only. After an attempt without an answer the run is stopped, and the task stays blocked until the runner has accepted the stop, or its lease has ended: a runner starts no run that it has been told to stop.

--- a/packages/dispatcher/src/runner-orders.ts
+++ b/packages/dispatcher/src/runner-orders.ts
@@ -52,6 +52,7 @@
     if (task === undefined) return
     allocation.state = 'ordered'
     allocation.orderedAt = performance.now()
+    let isOutcomeUnknown = false
     for (let attempt = 1; attempt <= maxStartAttempts; attempt++) {
       const leaseDeadline = this.#opts.leaseDeadline()
       const api = this.#opts.api()
@@ -68,17 +69,18 @@
       if (!this.#opts.isAllocated(allocation)) return
       this.#observeClock(result)
       if (result.outcome === 'done') {
-        this.#applyStartAnswer(allocation, result.value, attempt)
+        this.#applyStartAnswer(allocation, result.value, isOutcomeUnknown)
         return
       }
       this.#logOrder('start', allocation, result.reason)
-      if (result.outcome === 'not-done' && attempt === 1) break
+      if (result.outcome === 'unknown') isOutcomeUnknown = true
+      if (!isOutcomeUnknown || attempt === maxStartAttempts) break
       await this.#pause(startRetryPauseMs)
       if (!this.#opts.isAllocated(allocation)) return
-      if (attempt === maxStartAttempts) {
-        void this.stop(allocation)
-        return
-      }
+    }
+    if (isOutcomeUnknown) {
+      void this.stop(allocation)
+      return
     }
     // No start order reached the runner.
     this.#opts.markUnreachable('order failed')
@@ -121,8 +123,13 @@
     this.#logOrder('pace', allocation, result.outcome === 'done' ? 'refused' : result.reason)
   }
 
-  #applyStartAnswer(allocation: Allocation, { refusal }: RunnerOrderAnswer, attempt: number): void {
-    if (refusal === undefined || (refusal === 'old' && attempt > 1)) {
+  /** `isRepeated`: an earlier attempt got no answer, so it may still be carried out. */
+  #applyStartAnswer(
+    allocation: Allocation,
+    { refusal }: RunnerOrderAnswer,
+    isRepeated: boolean,
+  ): void {
+    if (refusal === undefined || (refusal === 'old' && isRepeated)) {
       // After a lost answer, `old` means that an earlier attempt started the run and it has ended.
       if (allocation.state === 'ordered') allocation.state = 'present'
       if (allocation.confirmedAt === undefined) {
@@ -134,7 +141,9 @@
     this.#logOrder('start', allocation, refusal)
     if (refusal === 'fence') this.#opts.onFenced()
     if (refusal === 'room' || refusal === 'late') this.#opts.pollSoon()
-    this.#opts.onNotStarted(allocation)
+    // The refusal says nothing about the earlier attempt; only a stop keeps it from starting.
+    if (isRepeated && refusal !== 'fence') void this.stop(allocation)
+    else this.#opts.onNotStarted(allocation)
   }
 
   #observeClock(result: CallResult<RunnerOrderAnswer>): void {
