--- a/packages/dispatcher/__tests__/uncertain-orders.test.ts
+++ b/packages/dispatcher/__tests__/uncertain-orders.test.ts
@@ -1,9 +1,18 @@
+import type { Machine, MachineApi } from '@bulrushbridge/scheduler'
 import { waitUntil } from '@bulrushbridge/standins'
 import t from 'tap'
 import { createFleet, oneTask } from './fixture.js'
 
 const id = '00000000000000a1'
 const task = `${id}.0.0.0`
+const laterId = '00000000000000b2'
+const machine = {
+  id: 'm1',
+  pool: 'pool',
+  zone: 'zone-a',
+  labels: ['kind', 'rack-1'],
+  capacity: { cpuMillis: 4_000, memoryMb: 4_000, accelerators: 0 },
+}
 
 // Guards against TWICE: a start without an answer is carried out late, after its repetition was
 // refused and the task was started on another runner.
@@ -45,3 +54,44 @@
   await waitUntil(() => runner.running.size === 0)
   t.same(runner.startedRuns, [{ task, run: 1 }])
 })
+
+// Guards against TWICE: a runner that answered again while the platform listed its machines lost its
+// runs by that list, which still showed its machine as down, and they started a second time.
+void t.test('an old list of machines does not end runs of a reachable runner', async t => {
+  const lists: ((machines: Machine[]) => void)[] = []
+  const unused = () => Promise.resolve({ outcome: 'not-done', reason: 'unused' } as const)
+  const machines: MachineApi<Machine> = {
+    list: () =>
+      new Promise(resolve => {
+        lists.push(value => {
+          resolve({ outcome: 'done', value })
+        })
+      }),
+    move: unused,
+    upkeep: unused,
+    close: () => Promise.resolve(),
+  }
+  const fleet = createFleet({ machines })
+  const runner = await fleet.addRunner('r1')
+  const dispatcher = fleet.start('host-1')
+  t.teardown(async () => {
+    for (const answer of lists) answer([])
+    await dispatcher.close()
+  })
+  await fleet.submit(id, [oneTask])
+  await waitUntil(() => runner.running.has(task))
+  for (const answer of lists.splice(0)) answer([{ ...machine, state: 'up', runnerId: 'r1' }])
+  runner.fault = 'unreachable'
+  // Longer than a poll, so that the next list is requested while the runner can't be reached.
+  await new Promise(resolve => setTimeout(resolve, 100))
+  await waitUntil(() => lists.length > 0)
+  runner.fault = 'none'
+  await fleet.submit(laterId, [oneTask])
+  await waitUntil(() => runner.running.has(`${laterId}.0.0.0`))
+  for (const answer of lists.splice(0)) answer([{ ...machine, state: 'down', runnerId: undefined }])
+  await new Promise(resolve => setTimeout(resolve, 200))
+  t.same(
+    runner.startedRuns.map(({ run }) => run),
+    [1, 1],
+  )
+})
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -96,6 +96,8 @@
   isUpkeepExpected = false
   /** Since when polls have failed; undefined while they succeed. */
   unreachableSince: number | undefined
+  /** When the runner last answered a poll. */
+  lastReportAt: number | undefined
   readonly #opts: RunnerSessionOptions
   readonly #closing = new AbortController()
   readonly #clock: RunnerClock
@@ -294,6 +296,7 @@
   }
 
   async #applyReport(report: RunnerReport, sentAt: number): Promise<void> {
+    this.lastReportAt = performance.now()
     const isNewIncarnation =
       report.startedAt !== undefined && report.startedAt !== this.#runnerStartedAt
     if (isNewIncarnation) this.#beginIncarnation(report.startedAt)
