fix(dispatcher): keep a run that a restarted runner lists

A runner that restarts under its id is known by its next report. It takes a runner that falls silent and is back before its poll has timed out, or an order that is carried out late.

Runs of an earlier life are now given up after the report has been read, and only those that it neither lists nor shows as ended. As such a run may hold a lease, leases granted since the restart no longer count as ended at once.

--- a/packages/dispatcher/__tests__/fixture.ts
+++ b/packages/dispatcher/__tests__/fixture.ts
@@ -30,6 +30,7 @@
 export const timing = {
   dispatcherLeaseMs,
   runnerLeaseMs: 300,
+  maxRunnerLeaseMs: 300,
   pollWaitMs: 40,
   suspendedMs: 200,
   machineOrderGapMs: 0,
--- a/packages/dispatcher/__tests__/runner-session.test.ts
+++ b/packages/dispatcher/__tests__/runner-session.test.ts
@@ -1,7 +1,9 @@
+import { JobExecution, type RunnerApi, type Task } from '@bulrushbridge/scheduler'
 import { createMemoryRunner, waitUntil } from '@bulrushbridge/standins'
 import { createLogger } from '@bulrushbridge/telemetry'
 import t from 'tap'
-import type { Allocation } from '../src/allocation.js'
+import { createAllocation, type Allocation } from '../src/allocation.js'
+import { oneTask } from './fixture.js'
 import { createRunnerSession, type SessionEvents } from '../src/runner-session.js'
 
 const entry = {
@@ -15,7 +17,10 @@
   startedAt: 1,
 }
 
-function openSession(events: Partial<SessionEvents>) {
+function openSession(
+  events: Partial<SessionEvents>,
+  wrapApi: (api: RunnerApi) => RunnerApi = api => api,
+) {
   const runner = createMemoryRunner()
   const session = createRunnerSession({
     id: 'r1',
@@ -23,8 +28,9 @@
     fence: 1,
     leaseMs: 300,
     pollWaitMs: 20,
+    maxLeaseMs: 300,
     assumedLeaseEnd: 0,
-    createRunner: () => runner.api(),
+    createRunner: () => wrapApi(runner.api()),
     events: {
       onEnd: () => Promise.resolve(),
       onRunGivenUp: () => undefined,
@@ -57,6 +63,17 @@
   }
 }
 
+/** A task whose first run is recorded for the runner `r1` in its first life. */
+function createTaskWithRun(): Task {
+  const steps = [oneTask]
+  const job = new JobExecution({ id: 'job', queue: 'q', payload: '', steps, acceptedAt: 0 })
+  job.openDueOccurrences(0)
+  const task = job.task(0, 0, 0)
+  if (task === undefined) throw new Error('the job has no task')
+  job.beginRun(task, 'r1', 1)
+  return task
+}
+
 const order = { payload: '', checkpoint: '', ticket: undefined, leaseDeadline: 0, fence: 1, run: 1 }
 
 // Guards against acknowledging too much: during an outage of the store, an end that needed no write
@@ -84,3 +101,39 @@
   await waitUntil(() => runner.acknowledged === 2)
   await session.close()
 })
+
+// Guards against TWICE: a runner restarted and then started a run that was recorded for its earlier
+// life; the first report that showed the restart also listed the run, which was given up all the same.
+void t.test('a run that a restarted runner lists is kept', async t => {
+  const givenUp: string[] = []
+  const polls = { heldUntil: Promise.resolve() }
+  const { runner, session } = openSession(
+    {
+      onRunGivenUp: (_session, { taskName }, cause) => givenUp.push(`${taskName} ${cause}`),
+      allocateUnexpectedRun: (_session, name, run) => {
+        givenUp.push(`${name} unexpected`)
+        return createUnexpectedAllocation(name, run)
+      },
+    },
+    api => ({
+      ...api,
+      poll: async request => {
+        await polls.heldUntil
+        return api.poll(request)
+      },
+    }),
+  )
+  t.teardown(() => session.close())
+  await waitUntil(() => session.isAvailable)
+  let answerPolls: () => void = () => undefined
+  polls.heldUntil = new Promise(resolve => (answerPolls = resolve))
+  runner.restart()
+  const allocation = createAllocation(createTaskWithRun(), 1)
+  session.add(allocation)
+  await session.start(allocation, '', undefined)
+  t.same(runner.startedRuns, [{ task: 'job.0.0.0', run: 1 }])
+  answerPolls()
+  await waitUntil(() => session.runnerStartedAt === 2 && session.isAvailable)
+  t.same(givenUp, [])
+  t.equal(session.allocations.size, 1)
+})
--- a/packages/dispatcher/src/allocation.ts
+++ b/packages/dispatcher/src/allocation.ts
@@ -16,8 +16,11 @@
   /** Undefined for a run of a job that is no longer known. */
   readonly task: Task | undefined
   readonly amounts: Amounts
-  /** Start time of the runner's incarnation for which the run was recorded; 0 if not known. */
-  readonly runnerStartedAt: number
+  /**
+   * Start time of the runner's incarnation for which the run was recorded, or that last listed it; 0
+   * if not known.
+   */
+  runnerStartedAt: number
   state: AllocationState
   /** When the runner confirmed the start or first listed the run. */
   confirmedAt: number | undefined
--- a/packages/dispatcher/src/dispatcher.ts
+++ b/packages/dispatcher/src/dispatcher.ts
@@ -29,6 +29,8 @@
   dispatcherLeaseMs: number
   /** Duration of the lease that each poll of a runner grants to its runs. */
   runnerLeaseMs: number
+  /** Longest lease that a runner takes. */
+  maxRunnerLeaseMs: number
   /** Longest time for which a runner may delay its answer to a poll until a run ends. */
   pollWaitMs: number
   /** How long runners' leases are still renewed after the dispatcher could not renew its own. */
--- a/packages/dispatcher/src/runner-clock.ts
+++ b/packages/dispatcher/src/runner-clock.ts
@@ -15,8 +15,11 @@
   grantLease(now: number, durationMs: number): number | undefined
   /** Local time by which all leases granted so far have certainly ended. */
   allLeasesEndAt(): number
-  /** Forgets readings and leases, because the runner has restarted. */
-  reset(): void
+  /**
+   * Forgets readings and leases, because the runner has restarted. `leaseEnd` is the time by which
+   * leases that it was granted since have ended on its own clock.
+   */
+  reset(leaseEnd: number): void
 }
 
 /**
@@ -45,10 +48,11 @@
       const leftMs = Math.max(0, latestDeadline - reading.clockMs)
       return Math.max(assumedEnd, reading.at + leftMs * (1 + maxClockDrift) + leaseEndMarginMs)
     },
-    reset: () => {
+    reset: leaseEnd => {
       reading = undefined
       latestDeadline = undefined
-      assumedEnd = 0
+      const leftMs = Math.max(0, leaseEnd - performance.now())
+      assumedEnd = performance.now() + leftMs * (1 + maxClockDrift) + leaseEndMarginMs
     },
   }
 }
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -59,6 +59,8 @@
   fence: number
   /** Lease that each poll grants, in milliseconds. */
   leaseMs: number
+  /** Longest lease that a runner takes; it shortens longer ones to this, in milliseconds. */
+  maxLeaseMs: number
   /** How long the runner may delay its answer to a poll until a run ends, in milliseconds. */
   pollWaitMs: number
   /** Time by which all leases that earlier dispatchers granted have certainly ended. */
@@ -326,22 +328,17 @@
     const previous = this.#runnerStartedAt
     this.#runnerStartedAt = startedAt
     this.#endTracker.reset()
-    if (previous !== undefined) {
-      this.#opts.log.info('runner restarted', {
-        runner: this.id,
-        startedAt,
-        previous,
-        runs: this.allocations.size,
-      })
-      this.#clock.reset()
-      this.isCordoned = false
-      this.isUpkeepExpected = false
-    }
-    for (const allocation of [...this.allocations.values()]) {
-      if (allocation.runnerStartedAt !== 0 && allocation.runnerStartedAt !== startedAt) {
-        this.#giveUp(allocation, 'reborn')
-      }
-    }
+    if (previous === undefined) return
+    this.#opts.log.info('runner restarted', {
+      runner: this.id,
+      startedAt,
+      previous,
+      runs: this.allocations.size,
+    })
+    // An order may have reached the runner after its restart, with a deadline on its earlier clock.
+    this.#clock.reset(performance.now() + this.#opts.maxLeaseMs)
+    this.isCordoned = false
+    this.isUpkeepExpected = false
   }
 
   #applyRunning(report: RunnerReport, sentAt: number): void {
@@ -364,6 +361,7 @@
       if (checkpoint !== '' && allocation.task?.step.definition.savesProgress === true) {
         allocation.task.checkpoint = checkpoint
       }
+      allocation.runnerStartedAt = this.runnerStartedAt
       if (allocation.state === 'recorded') allocation.state = 'present'
       if (allocation.confirmedAt === undefined) {
         allocation.confirmedAt = now
@@ -372,6 +370,10 @@
     }
     for (const [key, allocation] of [...this.allocations]) {
       if (listed.has(key)) continue
+      if (allocation.runnerStartedAt !== 0 && allocation.runnerStartedAt !== this.runnerStartedAt) {
+        this.#giveUp(allocation, 'reborn')
+        continue
+      }
       // The runner has seen this term's fencing token and refuses orders with a lower one, so runs
       // of earlier terms can no longer start.
       const isFromEarlierTerm = !this.#isReconciled && allocation.state === 'recorded'
--- a/packages/dispatcher/src/runner-sessions.ts
+++ b/packages/dispatcher/src/runner-sessions.ts
@@ -60,6 +60,7 @@
       entry,
       fence: this.#ctx.fence,
       leaseMs: timing.runnerLeaseMs,
+      maxLeaseMs: timing.maxRunnerLeaseMs,
       pollWaitMs: timing.pollWaitMs,
       assumedLeaseEnd: this.#ctx.startedAt + assumedMs,
       createRunner: runner => connections.createRunner(runner),
--- a/packages/host-program/src/timing.ts
+++ b/packages/host-program/src/timing.ts
@@ -24,6 +24,7 @@
   return {
     dispatcherLeaseMs,
     runnerLeaseMs: Math.min(runnerLeaseMs, cfg.maxRunnerLeaseMs),
+    maxRunnerLeaseMs: cfg.maxRunnerLeaseMs,
     pollWaitMs: holdWaitMs,
     suspendedMs: maxRenewalWithoutLeaseMs,
     machineOrderGapMs: cfg.machineLeaseMs,
