fix(dispatcher): give a restarted runner a new fencing token

A runner that restarts under its id forgets the fencing token, so a call that was sent before the restart can be carried out after it.

Tokens of terms are now multiples of 1,024, and the numbers between count the restarts of a runner within the term. A report that shows a restart proves nothing about runs any more; the next poll, at once, carries the new token, and only its report ends runs of the earlier life. All attempts of a start carry the token of the first, so a runner that restarts in between refuses them alike; such a refusal neither ends the term nor the run. A relay compares terms, and the restarts of each runner by itself. Leases granted since a restart count until they can have ended, as the report may be the last one for a while.

What a runner starts between its restart and its first report with the new token is still found only by that report.

--- a/packages/dispatcher/__tests__/runner-session.test.ts
+++ b/packages/dispatcher/__tests__/runner-session.test.ts
@@ -137,3 +137,68 @@
   t.same(givenUp, [])
   t.equal(session.allocations.size, 1)
 })
+
+// Guards against TWICE: leases granted to a restarted runner counted as ended at once, so that its
+// runs were given up when the next poll failed.
+void t.test('leases of a restarted runner last until they can have ended', async t => {
+  const givenUpAt: number[] = []
+  let restartSeenAt = 0
+  const { runner, session } = openSession(
+    { onRunGivenUp: () => givenUpAt.push(performance.now()) },
+    api => ({
+      ...api,
+      poll: async request => {
+        const result = await api.poll(request)
+        const isRestarted =
+          result.outcome === 'done' && !result.value.isFenced && result.value.report.startedAt === 2
+        if (isRestarted) {
+          restartSeenAt = performance.now()
+          runner.fault = 'unreachable'
+        }
+        return result
+      },
+    }),
+  )
+  t.teardown(() => session.close())
+  await waitUntil(() => session.isAvailable)
+  runner.restart()
+  session.add(createAllocation(createTaskWithRun(), 1))
+  await waitUntil(() => givenUpAt.length > 0)
+  t.ok((givenUpAt[0] ?? 0) - restartSeenAt >= 300)
+})
+
+// Guards against TWICE: a restarted runner started a run by its first order, which got no answer, and
+// refused the repetition as outdated; the run was given up as not started.
+void t.test('an outdated repetition of a start does not end its run', async t => {
+  const givenUp: string[] = []
+  const fenced: number[] = []
+  let attempts = 0
+  const { runner, session } = openSession(
+    {
+      onRunGivenUp: (_session, { taskName }, cause) => givenUp.push(`${taskName} ${cause}`),
+      onFenced: () => fenced.push(performance.now()),
+    },
+    api => ({
+      ...api,
+      start: async order => {
+        attempts += 1
+        if (attempts === 1) {
+          runner.restart()
+          await api.start(order)
+          return { outcome: 'unknown', reason: 'no answer in time' }
+        }
+        await waitUntil(() => session.runnerStartedAt === 2 && session.isAvailable)
+        return api.start(order)
+      },
+    }),
+  )
+  t.teardown(() => session.close())
+  await waitUntil(() => session.isAvailable)
+  const allocation = createAllocation(createTaskWithRun(), 1)
+  session.add(allocation)
+  await session.start(allocation, '', undefined)
+  t.equal(attempts, 2)
+  t.same([...givenUp, ...fenced], [])
+  t.same([...runner.running], [['job.0.0.0', 1]])
+  t.equal(session.allocations.size, 1)
+})
--- a/packages/dispatcher/__tests__/uncertain-orders.test.ts
+++ b/packages/dispatcher/__tests__/uncertain-orders.test.ts
@@ -95,3 +95,53 @@
     [1, 1],
   )
 })
+
+// Guards against TWICE: an order that was sent before a runner restarted was carried out after it,
+// because the restarted runner had forgotten the fencing token, although the task was done.
+void t.test('a start from before a restart of its runner starts nothing after it', async t => {
+  const fleet = createFleet()
+  const runner = await fleet.addRunner('r1')
+  const dispatcher = fleet.start('host-1')
+  t.teardown(() => dispatcher.close())
+  await waitUntil(() => dispatcher.isHolder)
+  runner.fault = 'late'
+  await fleet.submit(id, [oneTask])
+  await waitUntil(() => runner.delayedCalls === 1)
+  runner.fault = 'none'
+  await waitUntil(() => runner.running.has(task))
+  runner.end(task, 'done')
+  await waitUntil(async () => (await fleet.progress(id))?.status === 'completed')
+  runner.restart()
+  await fleet.addRunner('r1')
+  await fleet.submit(laterId, [oneTask])
+  await waitUntil(() => runner.running.has(`${laterId}.0.0.0`))
+  runner.applyDelayed()
+  t.notOk(runner.running.has(task))
+})
+
+// Guards against TWICE: a poll that was sent before a runner restarted acknowledged, by the numbers of
+// the earlier life, ends of the new one that nobody had read; their tasks ran again.
+void t.test('a poll from before a restart of its runner acknowledges nothing after it', async t => {
+  const fleet = createFleet()
+  const runner = await fleet.addRunner('r1')
+  const dispatcher = fleet.start('host-1')
+  t.teardown(() => dispatcher.close())
+  await fleet.submit(id, [{ ...oneTask, count: 2 }])
+  await waitUntil(() => runner.running.size === 2)
+  runner.end(task, 'done')
+  await waitUntil(() => runner.acknowledged === 1)
+  runner.fault = 'late-polls'
+  await waitUntil(() => runner.delayedCalls > 0)
+  runner.restart()
+  runner.fault = 'none'
+  await fleet.submit(laterId, [oneTask])
+  const laterTask = `${laterId}.0.0.0`
+  await waitUntil(() => runner.running.has(laterTask))
+  runner.end(laterTask, 'done')
+  // Before the dispatcher reads the end.
+  runner.applyDelayed()
+  await waitUntil(async () => (await fleet.progress(laterId))?.status !== 'queued')
+  await new Promise(resolve => setTimeout(resolve, 200))
+  t.equal((await fleet.progress(laterId))?.status, 'completed')
+  t.equal(runner.startedRuns.filter(run => run.task === laterTask).length, 1)
+})
--- a/packages/dispatcher/src/dispatcher.ts
+++ b/packages/dispatcher/src/dispatcher.ts
@@ -1,11 +1,12 @@
 import { normalizeError } from '@bulrushbridge/errors'
-import type {
-  AdviceApi,
-  Machine,
-  MachineApi,
-  OperatorView,
-  RunnerApi,
-  RunnerEntry,
+import {
+  fencesPerTerm,
+  type AdviceApi,
+  type Machine,
+  type MachineApi,
+  type OperatorView,
+  type RunnerApi,
+  type RunnerEntry,
 } from '@bulrushbridge/scheduler'
 import {
   createDutyLease,
@@ -117,6 +118,7 @@
       holder,
       ttlMs: timing.dispatcherLeaseMs,
       isSoleHolder: true,
+      tokenStride: fencesPerTerm,
       ...(startsPerSecond === undefined ? {} : { capacity: startsPerSecond }),
       onHandoverRequest: ({ name, capacity }) => {
         opts.log.info('stronger host asks for the lease of the dispatcher', {
--- a/packages/dispatcher/src/runner-orders.ts
+++ b/packages/dispatcher/src/runner-orders.ts
@@ -16,9 +16,10 @@
 /** What {@link RunnerOrders} needs from the session of its runner. */
 export interface RunnerOrdersOptions {
   readonly runnerId: string
-  readonly fence: number
   readonly closing: AbortSignal
   readonly log: Logger
+  /** Fencing token for orders to the present incarnation of the runner. */
+  fence(): number
   /** Undefined while the runner's address is not known. */
   api(): RunnerApi | undefined
   /** Lease deadline for a start order; undefined before the runner's clock is known. */
@@ -52,6 +53,8 @@
     if (task === undefined) return
     allocation.state = 'ordered'
     allocation.orderedAt = performance.now()
+    // If the runner restarts, repetitions are refused like the first attempt.
+    const fence = this.#opts.fence()
     let isOutcomeUnknown = false
     for (let attempt = 1; attempt <= maxStartAttempts; attempt++) {
       const leaseDeadline = this.#opts.leaseDeadline()
@@ -63,13 +66,13 @@
         payload,
         checkpoint: task.checkpoint,
         ticket,
-        fence: this.#opts.fence,
+        fence,
         leaseDeadline,
       })
       if (!this.#opts.isAllocated(allocation)) return
       this.#observeClock(result)
       if (result.outcome === 'done') {
-        this.#applyStartAnswer(allocation, result.value, isOutcomeUnknown)
+        this.#applyStartAnswer(allocation, result.value, { fence, isRepeated: isOutcomeUnknown })
         return
       }
       this.#logOrder('start', allocation, result.reason)
@@ -95,10 +98,12 @@
       const api = this.#opts.api()
       if (api === undefined) return
       const { taskName: task, runNumber: run } = allocation
-      const result = await api.stop({ task, run, fence: this.#opts.fence })
+      const fence = this.#opts.fence()
+      const result = await api.stop({ task, run, fence })
       this.#observeClock(result)
       const answer = result.outcome === 'done' ? result.value : undefined
-      if (answer !== undefined && !wasStopRefused(answer)) {
+      const isSuperseded = answer?.refusal === 'fence' && fence < this.#opts.fence()
+      if (answer !== undefined && !isSuperseded && !wasStopRefused(answer)) {
         if (answer.refusal === 'fence') this.#opts.onFenced()
         // From now on the runner lists the run's end, or the run is not there and never will be.
         else allocation.confirmedAt ??= performance.now()
@@ -117,7 +122,7 @@
     const { taskName: task, runNumber: run } = allocation
     const before = allocation.pacePercent
     allocation.pacePercent = percent
-    const result = await api.pace({ task, run, fence: this.#opts.fence, percent })
+    const result = await api.pace({ task, run, fence: this.#opts.fence(), percent })
     if (result.outcome === 'done' && result.value.refusal === undefined) return
     allocation.pacePercent = before
     this.#logOrder('pace', allocation, result.outcome === 'done' ? 'refused' : result.reason)
@@ -127,7 +132,7 @@
   #applyStartAnswer(
     allocation: Allocation,
     { refusal }: RunnerOrderAnswer,
-    isRepeated: boolean,
+    { fence, isRepeated }: { fence: number; isRepeated: boolean },
   ): void {
     if (refusal === undefined || (refusal === 'old' && isRepeated)) {
       // After a lost answer, `old` means that an earlier attempt started the run and it has ended.
@@ -139,6 +144,8 @@
       return
     }
     this.#logOrder('start', allocation, refusal)
+    // The runner has restarted since, so its next report tells whether the run is there.
+    if (refusal === 'fence' && fence < this.#opts.fence()) return
     if (refusal === 'fence') this.#opts.onFenced()
     if (refusal === 'room' || refusal === 'late') this.#opts.pollSoon()
     // The refusal says nothing about the earlier attempt; only a stop keeps it from starting.
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -1,6 +1,12 @@
 import { setMaxListeners } from 'node:events'
 import { systemClock } from '@bulrushbridge/errors'
-import type { ReportedEnd, RunnerApi, RunnerEntry, RunnerReport } from '@bulrushbridge/scheduler'
+import {
+  runnerFence,
+  type ReportedEnd,
+  type RunnerApi,
+  type RunnerEntry,
+  type RunnerReport,
+} from '@bulrushbridge/scheduler'
 import { wait } from '@bulrushbridge/store'
 import type { Logger } from '@bulrushbridge/telemetry'
 import { IdlePause } from './idle-pause.js'
@@ -56,6 +62,7 @@
   id: string
   /** Undefined for a runner that is not registered and may still run something. */
   entry: RunnerEntry | undefined
+  /** Fencing token of the term. */
   fence: number
   /** Lease that each poll grants, in milliseconds. */
   leaseMs: number
@@ -109,8 +116,13 @@
   #isRegistered: boolean
   #api: RunnerApi | undefined
   #runnerStartedAt: number | undefined
+  /** Restarts of the runner that were seen in this term. */
+  #restarts = 0
   readonly #endTracker = new EndTracker()
-  /** The runner has answered a poll of this term, and nothing has invalidated what it listed. */
+  /**
+   * The present incarnation of the runner has answered a poll with its fencing token, so that calls
+   * from before are refused, and nothing has invalidated what it listed.
+   */
   #isReconciled = false
   /**
    * The runner may have restarted or its runs may have changed. Until the next poll succeeds, the
@@ -272,7 +284,7 @@
     const isResync = this.#needsResync
     const acknowledged = isResync ? 0 : this.#endTracker.stored
     const result = await api.poll({
-      fence: this.#opts.fence,
+      fence: this.#fence(),
       acknowledged,
       leaseDeadline: this.#isReconciled
         ? this.#clock.grantLease(sentAt, this.#opts.leaseMs)
@@ -299,10 +311,13 @@
 
   async #applyReport(report: RunnerReport, sentAt: number): Promise<void> {
     this.lastReportAt = performance.now()
-    const isNewIncarnation =
-      report.startedAt !== undefined && report.startedAt !== this.#runnerStartedAt
+    const previous = this.#runnerStartedAt
+    const isNewIncarnation = report.startedAt !== undefined && report.startedAt !== previous
     if (isNewIncarnation) this.#beginIncarnation(report.startedAt)
     this.#clock.observe(report.clockMs, performance.now())
+    // The next poll tells a restarted runner its new fencing token. Until then a call to its earlier
+    // incarnation may still be carried out, so this report proves nothing about runs.
+    if (isNewIncarnation && previous !== undefined) return
     this.#endTracker.receive(report.ended, end => {
       const allocation = this.allocations.get(allocationKey(end.task, end.run))
       if (allocation !== undefined) this.remove(allocation)
@@ -337,6 +352,9 @@
     })
     // An order may have reached the runner after its restart, with a deadline on its earlier clock.
     this.#clock.reset(performance.now() + this.#opts.maxLeaseMs)
+    this.#restarts += 1
+    this.#isReconciled = false
+    this.#needsResync = true
     this.isCordoned = false
     this.isUpkeepExpected = false
   }
@@ -383,10 +401,10 @@
   }
 
   #runnerOrdersOptions(): RunnerOrdersOptions {
-    const { fence, leaseMs, log, events } = this.#opts
+    const { leaseMs, log, events } = this.#opts
     return {
       runnerId: this.id,
-      fence,
+      fence: () => this.#fence(),
       closing: this.#closing.signal,
       log,
       api: () => this.#api,
@@ -416,6 +434,11 @@
     }
   }
 
+  /** Fencing token for calls to the present incarnation of the runner. */
+  #fence(): number {
+    return runnerFence(this.#opts.fence, this.#restarts)
+  }
+
   #giveUp(allocation: Allocation, cause: GiveUpCause): void {
     this.remove(allocation)
     this.#opts.events.onRunGivenUp(this, allocation, cause)
--- a/packages/runner-relay/__tests__/relay-server.test.ts
+++ b/packages/runner-relay/__tests__/relay-server.test.ts
@@ -30,12 +30,12 @@
   }
 }
 
-const startCall = (id: number, task: string, fence: number) =>
+const startCall = (id: number, task: string, fence: number, runnerId = 'r1') =>
   JSON.stringify({
     id,
     kind: 'start',
     address: '127.0.0.1:1',
-    runnerId: 'r1',
+    runnerId,
     order: startOrder(task, fence),
   })
 
@@ -57,6 +57,25 @@
   },
 )
 
+// Guards against refusing the calls to all runners after a restart of one, which raises the fencing
+// token of the calls to that runner only.
+void t.test('calls from before a restart of their runner are refused, others are made', async t => {
+  const network = createNetwork(t)
+  const relay = await network.startRelay()
+  const dispatcher = await connect(t, relay)
+  dispatcher.write(startCall(1, 'j.0.0.0', 1_025, 'r1'))
+  dispatcher.write(startCall(2, 'j.0.0.1', 1_024, 'r1'))
+  dispatcher.write(startCall(3, 'j.0.0.2', 1_024, 'r2'))
+  await waitUntil(() => dispatcher.result(3) !== undefined)
+  t.match(dispatcher.result(2), { result: { outcome: 'done', value: { refusal: 'fence' } } })
+  t.strictSame(network.runner('r1').startedRuns, [{ task: 'j.0.0.0', run: 1 }])
+  t.strictSame(network.runner('r2').startedRuns, [{ task: 'j.0.0.2', run: 1 }])
+  dispatcher.write(startCall(4, 'j.0.0.3', 2_048, 'r1'))
+  dispatcher.write(startCall(5, 'j.0.0.4', 1_030, 'r2'))
+  await waitUntil(() => dispatcher.result(5) !== undefined)
+  t.match(dispatcher.result(5), { result: { outcome: 'done', value: { refusal: 'fence' } } })
+})
+
 // Guards against a malformed message that takes down the process or the calls of others.
 void t.test('a malformed call ends its connection and no other', async t => {
   const network = createNetwork(t)
--- a/packages/runner-relay/src/relay-server.ts
+++ b/packages/runner-relay/src/relay-server.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import { randomUUID } from 'node:crypto'
 import { normalizeError } from '@bulrushbridge/errors'
-import type { CallResult, RunnerApi } from '@bulrushbridge/scheduler'
+import { isOfEarlierTerm, type CallResult, type RunnerApi } from '@bulrushbridge/scheduler'
 import type { Logger } from '@bulrushbridge/telemetry'
 import { createLineWriter, readLines, type LineWriter } from './line-stream.js'
 import { createPauseDetector } from './pause-detector.js'
@@ -58,8 +58,7 @@
 export async function createRelayServer(opts: RelayServerOptions): Promise<RelayServer> {
   const instance = randomUUID()
   const connections = new Set<RelayServerConnection>()
-  // Highest fencing token seen; calls of earlier dispatchers are refused without reaching a runner.
-  const fence = { highest: 0 }
+  const fences = new FenceRecord()
   const server = createServer((req, res) => {
     if (req.method !== 'POST' || req.url !== relayPath) {
       res.writeHead(404).end()
@@ -67,7 +66,7 @@
     }
     res.writeHead(200, { [instanceHeader]: instance, 'content-type': 'application/x-ndjson' })
     res.flushHeaders()
-    const connection = new RelayServerConnection(req, res, opts, fence)
+    const connection = new RelayServerConnection(req, res, opts, fences)
     connections.add(connection)
     res.on('close', () => {
       connections.delete(connection)
@@ -108,11 +107,30 @@
   }
 }
 
+/**
+ * The fencing tokens that a relay has seen. Calls of earlier dispatchers, and calls from before a
+ * restart of their runner, are refused without reaching the runner, which may have forgotten them.
+ */
+class FenceRecord {
+  #highest = 0
+  /** Highest token by runner, of the term of `#highest`. */
+  readonly #highestByRunner = new Map<string, number>()
+
+  accepts(runnerId: string, fence: number): boolean {
+    if (isOfEarlierTerm(fence, this.#highest)) return false
+    if (isOfEarlierTerm(this.#highest, fence)) this.#highestByRunner.clear()
+    this.#highest = Math.max(this.#highest, fence)
+    const highest = this.#highestByRunner.get(runnerId) ?? 0
+    this.#highestByRunner.set(runnerId, Math.max(highest, fence))
+    return fence >= highest
+  }
+}
+
 class RelayServerConnection {
   readonly #req: IncomingMessage
   readonly #res: ServerResponse
   readonly #opts: RelayServerOptions
-  readonly #fence: { highest: number }
+  readonly #fences: FenceRecord
   readonly #results: LineWriter
   readonly #runners = new Map<string, RunnerApi>()
   #isClosed = false
@@ -121,12 +139,12 @@
     req: IncomingMessage,
     res: ServerResponse,
     opts: RelayServerOptions,
-    fence: { highest: number },
+    fences: FenceRecord,
   ) {
     this.#req = req
     this.#res = res
     this.#opts = opts
-    this.#fence = fence
+    this.#fences = fences
     this.#results = createLineWriter(res, resultDelayMs)
     const reject = () => {
       opts.log.warn('malformed call to the relay, its connection is closed')
@@ -164,9 +182,9 @@
 
   async #carryOut(call: RelayedCall): Promise<void> {
     const { fence } = call.order
-    this.#fence.highest = Math.max(this.#fence.highest, fence)
     let result: CallResult<unknown>
-    if (fence < this.#fence.highest) result = { outcome: 'done', value: fencedAnswers[call.kind] }
+    if (!this.#fences.accepts(call.runnerId, fence))
+      result = { outcome: 'done', value: fencedAnswers[call.kind] }
     else {
       this.#opts.onCall?.(call.kind)
       try {
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -90,6 +90,7 @@
   type RunnerReport,
   type UpkeepWave,
 } from './runner.js'
+export { fencesPerTerm, isOfEarlierTerm, runnerFence } from './runner-fence.js'
 export { createRunnerFailureTracker, type RunnerFailureTracker } from './runner-failure-tracker.js'
 export { isStalled, type ObservedRun } from './stalled-runs.js'
 export {
--- a/packages/store/__tests__/duty-lease.test.ts
+++ b/packages/store/__tests__/duty-lease.test.ts
@@ -243,3 +243,20 @@
   await waitUntil(async () => (await requestedToken()) === 1)
   t.equal(tokenOf(weak.duty), 1)
 })
+
+// Guards against fencing tokens of two holders that overlap: a holder also uses the numbers up to the
+// next multiple of the stride, and a process without a stride may have held the lease before.
+void t.test('tokens are multiples of the stride', async t => {
+  const { host } = await setup(t)
+  const first = host('a')
+  await waitUntil(() => tokenOf(first.duty) === 1)
+  await first.duty.close()
+  for (const token of [1_024, 2_048]) {
+    const next = host('b', { tokenStride: 1_024 })
+    await waitUntil(async () => {
+      await advanceInSteps(next, 250)
+      return tokenOf(next.duty) === token
+    })
+    await next.duty.close()
+  }
+})
--- a/packages/store/src/duty-lease-api.ts
+++ b/packages/store/src/duty-lease-api.ts
@@ -3,7 +3,7 @@
 
 /** A lease that this process holds. */
 export interface HeldLease {
-  /** Fencing token; it increases by one with each acquisition by any process. */
+  /** Fencing token; it increases with each acquisition by any process. */
   token: number
   /** Check that the holder includes in each transaction, so that it fails after a takeover. */
   check: Check
@@ -30,6 +30,11 @@
    * leaves a free lease to others for a moment. Without it, all candidates are equal.
    */
   capacity?: number
+  /**
+   * Distance between the tokens of two acquisitions, for a holder that also uses the numbers between
+   * them. Default: 1.
+   */
+  tokenStride?: number
   /**
    * Called once for each lease when a candidate with much more capacity asks for it. The holder
    * finishes its work and calls {@link DutyLease.handOver}.
--- a/packages/store/src/duty-lease.ts
+++ b/packages/store/src/duty-lease.ts
@@ -235,11 +235,11 @@
   }
 
   async #acquire(version: number): Promise<boolean> {
-    const { table, duty, ttlMs } = this.#opts
+    const { table, duty, ttlMs, tokenStride = 1 } = this.#opts
     const readDeadline = this.#clock.now() + ttlMs / 3
     const previousFence = await table.read<FenceRow>(fencesTable, duty, { deadline: readDeadline })
     const sentAt = this.#clock.now()
-    const token = (previousFence?.value.token ?? 0) + 1
+    const token = (Math.floor((previousFence?.value.token ?? 0) / tokenStride) + 1) * tokenStride
     const fenceRow: FenceRow = { token, instance: this.#instance }
     const result = await table.commit(
       {
