fix(dispatcher): keep the runs of a runner that answers polls, whatever the machine list shows

A runner that answers is there. The list now decides only about runners that don't answer, or have not answered in this term.

Evidence: the test saw the run stopped before the change.

--- a/packages/dispatcher/__tests__/fixture.ts
+++ b/packages/dispatcher/__tests__/fixture.ts
@@ -53,6 +53,8 @@
   cfg: SchedulerConfiguration
   start(holder: string, opts?: { startsPerSecond?: number }): Dispatcher
   addRunner(id: string, entry?: Partial<RunnerEntry>): Promise<MemoryRunner>
+  /** Removes the registry entry of a runner, which runs on. */
+  removeRunner(id: string): Promise<void>
   submit(id: string, steps: readonly Step[], organisation?: string): Promise<void>
   cancel(id: string): Promise<void>
   progress(id: string): Promise<Progress | undefined>
@@ -139,6 +141,10 @@
       await store.commit({ checks: [], writes: [{ table: 'servers', key: id, value }] })
       return runner
     },
+    removeRunner: async id => {
+      const write = { table: 'servers', key: id, value: null }
+      await store.commit({ checks: [], writes: [write] })
+    },
     submit: async (id, steps, organisation) => {
       const job: JobDefinition = {
         id,
--- a/packages/dispatcher/__tests__/uncertain-orders.test.ts
+++ b/packages/dispatcher/__tests__/uncertain-orders.test.ts
@@ -145,3 +145,35 @@
   t.equal((await fleet.progress(laterId))?.status, 'completed')
   t.equal(runner.startedRuns.filter(run => run.task === laterTask).length, 1)
 })
+
+// Guards against TWICE: a runner that answered all calls lost its runs because it could not renew its
+// registry entry and the platform took its machine for down.
+void t.test('a runner that answers keeps its runs without a registry entry', async t => {
+  const unused = () => Promise.resolve({ outcome: 'not-done', reason: 'unused' } as const)
+  let lists = 0
+  const machines: MachineApi<Machine> = {
+    list: () => {
+      lists += 1
+      return Promise.resolve({
+        outcome: 'done',
+        value: [{ ...machine, state: 'down', runnerId: undefined }],
+      })
+    },
+    move: unused,
+    upkeep: unused,
+    close: () => Promise.resolve(),
+  }
+  const fleet = createFleet({ machines })
+  const runner = await fleet.addRunner('r1')
+  const dispatcher = fleet.start('host-1')
+  t.teardown(() => dispatcher.close())
+  await fleet.submit(id, [oneTask])
+  await waitUntil(() => runner.running.has(task))
+  await fleet.removeRunner('r1')
+  const listsBefore = lists
+  await waitUntil(() => lists >= listsBefore + 3)
+  t.equal(runner.running.get(task), 1)
+  await fleet.cancel(id)
+  await waitUntil(() => runner.running.size === 0)
+  t.same(runner.startedRuns, [{ task, run: 1 }])
+})
--- a/packages/dispatcher/src/machine-controller.ts
+++ b/packages/dispatcher/src/machine-controller.ts
@@ -103,9 +103,9 @@
 
   /**
    * Gives up the runs of lost runners (unreachable or unregistered) whose machine, by the
-   * platform's list, is not up or runs another runner. The list may be older than what the runner
-   * has shown since it was requested: a runner that became unreachable only then, or has answered a
-   * poll, is left for the next round.
+   * platform's list, is not up or runs another runner. A runner that answers polls is there whatever
+   * the list shows, which may be old; one that became unreachable only after the list was requested
+   * is left for the next round.
    */
   #giveUpLostRunners(
     missing: readonly RunnerSession[],
@@ -118,9 +118,10 @@
       ),
     )
     for (const session of missing) {
-      const { unreachableSince: since, lastReportAt } = session
-      const changedAt = Math.max(since ?? 0, lastReportAt ?? 0)
-      if (changedAt > listRequestedAt || runnersOnUpMachines.has(session.id)) continue
+      const { unreachableSince: since, hasAnswered } = session
+      const isAnswering = hasAnswered && since === undefined
+      if (isAnswering || (since ?? 0) > listRequestedAt || runnersOnUpMachines.has(session.id))
+        continue
       this.#opts.log.info('runner given up, no machine that is up runs it', {
         runner: session.id,
         runs: session.allocations.size,
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -105,8 +105,8 @@
   isUpkeepExpected = false
   /** Since when polls have failed; undefined while they succeed. */
   unreachableSince: number | undefined
-  /** When the runner last answered a poll. */
-  lastReportAt: number | undefined
+  /** The runner has answered a poll of this term. */
+  hasAnswered = false
   readonly #opts: RunnerSessionOptions
   readonly #closing = new AbortController()
   readonly #clock: RunnerClock
@@ -310,7 +310,7 @@
   }
 
   async #applyReport(report: RunnerReport, sentAt: number): Promise<void> {
-    this.lastReportAt = performance.now()
+    this.hasAnswered = true
     const previous = this.#runnerStartedAt
     const isNewIncarnation = report.startedAt !== undefined && report.startedAt !== previous
     if (isNewIncarnation) this.#beginIncarnation(report.startedAt)
