fix(dispatcher): give up a job whose task crashes the runners that start it

Each task on a runner that is lost without notice (restart, machine down, leases ended) is now counted as a suspect, with the count in the job's progress row, so that it outlives a takeover. Suspects are separated: up to four tasks with one crash share a runner, one with two is the only suspect there, and one with three runs alone; a pool without an idle runner keeps its least busy one free for that. A fourth crash then has one possible cause, and the job fails. A runner that drains, or that was ordered into upkeep or another pool, is not taken for crashed; a run that has lasted ten seconds clears its task.

Evidence: the test waited 10 s in vain for the job to fail before the change; after it the task is started four times, and the harmless job on the same runners completes. Tests on takeovers, draining, and each level of separation go with it.

--- a/packages/dispatcher/__tests__/crashing-tasks.test.ts
+++ b/packages/dispatcher/__tests__/crashing-tasks.test.ts
@@ -58,3 +58,41 @@
   runner.end(`${harmlessJob}.0.0.1`, 'done')
   await waitUntil(() => runner.running.has(deadlyTask))
 })
+
+// Guards against BUDGET: crashes that an earlier dispatcher counted were forgotten by the next one.
+void t.test('crashes are counted across a takeover', async t => {
+  const fleet = createFleet()
+  const runner = await fleet.addRunner('r1')
+  await fleet.submit(deadlyJob, [oneTask])
+  let dispatcher = fleet.start('host-1')
+  t.teardown(() => dispatcher.close())
+  for (let start = 1; start <= 4; start++) {
+    await waitUntil(() => runner.startedRuns.length === start)
+    await dispatcher.close()
+    runner.restart()
+    await fleet.addRunner('r1')
+    dispatcher = fleet.start(`host-${start + 1}`)
+  }
+  await waitUntil(async () => (await fleet.progress(deadlyJob))?.status === 'failed')
+  t.equal(runner.startedRuns.length, 4)
+})
+
+// Guards against failing jobs for orderly ends of runners, such as upkeeps and scale-downs.
+void t.test('a runner that drains before it ends is not taken for crashed', async t => {
+  const fleet = createFleet()
+  const runner = await fleet.addRunner('r1')
+  const dispatcher = fleet.start('host-1')
+  t.teardown(() => dispatcher.close())
+  await fleet.submit(harmlessJob, [oneTask])
+  for (let start = 1; start <= 6; start++) {
+    await waitUntil(() => runner.startedRuns.length === start)
+    await fleet.addRunner('r1', { isDraining: true })
+    // Longer than the pause between two reads of the registry.
+    await new Promise(resolve => setTimeout(resolve, 250))
+    runner.restart()
+    await waitUntil(() => runner.running.size === 0)
+    await new Promise(resolve => setTimeout(resolve, 150))
+    await fleet.addRunner('r1')
+  }
+  t.equal((await fleet.progress(harmlessJob))?.status, 'running')
+})
--- a/packages/dispatcher/__tests__/runner-session.test.ts
+++ b/packages/dispatcher/__tests__/runner-session.test.ts
@@ -34,6 +34,7 @@
     events: {
       onEnd: () => Promise.resolve(),
       onRunGivenUp: () => undefined,
+      onRunsLost: () => undefined,
       allocateUnexpectedRun: (_session, name, run) => createUnexpectedAllocation(name, run),
       onChange: () => undefined,
       onFenced: () => undefined,
@@ -53,6 +54,9 @@
     task: undefined,
     amounts: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
     runnerStartedAt: 1,
+    crashes: 0,
+    isAlone: false,
+    mayHaveStarted: true,
     state: 'present',
     confirmedAt: undefined,
     orderedAt: undefined,
--- a/packages/dispatcher/src/allocation.ts
+++ b/packages/dispatcher/src/allocation.ts
@@ -1,4 +1,10 @@
-import { noAmounts, reservedAmounts, type Amounts, type Task } from '@bulrushbridge/scheduler'
+import {
+  mustRunAlone,
+  noAmounts,
+  reservedAmounts,
+  type Amounts,
+  type Task,
+} from '@bulrushbridge/scheduler'
 
 /**
  * State of a run on a runner. `recorded`: stored or being stored, no start order sent in this term.
@@ -21,6 +27,12 @@
    * if not known.
    */
   runnerStartedAt: number
+  /** Crashes of runners under the task when the run was recorded. */
+  readonly crashes: number
+  /** The run must be alone on its runner. */
+  readonly isAlone: boolean
+  /** The run was ordered, in this term or in an earlier one, so the runner may have started it. */
+  mayHaveStarted: boolean
   state: AllocationState
   /** When the runner confirmed the start or first listed the run. */
   confirmedAt: number | undefined
@@ -59,6 +71,9 @@
     task,
     amounts: task === undefined ? noAmounts : reservedAmounts(task.step),
     runnerStartedAt,
+    crashes: task?.crashes ?? 0,
+    isAlone: task !== undefined && mustRunAlone(task),
+    mayHaveStarted: id !== undefined,
     state: id === undefined ? 'recorded' : 'present',
     confirmedAt: undefined,
     orderedAt: undefined,
--- a/packages/dispatcher/src/available-runner.ts
+++ b/packages/dispatcher/src/available-runner.ts
@@ -3,7 +3,7 @@
 
 /** Converts the session of an available runner into the input of `chooseStarts`. */
 export function toAvailableRunner(session: RunnerSession, entry: RunnerEntry): AvailableRunner {
-  const { free, tasksByStep, servingTasks, fillerTasks } = session.load
+  const { byKey, free, tasksByStep, servingTasks, fillerTasks, suspicion, loneTasks } = session.load
   return {
     id: session.id,
     pool: entry.pool,
@@ -14,6 +14,9 @@
     tasksByStep,
     servingTasks,
     fillerTasks,
+    taskCount: byKey.size,
+    suspicion,
+    isExclusive: loneTasks > 0,
     isLent: session.isLent,
   }
 }
--- a/packages/dispatcher/src/job-tracker.ts
+++ b/packages/dispatcher/src/job-tracker.ts
@@ -4,7 +4,9 @@
   jobSchema,
   acceptedJobsTable,
   JobExecution,
+  maxCrashes,
   partOf,
+  trustedRunMs,
   type ReportedEnd,
   type Progress,
   type Task,
@@ -94,7 +96,9 @@
     const { run } = task
     if (run === undefined) return
     const session = this.#ctx.sessions.get(run.runnerId) ?? this.#openSession(run.runnerId)
-    session.add(createAllocation(task, run.runnerStartedAt))
+    const allocation = createAllocation(task, run.runnerStartedAt)
+    allocation.mayHaveStarted = true
+    session.add(allocation)
   }
 
   /** Handlers for the events of runner sessions. */
@@ -104,6 +108,9 @@
       onRunGivenUp: (session, allocation, cause) => {
         this.onRunGivenUp(session, allocation, cause)
       },
+      onRunsLost: (session, allocations) => {
+        for (const allocation of allocations) this.#recordCrash(session, allocation)
+      },
       allocateUnexpectedRun: (session, name, run) => {
         const task = findTask(this.#ctx.jobs, name)
         this.#ctx.opts.log.warn('unexpected run found, it will be stopped', {
@@ -171,11 +178,39 @@
     })
     this.#ctx.opts.metrics.count('bulrush_runs_ended_total', { how: cause })
     if (task?.run?.number !== runNumber || task.run.runnerId !== session.id) return
-    task.step.job.abandonRun(task)
-    void this.#ctx.storeJob(task.step.job)
+    const { job } = task.step
+    job.abandonRun(task)
+    void this.#ctx.storeJob(job).then(() => {
+      this.#forgetIfEnded(job)
+    })
     this.#ctx.requestPass()
   }
 
+  /**
+   * Counts a crash of a runner against a task that ran there, and fails the task's job when the task
+   * is the cause. The change is stored when the run is given up.
+   */
+  #recordCrash(session: RunnerSession, allocation: Allocation): void {
+    const { task, runNumber, mayHaveStarted, confirmedAt } = allocation
+    if (task?.run?.number !== runNumber || task.run.runnerId !== session.id) return
+    const { job } = task.step
+    if (!mayHaveStarted || job.hasEnded || task.isDone) return
+    const ranMs = sinceMs(confirmedAt) ?? 0
+    if (ranMs >= trustedRunMs) {
+      job.clearCrashes(task)
+      return
+    }
+    job.recordCrash(task)
+    const { name, crashes } = task
+    const { log } = this.#ctx.opts
+    log.info('runner lost under a task', { runner: session.id, task: name, crashes, ranMs })
+    if (crashes < maxCrashes) return
+    log.warn('job given up, its task crashes runners', { job: job.definition.id, task: name })
+    job.end('failed', Date.now())
+    this.#logOutcome(job)
+    this.#stopRuns(job)
+  }
+
   #cancel(id: string): void {
     const job = this.#ctx.jobs.get(id)
     if (job === undefined) {
--- a/packages/dispatcher/src/runner-allocations.ts
+++ b/packages/dispatcher/src/runner-allocations.ts
@@ -1,4 +1,4 @@
-import { addAmounts, type Amounts, type Task } from '@bulrushbridge/scheduler'
+import { addAmounts, suspicionOf, type Amounts } from '@bulrushbridge/scheduler'
 import { allocationKey, type Allocation } from './allocation.js'
 
 /**
@@ -14,6 +14,10 @@
   readonly tasksByStep = new Map<string, number>()
   servingTasks = 0
   fillerTasks = 0
+  /** Sum of the suspicion of the tasks that they crash runners. */
+  suspicion = 0
+  /** Number of tasks that must run alone. */
+  loneTasks = 0
 
   /** Sets the capacity of the runner, which is not known before its registry entry is. */
   setCapacity(capacity: Amounts): void {
@@ -27,7 +31,7 @@
     if (replaced !== undefined) this.remove(replaced)
     this.byKey.set(key, allocation)
     addAmounts(this.free, allocation.amounts, -1)
-    this.#countTask(allocation.task, 1)
+    this.#count(allocation, 1)
   }
 
   /** Removes an allocation; returns whether the runner had it. */
@@ -35,12 +39,14 @@
     const key = allocationKey(allocation.taskName, allocation.runNumber)
     if (!this.byKey.delete(key)) return false
     addAmounts(this.free, allocation.amounts)
-    this.#countTask(allocation.task, -1)
+    this.#count(allocation, -1)
     return true
   }
 
-  #countTask(task: Task | undefined, change: 1 | -1): void {
+  #count({ task, crashes, isAlone }: Allocation, change: 1 | -1): void {
     if (task === undefined) return
+    this.suspicion += change * suspicionOf(crashes)
+    if (isAlone) this.loneTasks += change
     const { name, definition } = task.step
     const count = (this.tasksByStep.get(name) ?? 0) + change
     if (count > 0) this.tasksByStep.set(name, count)
--- a/packages/dispatcher/src/runner-orders.ts
+++ b/packages/dispatcher/src/runner-orders.ts
@@ -52,6 +52,7 @@
     const { task } = allocation
     if (task === undefined) return
     allocation.state = 'ordered'
+    allocation.mayHaveStarted = true
     allocation.orderedAt = performance.now()
     // If the runner restarts, repetitions are refused like the first attempt.
     const fence = this.#opts.fence()
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -45,6 +45,8 @@
   onEnd(session: RunnerSession, end: ReportedEnd, allocation: Allocation | undefined): Promise<void>
   /** A run was given up without a listed end. */
   onRunGivenUp(session: RunnerSession, allocation: Allocation, cause: GiveUpCause): void
+  /** Runs were lost with the runner, which crashed or can't be reached any more. */
+  onRunsLost(session: RunnerSession, allocations: readonly Allocation[]): void
   /** Creates the allocation of a run that the runner lists and that is not expected there. */
   allocateUnexpectedRun(session: RunnerSession, name: string, run: number): Allocation
   /** The runner's free resources, reachability or readiness changed. */
@@ -118,6 +120,7 @@
   #runnerStartedAt: number | undefined
   /** Restarts of the runner that were seen in this term. */
   #restarts = 0
+  #wasRestartExpected = false
   readonly #endTracker = new EndTracker()
   /**
    * The present incarnation of the runner has answered a poll with its fencing token, so that calls
@@ -230,8 +233,7 @@
   markMachineUnavailable(): void {
     this.#isReconciled = false
     this.#needsResync = true
-    for (const allocation of [...this.allocations.values()])
-      this.#giveUp(allocation, 'machine-gone')
+    this.#loseRuns([...this.allocations.values()], 'machine-gone')
   }
 
   async close(): Promise<void> {
@@ -276,7 +278,7 @@
   }
 
   #giveUpAll(): void {
-    for (const allocation of [...this.allocations.values()]) this.#giveUp(allocation, 'lease-ended')
+    this.#loseRuns([...this.allocations.values()], 'lease-ended')
   }
 
   async #poll(api: RunnerApi): Promise<void> {
@@ -355,10 +357,16 @@
     this.#restarts += 1
     this.#isReconciled = false
     this.#needsResync = true
+    this.#wasRestartExpected = this.#isEndExpected()
     this.isCordoned = false
     this.isUpkeepExpected = false
   }
 
+  /** Whether the runner is about to end by an order or by itself, so that its end is no crash. */
+  #isEndExpected(): boolean {
+    return this.isCordoned || this.isUpkeepExpected || this.#entry?.isDraining === true
+  }
+
   #applyRunning(report: RunnerReport, sentAt: number): void {
     const now = performance.now()
     const listed = new Set<string>()
@@ -386,10 +394,11 @@
         this.#opts.events.onStartConfirmed(this, allocation)
       }
     }
+    const ofEarlierIncarnation: Allocation[] = []
     for (const [key, allocation] of [...this.allocations]) {
       if (listed.has(key)) continue
       if (allocation.runnerStartedAt !== 0 && allocation.runnerStartedAt !== this.runnerStartedAt) {
-        this.#giveUp(allocation, 'reborn')
+        ofEarlierIncarnation.push(allocation)
         continue
       }
       // The runner has seen this term's fencing token and refuses orders with a lower one, so runs
@@ -398,6 +407,7 @@
       const isConfirmed = allocation.confirmedAt !== undefined && allocation.confirmedAt < sentAt
       if (isFromEarlierTerm || isConfirmed) this.#giveUp(allocation, 'vanished')
     }
+    this.#loseRuns(ofEarlierIncarnation, 'reborn')
   }
 
   #runnerOrdersOptions(): RunnerOrdersOptions {
@@ -439,6 +449,15 @@
     return runnerFence(this.#opts.fence, this.#restarts)
   }
 
+  /** Gives up runs that are lost with the runner or with its incarnation. */
+  #loseRuns(lost: readonly Allocation[], cause: GiveUpCause): void {
+    if (lost.length === 0) return
+    const isExpected = cause === 'reborn' ? this.#wasRestartExpected : this.#isEndExpected()
+    for (const allocation of lost) this.remove(allocation)
+    if (!isExpected) this.#opts.events.onRunsLost(this, lost)
+    for (const allocation of lost) this.#giveUp(allocation, cause)
+  }
+
   #giveUp(allocation: Allocation, cause: GiveUpCause): void {
     this.remove(allocation)
     this.#opts.events.onRunGivenUp(this, allocation, cause)
--- a/packages/scheduler/__tests__/choose-starts.test.ts
+++ b/packages/scheduler/__tests__/choose-starts.test.ts
@@ -1,5 +1,5 @@
 import t from 'tap'
-import { chooseStarts } from '../src/index.js'
+import { chooseStarts, type JobExecution, type TaskStart } from '../src/index.js'
 import { createInput, createJob, createRunner, step } from './fixture.js'
 
 // For some seconds a queue has five times its mean demand, which is more than its pool can run. In
@@ -145,3 +145,45 @@
   )
   t.end()
 })
+
+function createSuspect(id: string, crashes: number): JobExecution {
+  const job = createJob(id)
+  const task = job.task(0, 0, 0)
+  if (task === undefined) throw new Error('the job has no task')
+  for (let count = 0; count < crashes; count++) job.recordCrash(task)
+  return job
+}
+
+const runnersOf = (starts: readonly TaskStart[]) =>
+  Object.fromEntries(starts.map(({ task, runnerId }) => [task.step.job.definition.id, runnerId]))
+
+// Guards against taking a task for the cause of a crash that another one on the runner caused.
+void t.test('a task that is about to be given up runs alone', t => {
+  const jobs = [createSuspect('suspect', 3), createJob('1'), createJob('2')]
+  const busy = createRunner('busy', { taskCount: 1 })
+  const idle = createRunner('idle')
+  const starts = runnersOf(chooseStarts(createInput(jobs, [busy, idle])))
+  t.same(starts, { suspect: 'idle', 1: 'busy', 2: 'busy' })
+  const taken = createRunner('taken', { taskCount: 1, isExclusive: true })
+  t.same(chooseStarts(createInput([createJob('3')], [taken])), [])
+  t.end()
+})
+
+// Guards against a suspect that waits for ever, because a busy pool has no idle runner.
+void t.test('the least busy runner is kept free for a task that must run alone', t => {
+  const jobs = [createJob('1'), createSuspect('suspect', 3)]
+  const runners = [createRunner('r1', { taskCount: 2 }), createRunner('r2', { taskCount: 1 })]
+  t.same(runnersOf(chooseStarts(createInput(jobs, runners))), { 1: 'r1' })
+  t.end()
+})
+
+// Guards against a crash that puts many tasks under suspicion again, and against a suspect without a
+// runner that holds up the other tasks.
+void t.test('a task under which two runners crashed is the only suspect on its runner', t => {
+  const runner = createRunner('r1')
+  const jobs = [createSuspect('a', 2), createSuspect('b', 1), createJob('1'), createJob('2')]
+  const starts = runnersOf(chooseStarts(createInput(jobs, [runner])))
+  t.equal(Object.keys(starts).filter(id => id === 'a' || id === 'b').length, 1)
+  t.match(starts, { 1: 'r1', 2: 'r1' })
+  t.end()
+})
--- a/packages/scheduler/src/choose-starts.ts
+++ b/packages/scheduler/src/choose-starts.ts
@@ -1,5 +1,6 @@
 import { addAmounts, countFitting, type Amounts } from './amounts.js'
 import type { JobQueue } from './configuration.js'
+import { maxSuspicion, mustRunAlone, suspicionOf } from './crash-suspects.js'
 import type { StepExecution, Task } from './job-execution.js'
 import { compareUrgency, urgencyOf } from './urgency.js'
 import type { RunTimeEstimator } from './run-time-estimator.js'
@@ -27,6 +28,12 @@
   /** Numbers of serving tasks and of fillers on the runner; the two kinds slow each other down. */
   servingTasks: number
   fillerTasks: number
+  /** Number of all tasks on the runner. */
+  taskCount: number
+  /** Sum of the suspicion of its tasks that they crash runners, see `suspicionOf`. */
+  suspicion: number
+  /** The runner runs, or is kept free for, a task that must run alone. */
+  isExclusive: boolean
   /** A move brought the machine into this pool, from a spare pool or from another one. */
   isLent: boolean
 }
@@ -65,8 +72,11 @@
  * that large tasks fit elsewhere and idle machines can be switched off. Free capacity and
  * allowances are never exceeded, because runners start every task that they are ordered to start.
  *
- * Changes its input in place: the free resources and the numbers of serving tasks and fillers of
- * the runners, and the allowances. `tasksByStep` and the steps stay as they are.
+ * Tasks that must run alone go first, on idle runners; where there is none, the runner with the
+ * fewest tasks gets no others, so that it becomes idle.
+ *
+ * Changes its input in place: the free resources, the numbers of tasks and the suspicion of the
+ * runners, and the allowances. `tasksByStep` and the steps stay as they are.
  *
  * @example
  * for (const { task, runnerId } of chooseStarts(input)) record(task, runnerId)
@@ -79,6 +89,7 @@
   })
   ranked.sort((a, b) => compareUrgency(a.urgency, b.urgency))
   const chooser = new StartChooser(input)
+  for (const { step, queue } of ranked) chooser.startLoneTasks(step, queue)
   for (const { step, queue } of ranked) {
     if (chooser.starts.length >= input.maxStarts) break
     chooser.startStep(step, queue)
@@ -107,8 +118,32 @@
     }
   }
 
+  /** Starts the tasks of a step that must run alone. */
+  startLoneTasks(step: StepExecution, queue: JobQueue): void {
+    for (const task of step.tasks) {
+      if (task.crashes === 0 || !isPending(task) || !mustRunAlone(task)) continue
+      if (this.starts.length >= this.#input.maxStarts) return
+      const runner = this.#bestRunner(step, queue, task)
+      if (runner !== undefined) this.#reserve(task, runner)
+      else this.#keepRunnerFree(step, queue)
+    }
+  }
+
+  /** Keeps other tasks from the runner that is likely to be idle first. */
+  #keepRunnerFree(step: StepExecution, queue: JobQueue): void {
+    const amounts = reservedAmounts(step)
+    const { needs } = step.definition
+    let fewest: AvailableRunner | undefined
+    for (const runner of this.#runnersByPool.get(queue.pool) ?? []) {
+      if (runner.isExclusive || countFitting(runner.capacity, amounts) < 1) continue
+      if (needs !== undefined && !runner.labels.includes(needs)) continue
+      if (fewest === undefined || runner.taskCount < fewest.taskCount) fewest = runner
+    }
+    if (fewest !== undefined) fewest.isExclusive = true
+  }
+
   startStep(step: StepExecution, queue: JobQueue): void {
-    const pending = step.tasks.filter(task => !task.isDone && task.run === undefined)
+    const pending = step.tasks.filter(task => isPending(task) && !mustRunAlone(task))
     if (step.definition.isGang === true) {
       // A gang starts only as a whole, and only when no task of its last run may still be running.
       if (pending.length === step.tasks.length) this.#startGang(step, queue, pending)
@@ -117,8 +152,8 @@
     for (const task of pending) {
       if (this.starts.length >= this.#input.maxStarts) return
       const runner = this.#bestRunner(step, queue, task)
-      if (runner === undefined) return
-      this.#reserve(task, runner)
+      if (runner !== undefined) this.#reserve(task, runner)
+      else if (task.crashes === 0) return
     }
   }
 
@@ -166,11 +201,11 @@
     let best: { runner: AvailableRunner; cost: number } | undefined
     for (const runner of this.#runnersByPool.get(queue.pool) ?? []) {
       if (rack !== undefined && runner.rack !== rack) continue
-      if (advised?.has(runner.id) === false || !this.#canRun(step, runner, amounts)) continue
+      if (advised?.has(runner.id) === false || !this.#canRun(task, runner, amounts)) continue
       const cost = this.#costOf(step, task, runner)
       if (best === undefined || cost < best.cost) best = { runner, cost }
     }
-    if (best === undefined && isUnconstrained(step, queue)) this.#noteUnfit(queue.pool, amounts)
+    if (best === undefined && isUnconstrained(task, queue)) this.#noteUnfit(queue.pool, amounts)
     return best?.runner
   }
 
@@ -184,8 +219,12 @@
     else noted.push(amounts)
   }
 
-  #canRun(step: StepExecution, runner: AvailableRunner, amounts: Amounts): boolean {
+  #canRun(task: Task, runner: AvailableRunner, amounts: Amounts): boolean {
+    const { step, crashes } = task
     const { needs, maxPerRunner } = step.definition
+    if (runner.isExclusive) return false
+    if (mustRunAlone(task) && runner.taskCount > 0) return false
+    if (crashes > 0 && runner.suspicion + suspicionOf(crashes) > maxSuspicion) return false
     if (needs !== undefined && !runner.labels.includes(needs)) return false
     if (countFitting(runner.free, amounts) < 1) return false
     return maxPerRunner === undefined || this.#tasksOn(step, runner) < maxPerRunner
@@ -248,6 +287,9 @@
   #adjust(task: Task, runner: AvailableRunner, times: 1 | -1): void {
     const { step } = task
     addAmounts(runner.free, reservedAmounts(step), -times)
+    runner.taskCount += times
+    runner.suspicion += times * suspicionOf(task.crashes)
+    if (mustRunAlone(task)) runner.isExclusive = times === 1
     if (step.definition.isFiller === true) runner.fillerTasks += times
     else if (step.definition.targetMs !== undefined) runner.servingTasks += times
     const name = `${runner.id} ${step.name}`
@@ -263,13 +305,22 @@
  * Whether a task of a step may go to every runner of its pool that has room. The tasks of a gang hold
  * capacity that they may give back in the same pass.
  */
-function isUnconstrained({ definition }: StepExecution, { advice }: JobQueue): boolean {
-  const { needs, maxPerRunner, isGang } = definition
+function isUnconstrained({ step, crashes }: Task, { advice }: JobQueue): boolean {
+  const { needs, maxPerRunner, isGang } = step.definition
+  const isSuspect = crashes > 0
   return (
-    advice === undefined && needs === undefined && maxPerRunner === undefined && isGang !== true
+    advice === undefined &&
+    needs === undefined &&
+    maxPerRunner === undefined &&
+    isGang !== true &&
+    !isSuspect
   )
 }
 
+function isPending(task: Task): boolean {
+  return !task.isDone && task.run === undefined
+}
+
 /**
  * Resources that a task of a step reserves on its runner. A filler reserves no processor time,
  * because it uses only what other tasks leave.
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -63,6 +63,7 @@
   type UpkeepWaveInput,
 } from './plan-upkeep-wave.js'
 export { progressSchema, type Progress, type TaskProgress } from './progress.js'
+export { maxCrashes, mustRunAlone, suspicionOf, trustedRunMs } from './crash-suspects.js'
 export { createRunTimeEstimator, type RunTimeEstimator } from './run-time-estimator.js'
 export {
   orderRefusals,
--- a/packages/scheduler/src/job-execution.ts
+++ b/packages/scheduler/src/job-execution.ts
@@ -30,6 +30,8 @@
   abandonedRuns: number[]
   /** Id of the runner of the last failed run, which the next run avoids. */
   lastFailedRunnerId: string | undefined
+  /** Number of runners that crashed under the task, see `maxCrashes`. */
+  crashes: number
 }
 
 /** The tasks of one step in one occurrence of a job. */
@@ -71,6 +73,8 @@
   readonly openOccurrences = new Map<number, Occurrence>()
   /** Numbers of the occurrences whose tasks are all done. */
   readonly #completeOccurrences = new Set<number>()
+  /** Tasks under which runners have crashed. */
+  readonly #crashSuspects = new Set<Task>()
 
   constructor(job: JobDefinition, progress?: Progress) {
     this.definition = job
@@ -139,6 +143,18 @@
     this.clearRun(task)
   }
 
+  /** Counts a crash of a runner under a task. */
+  recordCrash(task: Task): void {
+    task.crashes += 1
+    this.#crashSuspects.add(task)
+  }
+
+  /** Clears a task of the suspicion that it crashes runners. */
+  clearCrashes(task: Task): void {
+    task.crashes = 0
+    this.#crashSuspects.delete(task)
+  }
+
   /**
    * Marks a task as done, and with it all tasks of its gang. Completes the occurrence and the job
    * when it was the last one.
@@ -180,7 +196,17 @@
     for (const [number, { steps }] of this.openOccurrences) {
       occurrences[String(number)] = steps.map(({ tasks }) => tasks.map(encodeTask))
     }
-    return { ...summary, occurrences }
+    const crashes = this.#encodeCrashes()
+    return { ...summary, occurrences, ...(crashes === undefined ? {} : { crashes }) }
+  }
+
+  #encodeCrashes(): Progress['crashes'] {
+    if (this.#crashSuspects.size === 0) return undefined
+    const prefixLength = this.definition.id.length + 1
+    const suspects = [...this.#crashSuspects].filter(({ isDone }) => !isDone)
+    return Object.fromEntries(
+      suspects.map(({ name, crashes }) => [name.slice(prefixLength), crashes]),
+    )
   }
 
   #restore(progress: Progress): void {
@@ -192,6 +218,14 @@
       if (stored === 1) this.#completeOccurrences.add(number)
       else this.openOccurrences.set(number, this.#createOccurrence(number, stored))
     }
+    for (const [name, crashes] of Object.entries(progress.crashes ?? {})) {
+      const parsed = parseTaskName(`${this.definition.id}.${name}`)
+      const task =
+        parsed === undefined ? undefined : this.task(parsed.occurrence, parsed.step, parsed.index)
+      if (task === undefined) continue
+      task.crashes = crashes
+      this.#crashSuspects.add(task)
+    }
   }
 
   #createOccurrence(number: number, stored?: TaskProgress[][]): Occurrence {
@@ -265,6 +299,7 @@
     run: undefined,
     abandonedRuns: [],
     lastFailedRunnerId: undefined,
+    crashes: 0,
   }
   if (typeof stored === 'number') return task
   const [, failures, lastRun, checkpoint, runnerId, runnerStartedAt] = stored
--- a/packages/scheduler/src/progress.ts
+++ b/packages/scheduler/src/progress.ts
@@ -42,6 +42,8 @@
   occurrences: z
     .record(z.string(), z.union([z.literal(1), z.array(z.array(taskProgressSchema))]))
     .optional(),
+  /** Crashes of runners by task, `<occurrence>.<step>.<index>`; tasks without crashes are absent. */
+  crashes: z.record(z.string(), z.number()).optional(),
 })
 
 /** Stored progress of one job, as {@link progressSchema} parses it. */
