fix(job-front): keep a job that was cancelled as absent from being stored later

A caller that gets no answer to its job cancels it.

Before the answer 410, a cancellation now writes a progress row for the id, if it has none, that belongs to no queue. The transaction that stores a job requires that there is no such row, so it can't take effect any more. If the job has been stored since it was read as absent, it is cancelled. The row shows no job to callers and is removed like the progress of ended jobs.

Evidence: both tests failed before the change: the job was stored after the 410, and a job stored during its cancellation was answered 410 and ran on.

--- a/packages/job-front/__tests__/job-handler.test.ts
+++ b/packages/job-front/__tests__/job-handler.test.ts
@@ -1,7 +1,10 @@
 import { EventEmitter, once } from 'node:events'
 import { createCallerServer } from '@bulrushbridge/caller-server'
 import {
+  acceptedJobsTable,
   createOperatorView,
+  partOf,
+  type JobDefinition,
   type JobQueue,
   type SchedulerConfiguration,
 } from '@bulrushbridge/scheduler'
@@ -88,8 +91,11 @@
     await server.close()
     await acceptor.close()
   })
-  const get = async (path: string) => (await fetch(`http://${server.address}${path}`)).status
-  return { get, refreshCount: () => refreshCount, completeRefresh }
+  const call = async (method: string, path: string) =>
+    (await fetch(`http://${server.address}${path}`, { method })).status
+  const get = (path: string) => call('GET', path)
+  const cancel = (path: string) => call('DELETE', path)
+  return { get, cancel, store, acceptor, refreshCount: () => refreshCount, completeRefresh }
 }
 
 // Guards against a host that answers by a newer configuration and, to a request sent later, by an
@@ -108,3 +114,46 @@
     t.equal(await second, 404)
   },
 )
+
+const job: JobDefinition = {
+  id: '00000000000000a1',
+  queue: 'removed',
+  payload: '',
+  steps: [{ count: 1, amounts: { cpuMillis: 1, memoryMb: 1, accelerators: 0 }, estimateMs: 1 }],
+  acceptedAt: 0,
+}
+
+// Guards against UNASKED: a caller that got no answer to its job cancelled it and was told that there is
+// no such job; the transaction that stores the job took effect seconds later, and the job ran.
+void t.test('a job that was cancelled as absent is not accepted later', async t => {
+  const { store, acceptor, cancel, get } = await setup(t)
+  const path = `/removed/${job.id}`
+  store.fault = 'late'
+  await t.rejects(acceptor.accept(job, performance.now() + 50))
+  store.fault = 'none'
+  t.equal(await cancel(path), 410)
+  t.ok(store.applyDelayed().length > 0)
+  t.equal(await store.read(acceptedJobsTable, job.id, { part: partOf(job.id) }), undefined)
+  t.equal(await get(path), 410)
+  t.equal(await cancel(path), 410)
+})
+
+// Guards against a cancellation of an absent job that is refused for good, or that hides the job, when
+// the job is stored between the read and the write of the cancellation.
+void t.test('a job that is accepted during its cancellation is cancelled', async t => {
+  const { store, acceptor, cancel, get } = await setup(t)
+  const path = `/removed/${job.id}`
+  const commit = store.commit.bind(store)
+  let isFirst = true
+  store.commit = async (tx, opts) => {
+    if (isFirst) {
+      isFirst = false
+      await acceptor.accept(job, performance.now() + 1_000)
+    }
+    return commit(tx, opts)
+  }
+  t.equal(await cancel(path), 200)
+  const cancellation = `${job.id}.cancel`
+  t.ok(await store.read(acceptedJobsTable, cancellation, { part: partOf(job.id) }))
+  t.equal(await get(path), 200)
+})
--- a/packages/job-front/src/job-handler.ts
+++ b/packages/job-front/src/job-handler.ts
@@ -18,7 +18,7 @@
   type Progress,
   type JobQueue,
 } from '@bulrushbridge/scheduler'
-import { StoreError, type TableService } from '@bulrushbridge/store'
+import { StoreError, type TableService, type Transaction } from '@bulrushbridge/store'
 import type { Logger, Metrics } from '@bulrushbridge/telemetry'
 import { retryAfterMs, type JobAcceptor } from './job-acceptor.js'
 
@@ -197,7 +197,12 @@
 
   async #cancel(ctx: RequestContext): Promise<void> {
     const { subpath: id, requestId, queue, deadline } = ctx
-    const progress = await this.#readProgress(ctx)
+    let progress = await this.#readProgress(ctx)
+    if (progress === undefined) {
+      await this.#preventAcceptance(id, deadline)
+      // The job may have been stored since it was read as absent.
+      progress = await this.#readProgress(ctx)
+    }
     if (progress === undefined) throw new RequestError('job-absent')
     if (!hasEnded(progress.status)) await this.#storeCancellation(id, deadline)
     sendJson(ctx.res, 200, {})
@@ -205,17 +210,30 @@
     this.#opts.log.info('cancellation accepted', { job: id, queue: queue.name, requestId, status })
   }
 
-  /** Stores the cancellation, with retries; storing it twice has no further effect. */
+  /**
+   * Keeps a job without progress from being stored later: the transaction that stores it may be under
+   * way or repeated. The row that is written belongs to no queue, so it shows no job to callers.
+   */
+  async #preventAcceptance(id: string, deadline: number): Promise<void> {
+    const row = { table: progressTable, part: partOf(id), key: id }
+    const value: Progress = { status: 'cancelled', queue: '', endedAt: Date.now() }
+    const tx = { checks: [{ ...row, version: 0 }], writes: [{ ...row, value }] }
+    await this.#commitWithRetries(tx, row.part, deadline)
+  }
+
+  /** Stores the cancellation; storing it twice has no further effect. */
   async #storeCancellation(id: string, deadline: number): Promise<void> {
     const part = partOf(id)
     const write = { table: acceptedJobsTable, part, key: `${id}${cancelSuffix}`, value: 1 }
+    await this.#commitWithRetries({ checks: [], writes: [write] }, part, deadline)
+  }
+
+  /** Commits a transaction that may be repeated; a failed check counts as success. */
+  async #commitWithRetries(tx: Transaction, part: string, deadline: number): Promise<void> {
     for (;;) {
       try {
         const attemptDeadline = Math.min(deadline, performance.now() + cancelAttemptTimeoutMs)
-        await this.#opts.store.commit(
-          { checks: [], writes: [write] },
-          { part, deadline: attemptDeadline },
-        )
+        await this.#opts.store.commit(tx, { part, deadline: attemptDeadline })
         return
       } catch (cause) {
         if (performance.now() < deadline - cancelAttemptTimeoutMs) continue
