fix(dispatcher): poll an idle runner that has restarted

The new fencing token of a restarted runner did not reach it while its session was idle: the registry entry that showed the restart woke the session, which then dropped the request for a poll. After a time without registry entry, the first poll carried the acknowledgement of the earlier life.

The idle pause no longer clears the request.

--- a/packages/dispatcher/__tests__/runner-session.test.ts
+++ b/packages/dispatcher/__tests__/runner-session.test.ts
@@ -3,6 +3,8 @@
 import { createAllocation } from '../src/allocation.js'
 import { createTaskWithRun, createUnexpectedAllocation, openSession } from './session-fixture.js'
 
+const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms))
+
 const order = { payload: '', checkpoint: '', ticket: undefined, leaseDeadline: 0, fence: 1, run: 1 }
 
 // Guards against acknowledging too much: during an outage of the store, an end that needed no write
@@ -131,3 +133,43 @@
   t.same([...runner.running], [['job.0.0.0', 1]])
   t.equal(session.allocations.size, 1)
 })
+
+// Guards against acknowledging too much: after an idle session was woken by the registry entry of a
+// restarted runner, its first poll carried the number of an end of the earlier life.
+void t.test('the first poll of a runner that is registered again acknowledges nothing', async t => {
+  const polls: { life: number; acknowledged: number; waitMs: number }[] = []
+  let life = 1
+  const { runner, session } = openSession({}, api => ({
+    ...api,
+    poll: async request => {
+      polls.push({ life, acknowledged: request.acknowledged, waitMs: request.waitMs })
+      return api.poll(request)
+    },
+  }))
+  t.teardown(() => session.close())
+  await waitUntil(() => session.isAvailable)
+  const first = createTaskWithRun()
+  const allocation = createAllocation(first, 1)
+  session.add(allocation)
+  await session.start(allocation, '', undefined)
+  runner.end(first.name, 'done')
+  await waitUntil(() => runner.acknowledged === 1)
+  runner.fault = 'unreachable'
+  const other = createAllocation(first, 1, { name: 'job.0.0.1', run: 1 })
+  session.add(other)
+  await waitUntil(() => session.unreachableSince !== undefined)
+  session.unregister()
+  session.remove(other)
+  await pause(300)
+  runner.restart()
+  life = 2
+  runner.fault = 'none'
+  const { entry } = session
+  if (entry === undefined) throw new Error('no entry')
+  session.update({ ...entry, startedAt: 2 })
+  await waitUntil(() => polls.some(poll => poll.life === 2))
+  t.match(
+    polls.find(poll => poll.life === 2),
+    { acknowledged: 0, waitMs: 0 },
+  )
+})
--- a/packages/dispatcher/__tests__/uncertain-orders.test.ts
+++ b/packages/dispatcher/__tests__/uncertain-orders.test.ts
@@ -6,6 +6,7 @@
 const id = '00000000000000a1'
 const task = `${id}.0.0.0`
 const laterId = '00000000000000b2'
+const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms))
 const machine = {
   id: 'm1',
   pool: 'pool',
@@ -177,3 +178,31 @@
   await waitUntil(() => runner.running.size === 0)
   t.same(runner.startedRuns, [{ task, run: 1 }])
 })
+
+// Guards against TWICE: the session of an idle runner did not poll it when its registry entry showed a
+// restart, so the runner did not learn its new fencing token and carried out a start from before.
+void t.test('an idle runner learns its fencing token after a restart', async t => {
+  const fleet = createFleet()
+  const runner = await fleet.addRunner('r1')
+  const dispatcher = fleet.start('host-1')
+  t.teardown(() => dispatcher.close())
+  await waitUntil(() => dispatcher.isHolder)
+  runner.fault = 'late'
+  await fleet.submit(id, [oneTask])
+  await waitUntil(() => runner.delayedCalls === 1)
+  runner.fault = 'none'
+  await waitUntil(() => runner.running.has(task))
+  runner.end(task, 'done')
+  await waitUntil(async () => (await fleet.progress(id))?.status === 'completed')
+  await waitUntil(() => runner.acknowledged === 1)
+  // The session becomes idle.
+  await pause(200)
+  runner.restart()
+  await fleet.addRunner('r1')
+  // Much longer than the pause between two fetches of registry changes.
+  await pause(1_000)
+  runner.applyDelayed()
+  t.notOk(runner.running.has(task), 'the start from before the restart is refused')
+  await pause(1_000)
+  t.notOk(runner.running.has(task), 'at least it is found and stopped within a second')
+})
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -249,7 +249,7 @@
         await this.#idlePause.wait(maxIdlePauseMs)
         // The runner may have restarted meanwhile, so a poll that follows because a run was added
         // acknowledges nothing.
-        this.#needsResync = this.allocations.size > 0
+        if (this.allocations.size > 0) this.#needsResync = true
         continue
       }
       if (this.#haveLeasesEnded()) this.#giveUpAll()
