fix(dispatcher): stop a run again that a restarted runner lists

A stop that the earlier life of a runner had accepted counted for the new one.

A run in the state stopping that a restarted runner lists is stopped again.

--- a/packages/dispatcher/__tests__/runner-session.test.ts
+++ b/packages/dispatcher/__tests__/runner-session.test.ts
@@ -173,3 +173,39 @@
     { acknowledged: 0, waitMs: 0 },
   )
 })
+
+// Guards against UNASKED: a stop that the earlier life of a runner accepted counted for the new life,
+// so a run that the new life started by a late order was listed and never stopped.
+void t.test('a run that was being stopped is stopped again after a restart', async t => {
+  const polls = { heldUntil: Promise.resolve() }
+  const { runner, session } = openSession({}, api => ({
+    ...api,
+    poll: async request => {
+      await polls.heldUntil
+      return api.poll(request)
+    },
+  }))
+  t.teardown(() => session.close())
+  await waitUntil(() => session.isAvailable)
+  const first = createTaskWithRun()
+  const allocation = createAllocation(first, 1)
+  session.add(allocation)
+  runner.fault = 'late'
+  const starting = session.start(allocation, '', undefined)
+  await waitUntil(() => runner.delayedCalls === 1)
+  runner.fault = 'none'
+  await starting
+  t.equal(runner.running.get(first.name), 1, 'the second attempt starts the run')
+  let answerPolls: () => void = () => undefined
+  polls.heldUntil = new Promise(resolve => (answerPolls = resolve))
+  await pause(100)
+  await session.stop(allocation)
+  t.equal(runner.running.size, 0)
+  runner.restart()
+  runner.applyDelayed()
+  t.equal(runner.running.get(first.name), 1, 'the new life carries out the first attempt')
+  answerPolls()
+  await waitUntil(() => session.isAvailable && session.runnerStartedAt === 2)
+  await pause(1_000)
+  t.equal(runner.running.size, 0, 'the run is stopped')
+})
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -387,8 +387,15 @@
       if (checkpoint !== '' && allocation.task?.step.definition.savesProgress === true) {
         allocation.task.checkpoint = checkpoint
       }
-      allocation.runnerStartedAt = this.runnerStartedAt
       if (allocation.state === 'recorded') allocation.state = 'present'
+      if (allocation.runnerStartedAt !== this.runnerStartedAt) {
+        allocation.runnerStartedAt = this.runnerStartedAt
+        // The stop was accepted by an earlier incarnation, which did not have this run.
+        if (allocation.state === 'stopping') {
+          allocation.state = 'present'
+          void this.stop(allocation)
+        }
+      }
       if (allocation.confirmedAt === undefined) {
         allocation.confirmedAt = now
         this.#opts.events.onStartConfirmed(this, allocation)
