--- a/packages/dispatcher/__tests__/runner-session.test.ts
+++ b/packages/dispatcher/__tests__/runner-session.test.ts
@@ -209,3 +209,30 @@
   await pause(1_000)
   t.equal(runner.running.size, 0, 'the run is stopped')
 })
+
+// Guards against UNASKED: a start without an answer was repeated after the job was cancelled and its
+// run was ordered to stop.
+void t.test('a start is not repeated once its run is being stopped', async t => {
+  const attempts: number[] = []
+  const { session } = openSession({}, api => ({
+    ...api,
+    start: async () => {
+      attempts.push(performance.now())
+      await pause(50)
+      return { outcome: 'unknown', reason: 'no answer in time' }
+    },
+    stop: async () => {
+      await pause(500)
+      return { outcome: 'unknown', reason: 'no answer in time' }
+    },
+  }))
+  t.teardown(() => session.close())
+  await waitUntil(() => session.isAvailable)
+  const first = createTaskWithRun()
+  const allocation = createAllocation(first, 1)
+  session.add(allocation)
+  const starting = session.start(allocation, '', undefined)
+  void session.stop(allocation)
+  await starting
+  t.equal(attempts.length, 1)
+})
--- a/packages/dispatcher/src/runner-orders.ts
+++ b/packages/dispatcher/src/runner-orders.ts
@@ -80,7 +80,7 @@
       if (result.outcome === 'unknown') isOutcomeUnknown = true
       if (!isOutcomeUnknown || attempt === maxStartAttempts) break
       await this.#pause(startRetryPauseMs)
-      if (!this.#opts.isAllocated(allocation)) return
+      if (!this.#opts.isAllocated(allocation) || isStopping(allocation)) return
     }
     if (isOutcomeUnknown) {
       void this.stop(allocation)
@@ -176,6 +176,11 @@
   }
 }
 
+/** A function, because the compiler assumes that the state does not change during awaits. */
+function isStopping({ state }: Allocation): boolean {
+  return state === 'stopping'
+}
+
 /** Whether the runner did nothing about a stop order, so that the run may go on or still start. */
 function wasStopRefused({ refusal }: RunnerOrderAnswer): boolean {
   return refusal !== undefined && refusal !== 'fence' && refusal !== 'old'
