fix(runner-relay): ignore a relay that is announced with an unusable address

An announcement in the table of relays with a port out of range ended the process of the dispatcher, and after it that of each host that took over. The fleet must be large enough for its dispatcher to use relays, and the relay must be announced in the zone of a runner.

Node throws while it creates a request with such a port or with a line break in the host name. The error left the poll of a runner, whose loop nobody awaits before the term ends: an unhandled rejection.

Announcements are now read only with an address of the form `ip:port`, so no request is created with another one; others count as malformed, as before.

Evidence: before the change the new test of the dispatcher saw the unhandled rejection ERR_SOCKET_BAD_PORT, and the tests of the relays failed for the addresses that Node refuses. They pass after it.

--- /dev/null
+++ b/packages/dispatcher/__tests__/odd-registry-entries.test.ts
@@ -0,0 +1,38 @@
+import { createRelayedRunners, relaysTable } from '@bulrushbridge/runner-relay'
+import { createMemoryRunner, waitUntil } from '@bulrushbridge/standins'
+import { createLogger } from '@bulrushbridge/telemetry'
+import t from 'tap'
+import { createFleet, oneTask } from './fixture.js'
+
+const id = '00000000000000e1'
+const task = `${id}.0.0.0`
+
+const log = createLogger({ program: 'test', level: 'silent' })
+
+// Guards against an announcement of another writer that ends the process of each holder of the lease
+// in turn: an error in the loop that polls a runner is an unhandled rejection.
+void t.test('work goes on beside a relay announced with a port out of range', async t => {
+  const fleet = createFleet({
+    connectRunners: ({ store, runners }) =>
+      createRelayedRunners({
+        store,
+        host: 'host-1',
+        startsPerSecond: 1,
+        createRunner: ({ runnerId }) => (runners.get(runnerId) ?? createMemoryRunner()).api(),
+        log,
+      }),
+  })
+  const relay = { address: '10.0.0.1:99999', instance: 'odd', zone: 'zone-a', startsPerSecond: 9 }
+  await fleet.store.commit({
+    checks: [],
+    writes: [{ table: relaysTable, key: 'host-3', value: relay }],
+  })
+  const runner = await fleet.addRunner('r1')
+  await fleet.submit(id, [oneTask])
+  const dispatcher = fleet.start('host-1')
+  await waitUntil(() => runner.running.has(task))
+  runner.end(task, 'done')
+  await waitUntil(async () => (await fleet.progress(id))?.status === 'completed')
+  await dispatcher.close()
+  t.equal(runner.startedRuns.length, 1)
+})
--- a/packages/runner-relay/__tests__/relayed-runners.test.ts
+++ b/packages/runner-relay/__tests__/relayed-runners.test.ts
@@ -141,6 +141,28 @@
   t.equal(relay.received(), '')
 })
 
+// Guards against an announcement of another writer that takes the dispatcher down: Node throws when
+// a request is created with such an address.
+for (const address of [
+  '10.0.0.1:99999',
+  '10.0.0.1:-1',
+  '10.0.0.1:8.5',
+  '10.0.0.1\n:80',
+  'http://10.0.0.1:80/',
+  ':',
+  '',
+]) {
+  void t.test(`a relay with the address ${JSON.stringify(address)} is not used`, async t => {
+    const network = createNetwork(t)
+    await network.announce({ address, instance: 'odd' })
+    const api = first(network.connect())
+    await new Promise(resolve => setTimeout(resolve, 100))
+    t.match(await api.poll(pollRequest), { outcome: 'done' })
+    t.match(await api.start(startOrder('j.0.0.0')), { outcome: 'done' })
+    t.strictSame(network.callers, ['dispatcher', 'dispatcher'])
+  })
+}
+
 void t.test('a withdrawn relay is not used for new calls', async t => {
   const network = createNetwork(t)
   await network.announce(await network.startRelay())
--- a/packages/runner-relay/src/relay-directory.ts
+++ b/packages/runner-relay/src/relay-directory.ts
@@ -1,4 +1,5 @@
 import { normalizeError, systemClock } from '@bulrushbridge/errors'
+import { isSocketAddress } from '@bulrushbridge/scheduler'
 import {
   followTable,
   wait,
@@ -22,7 +23,7 @@
 
 const announcementSchema = z.object({
   /** `ip:port` of the relay. */
-  address: z.string(),
+  address: z.string().refine(isSocketAddress),
   /** Identifies the process, as a restarted host or another service may get the address. */
   instance: z.string(),
   /** Availability zone of the host. */
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -91,6 +91,7 @@
   type UpkeepWave,
 } from './runner.js'
 export { createRunnerFailureTracker, type RunnerFailureTracker } from './runner-failure-tracker.js'
+export { isSocketAddress } from './socket-address.js'
 export { isStalled, type ObservedRun } from './stalled-runs.js'
 export {
   cancelSuffix,
