fix(store): follow a table on past a row that cannot be applied

At the start, the dispatcher's takeover did not end. No stored value is known to make the present decoders throw; this keeps one that does from stopping every host.

The follower now applies the rows of such an answer one by one. It reports the row that cannot be applied (`onRejected`, logged as `row could not be applied`) and passes its deletion on, so that an entry in use does not stay in use.

Evidence: the tests of the follower timed out before the change, as did that of the dispatcher, whose runner registered after an entry that could not be decoded. They pass after it.

--- a/packages/dispatcher/__tests__/fixture.ts
+++ b/packages/dispatcher/__tests__/fixture.ts
@@ -64,6 +64,8 @@
   cfg?: Partial<SchedulerConfiguration>
   waves?: UpkeepWave[]
   machines?: MachineApi<Machine>
+  /** Decodes the value of an entry of the registry; by default it is taken as it is. */
+  decodeRunner?: (value: unknown) => RunnerEntry | undefined
   /** Connects a term to its runners; by default it calls the runners in memory itself. */
   connectRunners?: (fleet: Pick<Fleet, 'store' | 'runners'>) => RunnerConnections
   /** Least time between orders of two dispatchers for one machine, in milliseconds. */
@@ -109,7 +111,10 @@
           machineOrderGapMs: opts.machineLeaseMs ?? timing.machineOrderGapMs,
         },
         view,
-        runners: { table: 'servers', decode: (_id, value) => value as RunnerEntry },
+        runners: {
+          table: 'servers',
+          decode: (_id, value) => (opts.decodeRunner ?? asRunnerEntry)(value),
+        },
         connectRunners: () =>
           opts.connectRunners?.({ store, runners }) ?? {
             createRunner: ({ runnerId }) => (runners.get(runnerId) ?? createMemoryRunner()).api(),
@@ -178,6 +183,8 @@
   }
 }
 
+const asRunnerEntry = (value: unknown) => value as RunnerEntry
+
 const runnerEntry: Omit<RunnerEntry, 'id' | 'address' | 'startedAt'> = {
   pool: 'pool',
   zone: 'zone-a',
--- a/packages/dispatcher/__tests__/odd-registry-entries.test.ts
+++ b/packages/dispatcher/__tests__/odd-registry-entries.test.ts
@@ -1,4 +1,5 @@
 import { createRelayedRunners, relaysTable } from '@bulrushbridge/runner-relay'
+import type { RunnerEntry } from '@bulrushbridge/scheduler'
 import { createMemoryRunner, waitUntil } from '@bulrushbridge/standins'
 import { createLogger } from '@bulrushbridge/telemetry'
 import t from 'tap'
@@ -36,3 +37,25 @@
   await dispatcher.close()
   t.equal(runner.startedRuns.length, 1)
 })
+
+// Guards against a registry that is no longer followed because of one entry: the runners that
+// register after it got no work.
+void t.test('a runner gets work beside an entry whose decoding throws', async t => {
+  const fleet = createFleet({
+    decodeRunner: value => {
+      if (value === 'odd') throw new RangeError('Maximum call stack size exceeded')
+      return value as RunnerEntry
+    },
+  })
+  const dispatcher = fleet.start('host-1')
+  await waitUntil(() => dispatcher.isHolder)
+  await fleet.store.commit({
+    checks: [],
+    writes: [{ table: 'servers', key: 'odd', value: 'odd' }],
+  })
+  const runner = await fleet.addRunner('r1')
+  await fleet.submit(id, [oneTask])
+  await waitUntil(() => runner.running.has(task))
+  await dispatcher.close()
+  t.equal(runner.startedRuns.length, 1)
+})
--- a/packages/dispatcher/src/term.ts
+++ b/packages/dispatcher/src/term.ts
@@ -274,12 +274,15 @@
     })
   }
 
-  #follow(opts: Omit<TableFollowerOptions, 'store' | 'onState'>): TableFollower {
+  #follow(opts: Omit<TableFollowerOptions, 'store' | 'onRejected' | 'onState'>): TableFollower {
     const { store, log } = this.#ctx.opts
+    const onRejected: TableFollowerOptions['onRejected'] = ({ key }, reason) => {
+      log.error('row could not be applied', { table: opts.table, key, reason })
+    }
     const onState: TableFollowerOptions['onState'] = (state, detail) => {
       log.warn(`change feed ${state}`, { table: opts.table, detail })
     }
-    const follower = followTable({ ...opts, store, onState })
+    const follower = followTable({ ...opts, store, onRejected, onState })
     this.#followers.push(follower)
     return follower
   }
--- a/packages/host-program/src/host-program.ts
+++ b/packages/host-program/src/host-program.ts
@@ -209,6 +209,9 @@
       onChanges: rows => {
         this.#view.applyChanges(rows)
       },
+      onRejected: ({ key }, reason) => {
+        this.#log.error('row could not be applied', { table: operatorTable, key, reason })
+      },
       onState: (state, detail) => {
         this.#log.warn(`change feed ${state}`, { table: operatorTable, detail })
       },
--- a/packages/runner-relay/src/relay-directory.ts
+++ b/packages/runner-relay/src/relay-directory.ts
@@ -127,6 +127,9 @@
       for (const row of rows) apply(row)
       onChange()
     },
+    onRejected: ({ key }, reason) => {
+      log.error('row could not be applied', { table: relaysTable, key, reason })
+    },
     onState: (state, detail) => {
       log.warn(`change feed ${state}`, { table: relaysTable, detail })
     },
--- a/packages/store/src/follow-table.ts
+++ b/packages/store/src/follow-table.ts
@@ -1,4 +1,4 @@
-import { systemClock } from '@bulrushbridge/errors'
+import { normalizeError, systemClock } from '@bulrushbridge/errors'
 import type { ChangedRow, FollowableTableService } from './table-service.js'
 import { wait, type WaitingClock } from './wait.js'
 
@@ -21,6 +21,11 @@
   onSnapshot: (rows: ChangedRow[]) => void
   /** Called with the rows that have changed since the previous call. */
   onChanges: (rows: ChangedRow[]) => void
+  /**
+   * Called for each row for which the callbacks throw. The other rows of the answer are applied, so
+   * the callbacks may get a row of it twice; this one is reported as deleted.
+   */
+  onRejected: (row: ChangedRow, reason: string) => void
   /** Called when calls begin to fail, with the error as `detail`, and when they succeed again. */
   onState: (state: 'lost' | 'regained', detail: string) => void
   /** Pause between two calls, in milliseconds, so that one response contains several changes. */
@@ -42,7 +47,7 @@
  * changes since the last call, it reads a new snapshot.
  *
  * @example
- * const follower = followTable({ store, table: 'jobs', parts, onSnapshot, onChanges, onState, pauseMs: 20 })
+ * const follower = followTable({ store, table: 'jobs', parts, onSnapshot, onChanges, onRejected, onState, pauseMs: 20 })
  * await follower.ready
  */
 export function followTable(opts: TableFollowerOptions): TableFollower {
@@ -89,7 +94,7 @@
         await wait(this.#clock, this.#opts.pauseMs, this.#closing.signal)
       } catch (err) {
         if (this.#isClosed()) return
-        this.#notifyState(true, err instanceof Error ? err.message : String(err))
+        this.#notifyState(true, normalizeError(err).message)
         await wait(this.#clock, retryPauseMs, this.#closing.signal)
       }
     }
@@ -99,7 +104,7 @@
     const { store, table, parts } = this.#opts
     if (this.#version === undefined) {
       const { rows, version } = await store.snapshot(table, parts)
-      this.#opts.onSnapshot(rows)
+      this.#applySnapshot(rows)
       this.#version = version
       return
     }
@@ -109,10 +114,42 @@
       deadline: this.#clock.now() + changeWaitMs + responseSlackMs,
       signal: this.#closing.signal,
     })
-    if (changes !== undefined && changes.rows.length > 0) this.#opts.onChanges(changes.rows)
+    if (changes !== undefined && changes.rows.length > 0) this.#applyChanges(changes.rows)
     this.#version = changes?.version
   }
 
+  #applySnapshot(rows: ChangedRow[]): void {
+    try {
+      this.#opts.onSnapshot(rows)
+    } catch {
+      this.#opts.onSnapshot(rows.filter(row => this.#applyRow(row)))
+    }
+  }
+
+  #applyChanges(rows: ChangedRow[]): void {
+    try {
+      this.#opts.onChanges(rows)
+    } catch {
+      for (const row of rows) this.#applyRow(row)
+    }
+  }
+
+  /** Applies one row, or its deletion if it cannot be applied; returns whether it was applied. */
+  #applyRow(row: ChangedRow): boolean {
+    try {
+      this.#opts.onChanges([row])
+      return true
+    } catch (err) {
+      this.#opts.onRejected(row, normalizeError(err).message)
+    }
+    try {
+      this.#opts.onChanges([{ ...row, value: undefined, isDeleted: true }])
+    } catch {
+      // Without this, one row would keep all later changes of the table from being followed.
+    }
+    return false
+  }
+
   /** A method, because TypeScript does not expect the signal to be aborted during an await. */
   #isClosed(): boolean {
     return this.#closing.signal.aborted
