fix(scheduler): open the due occurrences of a job in portions

A caller's job with a schedule of a billion repetitions without an interval, a body of a few dozen bytes, made the dispatcher create all of them in one pass. Its process ended for want of memory, and so did that of each host that took over, as the job is stored.

At most 1,000 occurrences of a job, or those with 100,000 tasks, are now open at once, and always one; a due occurrence beyond that opens when another is complete. No job is refused.

--- a/packages/scheduler/__tests__/job-execution.test.ts
+++ b/packages/scheduler/__tests__/job-execution.test.ts
@@ -53,3 +53,38 @@
   t.equal(job.startableSteps().length, 1)
   t.end()
 })
+
+// Guards against a job that takes all memory of each dispatcher in turn: a caller may send any number
+// of repetitions, all due at once.
+void t.test('only some of very many due occurrences are open at once', t => {
+  const job = createJob('1', {
+    steps: [{ ...step, count: 10_000 }],
+    schedule: { occurrences: 12, firstAt: 0, intervalMs: 0 },
+  })
+  job.openDueOccurrences(1)
+  t.equal(job.openOccurrences.size, 10)
+  t.equal(job.openDueOccurrences(1), false)
+  for (const task of job.openOccurrences.get(3)?.steps[0]?.tasks ?? []) job.markDone(task, 1)
+  t.equal(job.openDueOccurrences(1), true)
+  t.equal(job.openOccurrences.size, 10)
+  t.ok(job.openOccurrences.has(10))
+  t.end()
+})
+
+void t.test('a very long schedule without intervals opens in portions', t => {
+  const job = createJob('1', {
+    schedule: { occurrences: 1_000_000, firstAt: 0, intervalMs: 0 },
+  })
+  t.equal(job.openOccurrences.size, 1_000)
+  t.end()
+})
+
+void t.test('an occurrence with very many tasks opens alone', t => {
+  const job = createJob('1', {
+    steps: Array.from({ length: 11 }, () => ({ ...step, count: 10_000 })),
+    schedule: { occurrences: 2, firstAt: 0, intervalMs: 0 },
+  })
+  job.openDueOccurrences(1)
+  t.strictSame([...job.openOccurrences.keys()], [0])
+  t.end()
+})
--- a/packages/scheduler/src/job-execution.ts
+++ b/packages/scheduler/src/job-execution.ts
@@ -1,6 +1,12 @@
 import { hasEnded, type JobDefinition, type JobStatus, type Step } from './job.js'
 import type { Progress, TaskProgress } from './progress.js'
 
+/** Most occurrences of one job that are open at once. */
+const maxOpenOccurrences = 1_000
+
+/** Most tasks of one job whose occurrences are open at once, unless a single occurrence has more. */
+const maxOpenTasks = 100_000
+
 /** A recorded run of a task on a runner. */
 export interface TaskRun {
   number: number
@@ -83,11 +89,15 @@
     return hasEnded(this.status)
   }
 
-  /** Opens the occurrences that are due; returns whether it opened any. */
+  /**
+   * Opens the occurrences that are due; returns whether it opened any. While very many are open, or
+   * they have very many tasks, the others wait until one of them is complete.
+   */
   openDueOccurrences(wallNow: number): boolean {
     const previousCount = this.openOccurrences.size
+    const maxOpen = this.#maxOpenOccurrences()
     for (let number = 0; number < this.#occurrenceCount(); number++) {
-      if (this.#startableFrom(number) > wallNow) break
+      if (this.#startableFrom(number) > wallNow || this.openOccurrences.size >= maxOpen) break
       if (!this.openOccurrences.has(number) && !this.#completeOccurrences.has(number))
         this.openOccurrences.set(number, this.#createOccurrence(number))
     }
@@ -183,6 +193,11 @@
     return { ...summary, occurrences }
   }
 
+  #maxOpenOccurrences(): number {
+    const tasks = this.definition.steps.reduce((sum, { count }) => sum + count, 0)
+    return Math.min(maxOpenOccurrences, Math.max(1, Math.floor(maxOpenTasks / tasks)))
+  }
+
   #restore(progress: Progress): void {
     this.status = progress.status
     this.endedAt = progress.endedAt
