fix(caller-server): refuse a request whose host and target are not a URL

One request without a key ended the process of an entry host: a host header with a port out of range (`host: queue:99999`) and a path with `..`, a backslash or a query with a quote. For such a target h3 builds a URL while it handles the event `request`, and the error had no handler.

The request now gets status 400 and its connection is closed.

--- a/packages/caller-server/__tests__/caller-server.test.ts
+++ b/packages/caller-server/__tests__/caller-server.test.ts
@@ -44,3 +44,33 @@
     t.equal(server.activeRequests(), 0)
   },
 )
+
+// Guards against a request that ends the process: its host is no part of a URL, and its path or query
+// is one for which h3 builds a URL.
+for (const target of ['/queue/../job', '/queue/\\job', "/queue/job?a='b'"]) {
+  void t.test(`a host with a port out of range and the target ${target} is refused`, async t => {
+    const kinds: string[] = []
+    const server = await createCallerServer({
+      host: '127.0.0.1',
+      port: 0,
+      nextRequestId: () => 'id',
+      routes: {
+        '/**': (_req, res) => {
+          res.end('done')
+          return Promise.resolve()
+        },
+      },
+      onError: ({ kind }) => kinds.push(kind),
+    })
+    t.teardown(() => server.close())
+    const [host = '', port = ''] = server.address.split(':')
+    const socket = createConnection(Number(port), host)
+    let received = ''
+    socket.on('data', (chunk: Buffer) => (received += chunk.toString()))
+    socket.write(`GET ${target} HTTP/1.1\r\nhost: queue:99999\r\n\r\n`)
+    await once(socket, 'close')
+    t.match(received, /^HTTP\/1\.1 400 /)
+    t.equal((await fetch(`http://${server.address}/queue/job`)).status, 200)
+    t.strictSame(kinds, ['bad-request'])
+  })
+}
--- a/packages/caller-server/src/caller-server.ts
+++ b/packages/caller-server/src/caller-server.ts
@@ -95,6 +95,7 @@
   for (const [pattern, handler] of Object.entries(opts.routes))
     app.all(pattern, createRoute(handler))
   if (!('/**' in opts.routes)) app.all('/**', createRoute(notFound))
+  const handleWithH3 = toNodeHandler(app) as (req: IncomingMessage, res: ServerResponse) => void
   const server = createServer(
     {
       maxHeaderSize: maxHeadersBytes,
@@ -107,7 +108,17 @@
       keepAlive: true,
       keepAliveInitialDelay: keepAliveProbeDelayMs,
     },
-    toNodeHandler(app) as (req: IncomingMessage, res: ServerResponse) => void,
+    (req, res) => {
+      try {
+        handleWithH3(req, res)
+      } catch (cause) {
+        // h3 throws when the host and the target of a request together are not a URL.
+        const err = new RequestError('bad-request', { cause })
+        const requestId = opts.nextRequestId()
+        opts.onError(err, req, requestId)
+        sendError(res, err, requestId)
+      }
+    },
   )
   server.on('clientError', sendClientError)
   const port = await listen(server, opts.host, opts.port)
