fix(entry): refuse an operator's request whose host and target are not a URL

The server for operators and for the balancer's checks had the fault that the server for callers had: a host header with a port out of range and a path with `..` ended the process of `bulrush-entry`.

The request now gets status 400 and its connection is closed.

Evidence: the test failed with the uncaught exception "Invalid URL" before the change and passes after it.

--- a/packages/entry/src/operator-server.ts
+++ b/packages/entry/src/operator-server.ts
@@ -46,9 +46,15 @@
       }),
   )
   app.mount('', opts.api)
-  const server = createServer(
-    toNodeHandler(app) as (req: IncomingMessage, res: ServerResponse) => void,
-  )
+  const handleWithH3 = toNodeHandler(app) as (req: IncomingMessage, res: ServerResponse) => void
+  const server = createServer((req, res) => {
+    try {
+      handleWithH3(req, res)
+    } catch {
+      // h3 throws when the host and the target of a request together are not a URL.
+      res.writeHead(400, { connection: 'close' }).end()
+    }
+  })
   const port = await listen(server, opts.host, opts.port)
   return {
     address: `${opts.host}:${port}`,
