fix(dispatcher): ignore an odd row among the stored jobs

A row of another writer in the table of jobs, with a step of 2^40 tasks, ended each dispatcher in turn for want of memory. A row under the key of another job would have run tasks with the names of that job, and a negative need of resources would have counted as free ones.

A stored step now has at most 10,000 tasks, as a submitted one, its amounts are bounded, and a job must stand under its own id. Other rows are logged as `stored job has an invalid format`, as before.

Evidence: before the change the test ended with "JavaScript heap out of memory" at a heap of 1 GB; it passes after it. The two other kinds of row were not run on the old code on their own.

--- a/packages/dispatcher/__tests__/odd-registry-entries.test.ts
+++ b/packages/dispatcher/__tests__/odd-registry-entries.test.ts
@@ -1,9 +1,9 @@
 import { createRelayedRunners, relaysTable } from '@bulrushbridge/runner-relay'
-import type { RunnerEntry } from '@bulrushbridge/scheduler'
+import { partOf, type RunnerEntry } from '@bulrushbridge/scheduler'
 import { createMemoryRunner, waitUntil } from '@bulrushbridge/standins'
 import { createLogger } from '@bulrushbridge/telemetry'
 import t from 'tap'
-import { createFleet, oneTask } from './fixture.js'
+import { createFleet, oneTask, queueName } from './fixture.js'
 
 const id = '00000000000000e1'
 const task = `${id}.0.0.0`
@@ -59,3 +59,27 @@
   await dispatcher.close()
   t.equal(runner.startedRuns.length, 1)
 })
+
+// Guards against a stored job of another writer that takes all memory of each dispatcher in turn, or
+// runs the tasks of another job a second time.
+void t.test('an odd row among the jobs starts nothing and delays no other job', async t => {
+  const fleet = createFleet()
+  const runner = await fleet.addRunner('r1')
+  const oddId = '00000000000000e2'
+  const part = partOf(oddId)
+  const job = { queue: queueName, payload: '', steps: [oneTask], acceptedAt: Date.now() }
+  const negative = { cpuMillis: -1, memoryMb: 1, accelerators: 0 }
+  const oddJobs = {
+    '1': { ...job, id: '1', steps: [{ ...oneTask, count: 2 ** 40 }] },
+    '2': { ...job, id: '2', steps: [{ ...oneTask, amounts: negative }] },
+    [oddId]: { ...job, id: 'other' },
+  }
+  const writes = Object.entries(oddJobs).map(([key, value]) => ({ table: 'jobs', key, value }))
+  await fleet.store.commit({ checks: [], writes }, { part })
+  await fleet.submit(id, [oneTask])
+  const dispatcher = fleet.start('host-1')
+  await waitUntil(() => runner.running.has(task))
+  await new Promise(resolve => setTimeout(resolve, 300))
+  t.strictSame([...runner.running.keys()], [task])
+  await dispatcher.close()
+})
--- a/packages/dispatcher/src/job-tracker.ts
+++ b/packages/dispatcher/src/job-tracker.ts
@@ -71,7 +71,8 @@
     // A change that was read before the row was deleted must not bring back an ended job.
     if (this.#ctx.jobs.has(key) || this.#recentlyEnded.has(key)) return
     const parsed = jobSchema.safeParse(value)
-    if (!parsed.success) {
+    // A job under the key of another would share the names of its tasks.
+    if (!parsed.success || parsed.data.id !== key) {
       this.#ctx.opts.log.error('stored job has an invalid format', { job: key })
       return
     }
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -25,6 +25,7 @@
   hasEnded,
   jobSchema,
   jobStatuses,
+  maxStepTasks,
   criticalPathMs,
   type JobDefinition,
   type JobSubmission,
--- a/packages/scheduler/src/job.ts
+++ b/packages/scheduler/src/job.ts
@@ -1,9 +1,14 @@
 import { z } from 'zod'
 
+/** Most tasks of one step. */
+export const maxStepTasks = 10_000
+
+const amountSchema = z.number().min(0).max(Number.MAX_SAFE_INTEGER)
+
 const amountsSchema = z.object({
-  cpuMillis: z.number(),
-  memoryMb: z.number(),
-  accelerators: z.number(),
+  cpuMillis: amountSchema,
+  memoryMb: amountSchema,
+  accelerators: amountSchema,
 })
 
 /**
@@ -11,7 +16,7 @@
  * tasks run until their job is cancelled. Serving tasks are those with a `targetMs`.
  */
 export const stepSchema = z.object({
-  count: z.int().min(1),
+  count: z.int().min(1).max(maxStepTasks),
   /** Resources that one task needs. */
   amounts: amountsSchema,
   /** The submitter's estimate of the run time of one task, in milliseconds. */
