--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -25,6 +25,7 @@
   hasEnded,
   jobSchema,
   jobStatuses,
+  maxStepTasks,
   criticalPathMs,
   type JobDefinition,
   type JobSubmission,
@@ -93,6 +94,7 @@
 } from './runner.js'
 export { fencesPerTerm, isOfEarlierTerm, runnerFence } from './runner-fence.js'
 export { createRunnerFailureTracker, type RunnerFailureTracker } from './runner-failure-tracker.js'
+export { isSocketAddress } from './socket-address.js'
 export { isStalled, type ObservedRun } from './stalled-runs.js'
 export {
   cancelSuffix,
