fix(dispatcher): count a run that is done although an earlier term gave it up

The numbers of runs that were given up are not stored. A run that is done now completes its task whoever gave it up; this is harmless when the end is listed twice, as a task that is done ignores it.

--- a/packages/dispatcher/__tests__/run-ends.test.ts
+++ b/packages/dispatcher/__tests__/run-ends.test.ts
@@ -74,3 +74,18 @@
   t.equal(taskState.run?.number, 2)
   t.end()
 })
+
+// Guards against TWICE: the numbers of runs that were given up are not stored, so after a takeover the
+// end of such a run was acknowledged and ignored although it was done, and the task ran again.
+void t.test('a run that was given up before a takeover completes its task', t => {
+  const { job, ctx, begin } = createContext()
+  job.abandonRun(begin())
+  begin()
+  const restored = new JobExecution(job.definition, job.encode())
+  const nextCtx = { ...ctx, jobs: new Map([[id, restored]]) }
+  const done: ReportedEnd = { number: 1, task, run: 1, how: 'done', checkpoint: '' }
+  const { taskToStop } = applyEnd(nextCtx, 'r2', done, undefined)
+  t.equal(restored.status, 'completed')
+  t.equal(taskToStop?.name, task)
+  t.end()
+})
--- a/packages/dispatcher/src/run-ends.ts
+++ b/packages/dispatcher/src/run-ends.ts
@@ -58,8 +58,9 @@
   if (task === undefined) return applied
   const { job } = task.step
   const isCurrentRun = task.run?.number === end.run && task.run.runnerId === runnerId
-  // An end that an earlier term stored but did not acknowledge is listed again; it counts once.
-  const isNew = isCurrentRun || task.abandonedRuns.includes(end.run)
+  // An end that an earlier term stored but did not acknowledge is listed again; it counts once. A run
+  // that is done completes its task also if an earlier term gave it up, which is not stored.
+  const isNew = isCurrentRun || end.how === 'done' || task.abandonedRuns.includes(end.run)
   task.abandonedRuns = task.abandonedRuns.filter(run => run !== end.run)
   applied.job = job
   if (isCurrentRun) {
