fix(dispatcher): store the completion of a wave again until it is stored

The completion of a wave counted as stored before the store had confirmed it. If the transaction failed or its answer was lost, the wave was no longer advanced, and operators saw it as running until the next term.

Evidence: the test's status row stayed at running before the change.

--- a/packages/dispatcher/__tests__/wave-orders.test.ts
+++ b/packages/dispatcher/__tests__/wave-orders.test.ts
@@ -1,6 +1,7 @@
 import type { CallResult, Machine, MachineAnswer } from '@bulrushbridge/scheduler'
 import { waitUntil } from '@bulrushbridge/standins'
 import t from 'tap'
+import { StoreError } from '@bulrushbridge/store'
 import { createFleet, oneTask } from './fixture.js'
 
 function machine(id: string, state: Machine['state']): Machine {
@@ -178,3 +179,35 @@
   })
   await after.close()
 })
+
+// Guards against waves that never end: the completion of a wave counted as stored although the store
+// had not confirmed it, so it was not written again.
+void t.test('the completion of a wave is written again when it was not stored', async t => {
+  const machines = [machine('m1', 'up')]
+  const accepted: CallResult<MachineAnswer> = { outcome: 'done', value: { refusal: undefined } }
+  const fleet = createFleet({
+    waves: [{ id: 1, machines: ['m1'], timeMs: 60_000, maxUnavailable: 1 }],
+    machines: {
+      list: () => Promise.resolve({ outcome: 'done', value: structuredClone(machines) }),
+      upkeep: () => Promise.resolve(accepted),
+      move: () => Promise.resolve(accepted),
+      close: () => Promise.resolve(),
+    },
+  })
+  const commit = fleet.store.commit.bind(fleet.store)
+  let lost = 0
+  fleet.store.commit = (tx, opts) => {
+    const isCompletion = tx.writes.some(
+      ({ table, value }) =>
+        table === 'waves' && (value as { isComplete: boolean } | null)?.isComplete === true,
+    )
+    if (!isCompletion || lost > 0) return commit(tx, opts)
+    lost += 1
+    return Promise.reject(new StoreError('no answer in time', { isResultKnown: false }))
+  }
+  const dispatcher = fleet.start('host-1')
+  t.teardown(() => dispatcher.close())
+  await waitUntil(() => lost === 1)
+  await new Promise(resolve => setTimeout(resolve, 2_500))
+  t.match(await fleet.store.read('status', 'wave/1'), { value: { state: 'completed' } })
+})
--- a/packages/dispatcher/src/wave-orders.ts
+++ b/packages/dispatcher/src/wave-orders.ts
@@ -111,8 +111,8 @@
     ]).size
     const isOver = notBegun.length === 0 && unavailableCount === 0
     if (isOver) {
+      if (!(await this.#storeProgress(wave, 'completed'))) return
       progress.isComplete = true
-      await this.#storeProgress(wave, 'completed')
       this.#opts.log.info('wave completed', { wave: wave.id, machines: wave.machines.length })
       return
     }
@@ -293,11 +293,12 @@
     session.isUpkeepExpected = false
   }
 
-  async #storeProgress(wave: KnownWave, state: 'running' | 'completed'): Promise<void> {
+  /** Stores the progress of a wave; returns whether it is stored. */
+  async #storeProgress(wave: KnownWave, state: 'running' | 'completed'): Promise<boolean> {
     const progress = this.#progress.get(wave.id)
-    if (progress === undefined) return
+    if (progress === undefined) return false
     const key = String(wave.id)
-    const value = { begun: [...progress.begun], isComplete: progress.isComplete }
+    const value = { begun: [...progress.begun], isComplete: state === 'completed' }
     const result = await this.#opts.store.commit({
       checks: [this.#opts.leaseCheck],
       writes: [{ table: wavesTable, key, value }, this.#opts.waveStatusRow(wave.id, state)],
@@ -307,6 +308,7 @@
         wave: wave.id,
         state,
       })
+    return result.committed
   }
 }
 
