fix(dispatcher): keep an error in a poll from ending the process

The loop that polls a runner had no handler for errors, so one that was thrown in a poll or by its answer ended the process of the host that places all work. Such a runner now counts as unreachable until its next answer, and the error is logged as the reason.

Evidence: the test's process got an unhandled rejection before the change.

--- a/packages/dispatcher/__tests__/runner-session.test.ts
+++ b/packages/dispatcher/__tests__/runner-session.test.ts
@@ -236,3 +236,19 @@
   await starting
   t.equal(attempts.length, 1)
 })
+
+// Guards against an unexpected error in the poll of one runner, such as an answer that can't be applied,
+// that ended the process.
+void t.test('an error in a poll ends neither the session nor the process', async t => {
+  let polls = 0
+  const { session } = openSession({}, api => ({
+    ...api,
+    poll: request => {
+      polls += 1
+      return polls === 1 ? Promise.reject(new Error('unexpected')) : api.poll(request)
+    },
+  }))
+  t.teardown(() => session.close())
+  await waitUntil(() => session.isAvailable)
+  t.ok(polls >= 2)
+})
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -1,5 +1,5 @@
 import { setMaxListeners } from 'node:events'
-import { systemClock } from '@bulrushbridge/errors'
+import { normalizeError, systemClock } from '@bulrushbridge/errors'
 import {
   runnerFence,
   type ReportedEnd,
@@ -257,7 +257,12 @@
         await this.#pause(failedPollPauseMs)
         continue
       }
-      await this.#poll(this.#api)
+      try {
+        await this.#poll(this.#api)
+      } catch (err) {
+        this.#markUnreachable(normalizeError(err).message)
+        await this.#pause(failedPollPauseMs)
+      }
     }
   }
 
