fix(job-front): refuse a job that was cancelled before it was stored

A job whose id a cancellation had blocked was answered 200, as if it had been stored before: the transaction that stores it fails on any progress row. The row is now read, and such a job is refused with 410, as it never runs. If the row can't be read, the job counts as possibly stored, as after a lost answer.

--- a/packages/errors/src/error-kinds.ts
+++ b/packages/errors/src/error-kinds.ts
@@ -29,6 +29,11 @@
   'unknown-path': { status: 404, message: 'There is nothing at this path.', retryable: false },
   'job-unknown': { status: 404, message: 'There is no such job.', retryable: false },
   'job-absent': { status: 410, message: 'There is no such job.', retryable: false },
+  'job-cancelled': {
+    status: 410,
+    message: 'The job was cancelled before it was stored; it does not run.',
+    retryable: false,
+  },
   'acceptance-unknown': {
     status: 504,
     message: 'The table service did not confirm the job in time; it may have been accepted.',
--- a/packages/job-front/__tests__/job-handler.test.ts
+++ b/packages/job-front/__tests__/job-handler.test.ts
@@ -138,6 +138,14 @@
   t.equal(await cancel(path), 410)
 })
 
+// Guards against a caller that is told that its job is stored although it was cancelled before that.
+void t.test('a job that was cancelled before it was stored is refused', async t => {
+  const { acceptor, cancel } = await setup(t)
+  t.equal(await cancel(`/removed/${job.id}`), 410)
+  const err = await acceptor.accept(job, performance.now() + 1_000).catch((cause: unknown) => cause)
+  t.match(err, { kind: 'job-cancelled' })
+})
+
 // Guards against a cancellation of an absent job that is refused for good, or that hides the job, when
 // the job is stored between the read and the write of the cancellation.
 void t.test('a job that is accepted during its cancellation is cancelled', async t => {
--- a/packages/job-front/src/job-acceptor.ts
+++ b/packages/job-front/src/job-acceptor.ts
@@ -3,6 +3,8 @@
   acceptedJobsTable,
   partOf,
   partNames,
+  noQueue,
+  progressSchema,
   progressTable,
   queuedJobKey,
   queuedJobsTable,
@@ -45,7 +47,7 @@
    * same id has been stored before.
    *
    * @throws RequestError `store-unavailable` when the job is certainly not stored,
-   * `acceptance-unknown` when it may be stored.
+   * `acceptance-unknown` when it may be stored, `job-cancelled` when it was cancelled before.
    */
   accept(job: JobDefinition, deadline: number): Promise<'accepted' | 'known'>
   close(): Promise<void>
@@ -72,7 +74,7 @@
     accept: async (job, deadline) => {
       const committer = committers.get(partOf(job.id))
       if (committer === undefined) throw new RequestError('internal')
-      return acceptJob(committer, job, deadline)
+      return acceptJob({ committer, store }, job, deadline)
     },
     close: async () => {
       await Promise.all([...committers.values()].map(committer => committer.close()))
@@ -81,7 +83,7 @@
 }
 
 async function acceptJob(
-  committer: GroupCommitter,
+  { committer, store }: { committer: GroupCommitter; store: TableService },
   job: JobDefinition,
   deadline: number,
 ): Promise<'accepted' | 'known'> {
@@ -93,8 +95,13 @@
     try {
       const result = await committer.commit(tx, { deadline: attemptDeadline })
       if (result.committed) return 'accepted'
-      return mayBeStored ? 'accepted' : 'known'
+      const outcome = mayBeStored ? 'accepted' : 'known'
+      // The row that failed the check may be this job's, until it is read.
+      mayBeStored = true
+      if (!(await wasCancelledBefore(store, job.id, deadline))) return outcome
+      throw new RequestError('job-cancelled')
     } catch (cause) {
+      if (cause instanceof RequestError) throw cause
       if (cause instanceof StoreError && !cause.isResultKnown) mayBeStored = true
       const now = performance.now()
       // When the store refuses, the caller gets the error early. When it does not respond, it may
@@ -111,6 +118,17 @@
   }
 }
 
+/** Whether a job was cancelled before it was stored. */
+async function wasCancelledBefore(
+  store: TableService,
+  id: string,
+  deadline: number,
+): Promise<boolean> {
+  const row = await store.read(progressTable, id, { part: partOf(id), deadline })
+  const progress = progressSchema.safeParse(row?.value)
+  return progress.success && progress.data.queue === noQueue
+}
+
 /**
  * Creates the transaction that stores a new job. It fails when the id has a progress row: that row
  * is kept longer than the job's, so it also identifies a repeated id after the job has ended.
--- a/packages/job-front/src/job-handler.ts
+++ b/packages/job-front/src/job-handler.ts
@@ -6,6 +6,7 @@
   findQueue,
   hasEnded,
   acceptedJobsTable,
+  noQueue,
   partOf,
   partNames,
   progressSchema,
@@ -212,11 +213,11 @@
 
   /**
    * Keeps a job without progress from being stored later: the transaction that stores it may be under
-   * way or repeated. The row that is written belongs to no queue, so it shows no job to callers.
+   * way or repeated. The row that is written belongs to no queue.
    */
   async #preventAcceptance(id: string, deadline: number): Promise<void> {
     const row = { table: progressTable, part: partOf(id), key: id }
-    const value: Progress = { status: 'cancelled', queue: '', endedAt: Date.now() }
+    const value: Progress = { status: 'cancelled', queue: noQueue, endedAt: Date.now() }
     const tx = { checks: [{ ...row, version: 0 }], writes: [{ ...row, value }] }
     await this.#commitWithRetries(tx, row.part, deadline)
   }
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -63,7 +63,7 @@
   type UpkeepWavePlan,
   type UpkeepWaveInput,
 } from './plan-upkeep-wave.js'
-export { progressSchema, type Progress, type TaskProgress } from './progress.js'
+export { noQueue, progressSchema, type Progress, type TaskProgress } from './progress.js'
 export { maxCrashes, mustRunAlone, suspicionOf, trustedRunMs } from './crash-suspects.js'
 export { createRunTimeEstimator, type RunTimeEstimator } from './run-time-estimator.js'
 export {
--- a/packages/scheduler/src/progress.ts
+++ b/packages/scheduler/src/progress.ts
@@ -24,6 +24,12 @@
   ]),
 ])
 
+/**
+ * Queue in the progress of a job that was cancelled before it was stored, so that it is never stored.
+ * No queue has this name, so the row shows no job to callers.
+ */
+export const noQueue = ''
+
 /** Value of a row in the table `progress`. */
 export const progressSchema = z.object({
   status: z.enum(jobStatuses),
