fix(placement): take a task on a restarted worker for started

A worker that restarts forgets whether it ran a task. The stop that fences the task's id took that into account, but if its answer was lost, the next list showed the fenced id as not started, and a job that must not run twice was queued again.

--- a/packages/placement/src/worker-reconciler.ts
+++ b/packages/placement/src/worker-reconciler.ts
@@ -205,7 +205,7 @@
       await this.confirmRunning(task)
       return !(await this.#stopIfDue(client, task, cancelling))
     }
-    await this.#endByReport(task, report)
+    await this.#endByReport(task, report, boot)
     return false
   }
 
@@ -244,8 +244,9 @@
 
   /**
    * Records the end that the worker reported, the failures of the worker and the observed usage.
+   * `boot` is that of the worker that reports, if it may have restarted since the start of the task.
    */
-  async #endByReport(task: TrackedTask, report: ReportedTask): Promise<void> {
+  async #endByReport(task: TrackedTask, report: ReportedTask, boot?: string): Promise<void> {
     const { failureTracker, sizes, poolSize } = this.#opts
     const { worker, team, kind } = task.row
     if (report.checkpoint !== undefined) task.checkpoint = report.checkpoint
@@ -275,7 +276,9 @@
       }
       return
     }
-    const hasStarted = report.started || task.row.state !== 'starting'
+    const { state, boot: startBoot } = task.row
+    const isRestarted = boot !== undefined && boot !== startBoot
+    const hasStarted = report.started || state !== 'starting' || isRestarted
     await this.#endTask(task, hasStarted ? 'stopped' : 'never-started')
   }
 
