fix(dispatcher): conclude nothing from a list of ends that is full

A runner lists at most 500 ends that are not acknowledged. While a runner lists that many, runs that are missing from its report are left for a later one.

It takes 500 ends that are not stored, on one runner.

--- a/packages/dispatcher/__tests__/runner-session.test.ts
+++ b/packages/dispatcher/__tests__/runner-session.test.ts
@@ -1,7 +1,12 @@
 import { waitUntil } from '@bulrushbridge/standins'
 import t from 'tap'
 import { createAllocation } from '../src/allocation.js'
-import { createTaskWithRun, createUnexpectedAllocation, openSession } from './session-fixture.js'
+import {
+  createTasksWithRuns,
+  createTaskWithRun,
+  createUnexpectedAllocation,
+  openSession,
+} from './session-fixture.js'
 
 const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms))
 
@@ -252,3 +257,54 @@
   await waitUntil(() => session.isAvailable)
   t.ok(polls >= 2)
 })
+
+// Guards against TWICE: a runner returns at most 500 ends at a time; a run whose end is not among them
+// is neither listed as running nor as ended, and was given up as vanished.
+void t.test('a run whose end does not fit into the report is not given up', async t => {
+  const givenUp: string[] = []
+  const ended = new Set<string>()
+  const stores: (() => void)[] = []
+  const { runner, session } = openSession(
+    {
+      onRunGivenUp: (_session, { taskName }, cause) => givenUp.push(`${taskName} ${cause}`),
+      onEnd: (_session, end) => {
+        ended.add(end.task)
+        return new Promise<void>(resolve => stores.push(resolve))
+      },
+    },
+    api => ({
+      ...api,
+      poll: async request => {
+        const result = await api.poll(request)
+        if (result.outcome !== 'done' || result.value.isFenced) return result
+        const { report } = result.value
+        return {
+          outcome: 'done',
+          value: {
+            isFenced: false,
+            report: {
+              ...report,
+              ended: report.ended.slice(0, 500),
+              hasMoreEnds: report.ended.length > 500,
+            },
+          },
+        }
+      },
+    }),
+  )
+  t.teardown(() => session.close())
+  await waitUntil(() => session.isAvailable)
+  const tasks = createTasksWithRuns(501)
+  for (const each of tasks) {
+    const allocation = createAllocation(each, 1)
+    session.add(allocation)
+    await session.start(allocation, '', undefined)
+  }
+  await waitUntil(() => runner.running.size === 501)
+  await pause(100)
+  for (const { name } of tasks) runner.end(name, 'done')
+  await waitUntil(() => ended.size >= 500)
+  await pause(1_000)
+  t.same(givenUp, [])
+  for (const store of stores) store()
+})
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -335,7 +335,7 @@
     if (this.unreachableSince !== undefined)
       this.#opts.log.info('runner reachable again', { runner: this.id })
     this.unreachableSince = undefined
-    this.#isReconciled = true
+    if (!report.hasMoreEnds) this.#isReconciled = true
     // The next poll may acknowledge again, because it counts ends of the present incarnation.
     this.#needsResync = false
     if (!wasReachable || report.ended.length > 0) this.#opts.events.onChange(this)
@@ -406,6 +406,8 @@
         this.#opts.events.onStartConfirmed(this, allocation)
       }
     }
+    // A run that is not listed may be among the ends that the runner has not listed yet.
+    if (report.hasMoreEnds) return
     const ofEarlierIncarnation: Allocation[] = []
     for (const [key, allocation] of [...this.allocations]) {
       if (listed.has(key)) continue
--- a/packages/runner-relay/src/relay-messages.ts
+++ b/packages/runner-relay/src/relay-messages.ts
@@ -94,6 +94,8 @@
       checkpoint: z.string(),
     }),
   ),
+  // Absent in the results of relays of an older build.
+  hasMoreEnds: z.boolean().default(false),
 })
 
 /** Result of a poll. */
@@ -127,7 +129,7 @@
 export function toPollResult(parsed: z.infer<typeof pollResultSchema>): CallResult<PollAnswer> {
   if (parsed.outcome !== 'done') return parsed
   if (parsed.value.isFenced) return { outcome: 'done', value: { isFenced: true } }
-  const { clockMs, startedAt, running, ended } = parsed.value.report
+  const { clockMs, startedAt, running, ended, hasMoreEnds } = parsed.value.report
   const runs = running.map(({ task, run, checkpoint, percent, usage }) => ({
     task,
     run,
@@ -135,6 +137,6 @@
     percent,
     usage,
   }))
-  const report = { clockMs, startedAt, running: runs, ended }
+  const report = { clockMs, startedAt, running: runs, ended, hasMoreEnds }
   return { outcome: 'done', value: { isFenced: false, report } }
 }
--- a/packages/scheduler/src/runner.ts
+++ b/packages/scheduler/src/runner.ts
@@ -80,4 +80,6 @@
   startedAt: number | undefined
   running: ReportedRun[]
   ended: ReportedEnd[]
+  /** The runner has ended more runs than it lists, until these are acknowledged. */
+  hasMoreEnds: boolean
 }
--- a/packages/standins/src/memory-runner.ts
+++ b/packages/standins/src/memory-runner.ts
@@ -173,6 +173,7 @@
       startedAt: this.processStartedAt,
       running,
       ended: [...this.#pendingEnds],
+      hasMoreEnds: false,
     }
     return { outcome: 'done', value: { isFenced: false, report } }
   }
