fix(scheduler): separate only tasks that can be separated, and keep one runner free

A runner was kept free for a suspect that could not start anyway (limit of its organisation, advice), for each of several suspects, and for ever where every runner has a lasting task. One runner of a pool is kept free at a time, only for a suspect that may start, and lasting tasks don't count against its being alone.

--- a/packages/dispatcher/src/available-runner.ts
+++ b/packages/dispatcher/src/available-runner.ts
@@ -3,7 +3,8 @@
 
 /** Converts the session of an available runner into the input of `chooseStarts`. */
 export function toAvailableRunner(session: RunnerSession, entry: RunnerEntry): AvailableRunner {
-  const { byKey, free, tasksByStep, servingTasks, fillerTasks, suspicion, loneTasks } = session.load
+  const { free, finiteTasks, tasksByStep, servingTasks, fillerTasks, suspicion, loneTasks } =
+    session.load
   return {
     id: session.id,
     pool: entry.pool,
@@ -14,7 +15,7 @@
     tasksByStep,
     servingTasks,
     fillerTasks,
-    taskCount: byKey.size,
+    finiteTasks,
     suspicion,
     isExclusive: loneTasks > 0,
     isLent: session.isLent,
--- a/packages/dispatcher/src/runner-allocations.ts
+++ b/packages/dispatcher/src/runner-allocations.ts
@@ -14,6 +14,8 @@
   readonly tasksByStep = new Map<string, number>()
   servingTasks = 0
   fillerTasks = 0
+  /** Number of tasks that are not lasting. */
+  finiteTasks = 0
   /** Sum of the suspicion of the tasks that they crash runners. */
   suspicion = 0
   /** Number of tasks that must run alone. */
@@ -48,6 +50,7 @@
     this.suspicion += change * suspicionOf(crashes)
     if (isAlone) this.loneTasks += change
     const { name, definition } = task.step
+    if (definition.isLasting !== true) this.finiteTasks += change
     const count = (this.tasksByStep.get(name) ?? 0) + change
     if (count > 0) this.tasksByStep.set(name, count)
     else this.tasksByStep.delete(name)
--- a/packages/scheduler/__tests__/choose-starts.test.ts
+++ b/packages/scheduler/__tests__/choose-starts.test.ts
@@ -160,11 +160,11 @@
 // Guards against taking a task for the cause of a crash that another one on the runner caused.
 void t.test('a task that is about to be given up runs alone', t => {
   const jobs = [createSuspect('suspect', 3), createJob('1'), createJob('2')]
-  const busy = createRunner('busy', { taskCount: 1 })
+  const busy = createRunner('busy', { finiteTasks: 1 })
   const idle = createRunner('idle')
   const starts = runnersOf(chooseStarts(createInput(jobs, [busy, idle])))
   t.same(starts, { suspect: 'idle', 1: 'busy', 2: 'busy' })
-  const taken = createRunner('taken', { taskCount: 1, isExclusive: true })
+  const taken = createRunner('taken', { finiteTasks: 1, isExclusive: true })
   t.same(chooseStarts(createInput([createJob('3')], [taken])), [])
   t.end()
 })
@@ -172,7 +172,7 @@
 // Guards against a suspect that waits for ever, because a busy pool has no idle runner.
 void t.test('the least busy runner is kept free for a task that must run alone', t => {
   const jobs = [createJob('1'), createSuspect('suspect', 3)]
-  const runners = [createRunner('r1', { taskCount: 2 }), createRunner('r2', { taskCount: 1 })]
+  const runners = [createRunner('r1', { finiteTasks: 2 }), createRunner('r2', { finiteTasks: 1 })]
   t.same(runnersOf(chooseStarts(createInput(jobs, runners))), { 1: 'r1' })
   t.end()
 })
--- a/packages/scheduler/__tests__/demand-bursts.ts
+++ b/packages/scheduler/__tests__/demand-bursts.ts
@@ -403,7 +403,7 @@
     tasksByStep,
     servingTasks: 0,
     fillerTasks: 0,
-    taskCount: tasks.size,
+    finiteTasks: tasks.size,
     suspicion: 0,
     isExclusive: false,
     isLent,
--- a/packages/scheduler/__tests__/fixture.ts
+++ b/packages/scheduler/__tests__/fixture.ts
@@ -49,7 +49,7 @@
     capacity,
     free: { ...capacity },
     tasksByStep: new Map(),
-    taskCount: 0,
+    finiteTasks: 0,
     suspicion: 0,
     isExclusive: false,
     servingTasks: 0,
--- a/packages/scheduler/src/choose-starts.ts
+++ b/packages/scheduler/src/choose-starts.ts
@@ -28,8 +28,8 @@
   /** Numbers of serving tasks and of fillers on the runner; the two kinds slow each other down. */
   servingTasks: number
   fillerTasks: number
-  /** Number of all tasks on the runner. */
-  taskCount: number
+  /** Number of tasks on the runner that are not lasting. */
+  finiteTasks: number
   /** Sum of the suspicion of its tasks that they crash runners, see `suspicionOf`. */
   suspicion: number
   /** The runner runs, or is kept free for, a task that must run alone. */
@@ -106,6 +106,8 @@
    * so tasks that need as much or more are not compared with each runner again.
    */
   readonly #unfitAmounts = new Map<string, Amounts[]>()
+  /** Pools in which a runner is kept free for a task that must run alone; one for each is enough. */
+  readonly #poolsWithKeptRunner = new Set<string>()
   /** Number of tasks started so far, by `<runner id> <step name>`. */
   readonly #startedTasks = new Map<string, number>()
 
@@ -125,21 +127,32 @@
       if (this.starts.length >= this.#input.maxStarts) return
       const runner = this.#bestRunner(step, queue, task)
       if (runner !== undefined) this.#reserve(task, runner)
-      else this.#keepRunnerFree(step, queue)
+      else if (this.#isWithinAllowance(step)) this.#keepRunnerFree(step, queue)
     }
   }
 
-  /** Keeps other tasks from the runner that is likely to be idle first. */
+  /**
+   * Keeps other tasks from the runner of the pool that is likely to be idle first. An idle one that
+   * did not suit the task would not suit it later either.
+   */
   #keepRunnerFree(step: StepExecution, queue: JobQueue): void {
+    if (queue.advice !== undefined || this.#poolsWithKeptRunner.has(queue.pool)) return
     const amounts = reservedAmounts(step)
     const { needs } = step.definition
     let fewest: AvailableRunner | undefined
     for (const runner of this.#runnersByPool.get(queue.pool) ?? []) {
-      if (runner.isExclusive || countFitting(runner.capacity, amounts) < 1) continue
+      if (
+        runner.isExclusive ||
+        runner.finiteTasks === 0 ||
+        countFitting(runner.capacity, amounts) < 1
+      )
+        continue
       if (needs !== undefined && !runner.labels.includes(needs)) continue
-      if (fewest === undefined || runner.taskCount < fewest.taskCount) fewest = runner
+      if (fewest === undefined || runner.finiteTasks < fewest.finiteTasks) fewest = runner
     }
-    if (fewest !== undefined) fewest.isExclusive = true
+    if (fewest === undefined) return
+    fewest.isExclusive = true
+    this.#poolsWithKeptRunner.add(queue.pool)
   }
 
   startStep(step: StepExecution, queue: JobQueue): void {
@@ -223,7 +236,7 @@
     const { step, crashes } = task
     const { needs, maxPerRunner } = step.definition
     if (runner.isExclusive) return false
-    if (mustRunAlone(task) && runner.taskCount > 0) return false
+    if (mustRunAlone(task) && runner.finiteTasks > 0) return false
     if (crashes > 0 && runner.suspicion + suspicionOf(crashes) > maxSuspicion) return false
     if (needs !== undefined && !runner.labels.includes(needs)) return false
     if (countFitting(runner.free, amounts) < 1) return false
@@ -287,7 +300,7 @@
   #adjust(task: Task, runner: AvailableRunner, times: 1 | -1): void {
     const { step } = task
     addAmounts(runner.free, reservedAmounts(step), -times)
-    runner.taskCount += times
+    if (step.definition.isLasting !== true) runner.finiteTasks += times
     runner.suspicion += times * suspicionOf(task.crashes)
     if (mustRunAlone(task)) runner.isExclusive = times === 1
     if (step.definition.isFiller === true) runner.fillerTasks += times
--- a/packages/scheduler/src/crash-suspects.ts
+++ b/packages/scheduler/src/crash-suspects.ts
@@ -2,7 +2,7 @@
 
 /**
  * Number of crashes of runners under a task after which its job fails. Before the last one the task
- * ran alone on its runner, so no other task can be the cause.
+ * ran alone on its runner but for lasting tasks, so no other task is likely to be the cause.
  */
 export const maxCrashes = 4
 
@@ -24,13 +24,23 @@
 }
 
 /**
- * Whether a task runs only on a runner that runs nothing else: one more crash ends its job. The tasks
- * of a gang need each other, and a lasting task would keep its runner from all others.
+ * Whether crashes of runners count against a task. A lasting task is on its runner at most crashes, and
+ * would keep a runner from other suspects for as long as it runs; the tasks of a gang can't be separated.
  *
  * @example
- * if (mustRunAlone(task) && runner.taskCount > 0) return false
+ * if (!canBeSuspect(task)) return
  */
-export function mustRunAlone({ crashes, step }: Task): boolean {
-  const { isGang, isLasting } = step.definition
-  return crashes >= maxCrashes - 1 && isGang !== true && isLasting !== true
+export function canBeSuspect({ step }: Task): boolean {
+  return step.definition.isLasting !== true && step.definition.isGang !== true
+}
+
+/**
+ * Whether a task runs only on a runner without other tasks that can be suspects: one more crash ends
+ * its job.
+ *
+ * @example
+ * if (mustRunAlone(task) && runner.finiteTasks > 0) return false
+ */
+export function mustRunAlone({ crashes }: Task): boolean {
+  return crashes >= maxCrashes - 1
 }
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -64,7 +64,13 @@
   type UpkeepWaveInput,
 } from './plan-upkeep-wave.js'
 export { noQueue, progressSchema, type Progress, type TaskProgress } from './progress.js'
-export { maxCrashes, mustRunAlone, suspicionOf, trustedRunMs } from './crash-suspects.js'
+export {
+  canBeSuspect,
+  maxCrashes,
+  mustRunAlone,
+  suspicionOf,
+  trustedRunMs,
+} from './crash-suspects.js'
 export { createRunTimeEstimator, type RunTimeEstimator } from './run-time-estimator.js'
 export {
   orderRefusals,
--- a/packages/scheduler/src/job-execution.ts
+++ b/packages/scheduler/src/job-execution.ts
@@ -1,3 +1,4 @@
+import { canBeSuspect } from './crash-suspects.js'
 import { hasEnded, type JobDefinition, type JobStatus, type Step } from './job.js'
 import type { Progress, TaskProgress } from './progress.js'
 
@@ -153,8 +154,9 @@
     this.clearRun(task)
   }
 
-  /** Counts a crash of a runner under a task. */
+  /** Counts a crash of a runner under a task, unless the task can be no suspect. */
   recordCrash(task: Task): void {
+    if (!canBeSuspect(task)) return
     task.crashes += 1
     this.#crashSuspects.add(task)
   }
