fix(dispatcher): count the time of a run until its runner was lost, not until that was noticed

A runner that was away for more than ten seconds cleared the tasks that had run on it, as if they had run that long, so a task that crashes runners was never given up (BUDGET).

--- a/packages/dispatcher/src/job-tracker.ts
+++ b/packages/dispatcher/src/job-tracker.ts
@@ -196,13 +196,15 @@
     if (task?.run?.number !== runNumber || task.run.runnerId !== session.id) return
     const { job } = task.step
     if (!mayHaveStarted || job.hasEnded || task.isDone) return
-    const ranMs = sinceMs(confirmedAt) ?? 0
+    const lostAt = session.unreachableSince ?? performance.now()
+    const ranMs = Math.round(lostAt - (confirmedAt ?? lostAt))
     if (ranMs >= trustedRunMs) {
       job.clearCrashes(task)
       return
     }
     job.recordCrash(task)
     const { name, crashes } = task
+    if (crashes === 0) return
     const { log } = this.#ctx.opts
     log.info('runner lost under a task', { runner: session.id, task: name, crashes, ranMs })
     if (crashes < maxCrashes) return
