fix(dispatcher): count a crash before the start was confirmed

All runs that were ordered from an earlier incarnation now count, also those that the present one lists as running or ended, and a start is not repeated once a poll of the runner has failed.

--- a/packages/dispatcher/__tests__/session-fixture.ts
+++ b/packages/dispatcher/__tests__/session-fixture.ts
@@ -57,6 +57,7 @@
     crashes: 0,
     isAlone: false,
     mayHaveStarted: true,
+    isLossReported: false,
     state: 'present',
     confirmedAt: undefined,
     orderedAt: undefined,
--- a/packages/dispatcher/src/allocation.ts
+++ b/packages/dispatcher/src/allocation.ts
@@ -33,6 +33,8 @@
   readonly isAlone: boolean
   /** The run was ordered, in this term or in an earlier one, so the runner may have started it. */
   mayHaveStarted: boolean
+  /** The end of the runner's incarnation has been reported for the run. */
+  isLossReported: boolean
   state: AllocationState
   /** When the runner confirmed the start or first listed the run. */
   confirmedAt: number | undefined
@@ -74,6 +76,7 @@
     crashes: task?.crashes ?? 0,
     isAlone: task !== undefined && mustRunAlone(task),
     mayHaveStarted: id !== undefined,
+    isLossReported: false,
     state: id === undefined ? 'recorded' : 'present',
     confirmedAt: undefined,
     orderedAt: undefined,
--- a/packages/dispatcher/src/runner-orders.ts
+++ b/packages/dispatcher/src/runner-orders.ts
@@ -25,6 +25,8 @@
   /** Lease deadline for a start order; undefined before the runner's clock is known. */
   leaseDeadline(): number | undefined
   observeClock(clockMs: number): void
+  /** Whether no poll has failed since the last one that was answered. */
+  isReachable(): boolean
   /** Whether the session still has the allocation. */
   isAllocated(allocation: Allocation): boolean
   /** The run did not start and never will start. */
@@ -81,6 +83,8 @@
       if (!isOutcomeUnknown || attempt === maxStartAttempts) break
       await this.#pause(startRetryPauseMs)
       if (!this.#opts.isAllocated(allocation) || isStopping(allocation)) return
+      // The runner may have crashed under the run, and would start it again after its restart.
+      if (!this.#opts.isReachable()) break
     }
     if (isOutcomeUnknown) {
       void this.stop(allocation)
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -325,6 +325,7 @@
     // The next poll tells a restarted runner its new fencing token. Until then a call to its earlier
     // incarnation may still be carried out, so this report proves nothing about runs.
     if (isNewIncarnation && previous !== undefined) return
+    this.#reportLostIncarnation()
     this.#endTracker.receive(report.ended, end => {
       const allocation = this.allocations.get(allocationKey(end.task, end.run))
       if (allocation !== undefined) this.remove(allocation)
@@ -395,6 +396,7 @@
       if (allocation.state === 'recorded') allocation.state = 'present'
       if (allocation.runnerStartedAt !== this.runnerStartedAt) {
         allocation.runnerStartedAt = this.runnerStartedAt
+        allocation.isLossReported = false
         // The stop was accepted by an earlier incarnation, which did not have this run.
         if (allocation.state === 'stopping') {
           allocation.state = 'present'
@@ -436,6 +438,7 @@
       observeClock: clockMs => {
         this.#clock.observe(clockMs, performance.now())
       },
+      isReachable: () => this.#isReconciled && this.unreachableSince === undefined,
       isAllocated: allocation =>
         this.allocations.get(allocationKey(allocation.taskName, allocation.runNumber)) ===
         allocation,
@@ -463,12 +466,30 @@
     return runnerFence(this.#opts.fence, this.#restarts)
   }
 
+  /**
+   * Reports the runs that were ordered from an earlier incarnation, also those that the present one has
+   * started by a repeated order: the earlier one may have crashed under them.
+   */
+  #reportLostIncarnation(): void {
+    const startedAt = this.runnerStartedAt
+    const ordered = [...this.allocations.values()].filter(
+      allocation =>
+        !allocation.isLossReported &&
+        allocation.runnerStartedAt !== 0 &&
+        allocation.runnerStartedAt !== startedAt,
+    )
+    if (ordered.length === 0) return
+    if (!this.#wasRestartExpected) this.#opts.events.onRunsLost(this, ordered)
+    this.#wasRestartExpected = false
+    for (const allocation of ordered) allocation.isLossReported = true
+  }
+
   /** Gives up runs that are lost with the runner or with its incarnation. */
   #loseRuns(lost: readonly Allocation[], cause: GiveUpCause): void {
     if (lost.length === 0) return
-    const isExpected = cause === 'reborn' ? this.#wasRestartExpected : this.#isEndExpected()
     for (const allocation of lost) this.remove(allocation)
-    if (!isExpected) this.#opts.events.onRunsLost(this, lost)
+    // The end of an incarnation has been reported already.
+    if (cause !== 'reborn' && !this.#isEndExpected()) this.#opts.events.onRunsLost(this, lost)
     for (const allocation of lost) this.#giveUp(allocation, cause)
   }
 
