feat(dispatcher): log the runner of a start and changes of its entry

Cause: two of the hypotheses of docs/incidents/2026-12-05-route.md could not be told from the logs: a start on a runner whose registry entry is that of an earlier life, and one on a runner that changed while the run was stored.

Change: 'run started' names the pool and start time of the runner and how many tasks of the step are there; 'runner entry changed' has the new values of an entry that changes under its id. Heartbeats change nothing and write no line.

--- a/packages/dispatcher/__tests__/fixture.ts
+++ b/packages/dispatcher/__tests__/fixture.ts
@@ -18,7 +18,7 @@
   type MemoryRunner,
   type MemoryStore,
 } from '@bulrushbridge/standins'
-import { createLogger, createMetrics, type Metrics } from '@bulrushbridge/telemetry'
+import { createLogger, createMetrics, type Logger, type Metrics } from '@bulrushbridge/telemetry'
 import { createDispatcher, type Dispatcher, type RunnerConnections } from '../src/index.js'
 
 export const queueName = 'finder'
@@ -75,6 +75,8 @@
   machineLeaseMs?: number
   /** Lease of the dispatcher, for tests in which it must not expire, in milliseconds. */
   dispatcherLeaseMs?: number
+  /** Log of all dispatchers; silent by default. */
+  log?: Logger
 }
 
 /** Creates a deployment; runners and dispatchers are added by its methods. */
@@ -96,7 +98,7 @@
     { key: 'config', value: cfg, isDeleted: false },
     ...(opts.waves ?? []).map(wave => ({ key: `wave/${wave.id}`, value: wave, isDeleted: false })),
   ])
-  const log = createLogger({ program: 'test', level: 'silent' })
+  const { log = createLogger({ program: 'test', level: 'silent' }) } = opts
   const metrics = createMetrics()
   return {
     store,
--- a/packages/dispatcher/src/job-tracker.ts
+++ b/packages/dispatcher/src/job-tracker.ts
@@ -135,7 +135,15 @@
         const startMs = performance.now() - orderedAt
         metrics.observe('bulrush_start_ms', {}, startMs)
         this.#ctx.onStartConfirmed(startMs)
-        log.info('run started', { task: taskName, run: runNumber, runner: session.id })
+        log.info('run started', {
+          task: taskName,
+          run: runNumber,
+          runner: session.id,
+          runnerStartedAt: session.runnerStartedAt,
+          pool: session.entry?.pool,
+          // Together with the run itself, as the limit of tasks of a step on a runner counts them.
+          stepTasks: task === undefined ? undefined : session.load.tasksByStep.get(task.step.name),
+        })
       },
       onAllocationChange: (allocation, sign) => {
         this.#ctx.usage.add(allocation, sign)
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -12,6 +12,7 @@
 import { IdlePause } from './idle-pause.js'
 import { allocationKey, type Allocation } from './allocation.js'
 import { EndTracker } from './end-tracker.js'
+import { changedFields } from './entry-change.js'
 import { RunnerAllocations } from './runner-allocations.js'
 import { createRunnerClock, type RunnerClock } from './runner-clock.js'
 import { RunnerOrders, type RunnerOrdersOptions } from './runner-orders.js'
@@ -180,6 +181,9 @@
     const before = this.#entry
     this.#entry = entry
     this.#isRegistered = true
+    const changed = before === undefined ? undefined : changedFields(before, entry)
+    if (changed !== undefined)
+      this.#opts.log.info('runner entry changed', { runner: this.id, ...changed })
     if (before?.address !== entry.address) this.#connect(entry)
     if (before?.startedAt !== entry.startedAt) this.#needsResync = true
     this.#recomputeFree()
