fix(dispatcher): use a restarted runner only by the entry of its present life

What callers saw: ROUTE is possible, a task on a runner without the label that it needs, or of another pool.

Cause: after a restart a poll shows the new incarnation, and from the next poll on the session was available again with the pool, labels and capacity of the entry of the earlier one, until the registry showed the new entry. A runner may come back as another kind.

Change: a session is available only while the start time of its entry is that of the incarnation that answers polls. That also covers the other order: an entry of a new incarnation that no poll has shown yet.

Measured: 'a restarted runner gets no task by the entry of its earlier life' failed before (run 2 on the restarted runner) and passes. Five tests restarted a runner and never registered it again, as a real one does at its start; they do now, their assertions are unchanged.

--- /dev/null
+++ b/packages/dispatcher/__tests__/changed-runners.test.ts
@@ -0,0 +1,41 @@
+import { waitUntil } from '@bulrushbridge/standins'
+import t from 'tap'
+import { createFleet, oneTask } from './fixture.js'
+
+const id = '00000000000000c1'
+const task = `${id}.0.0.0`
+const needsKind = { ...oneTask, needs: 'kind' }
+const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms))
+
+// Guards against ROUTE: a runner restarted as another kind, and until its new registry entry was read,
+// tasks that need its earlier label started on it.
+void t.test('a restarted runner gets no task by the entry of its earlier life', async t => {
+  const fleet = createFleet()
+  const runner = await fleet.addRunner('r1')
+  const dispatcher = fleet.start('host-1')
+  t.teardown(() => dispatcher.close())
+  await fleet.submit(id, [needsKind])
+  await waitUntil(() => runner.running.has(task))
+  runner.restart()
+  // Several polls show the restart; the entry of the earlier life is still registered.
+  await pause(600)
+  t.same(runner.startedRuns, [{ task, run: 1 }])
+  await fleet.addRunner('r1', { labels: ['other-kind', 'rack-1'] })
+  const other = await fleet.addRunner('r2')
+  await waitUntil(() => other.running.has(task))
+  t.same(runner.startedRuns, [{ task, run: 1 }])
+})
+
+// Guards against a runner that gets no work any more after a restart.
+void t.test('a restarted runner gets tasks once its present life is registered', async t => {
+  const fleet = createFleet()
+  const runner = await fleet.addRunner('r1')
+  const dispatcher = fleet.start('host-1')
+  t.teardown(() => dispatcher.close())
+  await fleet.submit(id, [needsKind])
+  await waitUntil(() => runner.running.has(task))
+  runner.restart()
+  await pause(200)
+  await fleet.addRunner('r1')
+  await waitUntil(() => runner.running.has(task))
+})
--- a/packages/dispatcher/__tests__/runner-session.test.ts
+++ b/packages/dispatcher/__tests__/runner-session.test.ts
@@ -6,6 +6,7 @@
   createTaskWithRun,
   createUnexpectedAllocation,
   openSession,
+  registerAgain,
 } from './session-fixture.js'
 
 const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms))
@@ -69,6 +70,7 @@
   await session.start(allocation, '', undefined)
   t.same(runner.startedRuns, [{ task: 'job.0.0.0', run: 1 }])
   answerPolls()
+  registerAgain(session, runner)
   await waitUntil(() => session.runnerStartedAt === 2 && session.isAvailable)
   t.same(givenUp, [])
   t.equal(session.allocations.size, 1)
@@ -123,6 +125,7 @@
           await api.start(order)
           return { outcome: 'unknown', reason: 'no answer in time' }
         }
+        registerAgain(session, runner)
         await waitUntil(() => session.runnerStartedAt === 2 && session.isAvailable)
         return api.start(order)
       },
@@ -210,6 +213,7 @@
   runner.applyDelayed()
   t.equal(runner.running.get(first.name), 1, 'the new life carries out the first attempt')
   answerPolls()
+  registerAgain(session, runner)
   await waitUntil(() => session.isAvailable && session.runnerStartedAt === 2)
   await pause(1_000)
   t.equal(runner.running.size, 0, 'the run is stopped')
--- a/packages/dispatcher/__tests__/runs.test.ts
+++ b/packages/dispatcher/__tests__/runs.test.ts
@@ -85,6 +85,7 @@
   const dispatcher = fleet.start('host-1')
   await waitUntil(() => runner.running.has(task))
   runner.restart()
+  await fleet.addRunner('r1')
   await waitUntil(() => runner.running.get(task) === 2)
   runner.end(task, 'done')
   await waitUntil(async () => (await fleet.progress(id))?.status === 'completed')
--- a/packages/dispatcher/__tests__/session-fixture.ts
+++ b/packages/dispatcher/__tests__/session-fixture.ts
@@ -1,8 +1,12 @@
 import { JobExecution, type RunnerApi, type Task } from '@bulrushbridge/scheduler'
-import { createMemoryRunner } from '@bulrushbridge/standins'
+import { createMemoryRunner, type MemoryRunner } from '@bulrushbridge/standins'
 import { createLogger } from '@bulrushbridge/telemetry'
 import type { Allocation } from '../src/allocation.js'
-import { createRunnerSession, type SessionEvents } from '../src/runner-session.js'
+import {
+  createRunnerSession,
+  type RunnerSession,
+  type SessionEvents,
+} from '../src/runner-session.js'
 import { oneTask } from './fixture.js'
 
 const entry = {
@@ -47,6 +51,11 @@
   return { runner, session }
 }
 
+/** Registers the present incarnation of a runner that has restarted. */
+export function registerAgain(session: RunnerSession, runner: MemoryRunner): void {
+  session.update({ ...entry, startedAt: runner.processStartedAt })
+}
+
 export function createUnexpectedAllocation(taskName: string, runNumber: number): Allocation {
   return {
     taskName,
--- a/packages/dispatcher/__tests__/uncertain-orders.test.ts
+++ b/packages/dispatcher/__tests__/uncertain-orders.test.ts
@@ -135,6 +135,7 @@
   await waitUntil(() => runner.delayedCalls > 0)
   runner.restart()
   runner.fault = 'none'
+  await fleet.addRunner('r1')
   await fleet.submit(laterId, [oneTask])
   const laterTask = `${laterId}.0.0.0`
   await waitUntil(() => runner.running.has(laterTask))
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -170,12 +170,23 @@
     return (
       this.#isReconciled &&
       this.#isRegistered &&
+      this.#isEntryCurrent() &&
       this.unreachableSince === undefined &&
       !this.isCordoned &&
       this.#entry?.isDraining === false
     )
   }
 
+  /**
+   * Whether the registry entry is of the incarnation that answers polls. After a restart the pool, the
+   * labels and the capacity may be others.
+   */
+  #isEntryCurrent(): boolean {
+    const registered = this.#entry?.startedAt ?? 0
+    // An entry without a start time is of any incarnation.
+    return registered === 0 || registered === (this.#runnerStartedAt ?? registered)
+  }
+
   /** Applies a changed registry entry of the runner. */
   update(entry: RunnerEntry): void {
     const before = this.#entry
