fix(dispatcher): check pool and label again when a stored start is ordered

Seen in a test only.

Cause: a run is stored before its start is ordered, which takes seconds while the store is slow. Before the order only the availability of the runner was looked at again, not its pool and labels, nor the pool of the queue, which a new configuration may have changed or withdrawn.

Change: what a choice requires of pool and label is one function, isAllowedOn, which the order asks again; a start that is not allowed any more is given up as not started. The queues of a configuration are indexed once, not for each pass and each end.

Measured: 'no start is ordered on a runner that ... meanwhile' (two tests) failed before with a start on the changed runner, and pass.

--- a/packages/dispatcher/__tests__/changed-runners.test.ts
+++ b/packages/dispatcher/__tests__/changed-runners.test.ts
@@ -39,3 +39,39 @@
   await fleet.addRunner('r1')
   await waitUntil(() => runner.running.has(task))
 })
+
+// Guards against ROUTE: the entry of a runner changed while a run on it was being stored, and the start
+// was ordered there all the same.
+for (const [what, changed] of Object.entries({
+  'moved to another pool': { pool: 'other-pool' },
+  'lost the label that the task needs': { labels: ['other-kind', 'rack-1'] },
+})) {
+  void t.test(`no start is ordered on a runner that ${what} meanwhile`, async t => {
+    const fleet = createFleet({ dispatcherLeaseMs: 5_000 })
+    const runner = await fleet.addRunner('r1')
+    const dispatcher = fleet.start('host-1')
+    t.teardown(() => dispatcher.close())
+    await waitUntil(() => dispatcher.isHolder)
+    await fleet.submit(id, [needsKind])
+    const { store } = fleet
+    const commit = store.commit.bind(store)
+    let heldCommits = 0
+    let release: () => void = () => undefined
+    const released = new Promise<void>(resolve => (release = resolve))
+    store.commit = async (tx, opts) => {
+      if (tx.writes.some(({ key }) => key === id)) {
+        heldCommits += 1
+        await released
+      }
+      return commit(tx, opts)
+    }
+    await waitUntil(() => heldCommits > 0)
+    await fleet.addRunner('r1', changed)
+    // Longer than the pause between two reads of the registry.
+    await pause(400)
+    release()
+    const other = await fleet.addRunner('r2')
+    await waitUntil(() => other.running.has(task))
+    t.same(runner.startedRuns, [])
+  })
+}
--- a/packages/dispatcher/src/placement-pass.ts
+++ b/packages/dispatcher/src/placement-pass.ts
@@ -1,5 +1,6 @@
 import {
   chooseStarts,
+  isAllowedOn,
   noAmounts,
   sumWaitingWork,
   type Amounts,
@@ -119,15 +120,28 @@
     const isCurrent =
       allocation.task?.run?.number === allocation.runNumber && allocation.state === 'recorded'
     if (!isCurrent) return
-    if (job.hasEnded || !this.#ctx.isActive() || !this.#canStartOn(session)) {
+    const { step } = allocation.task
+    if (job.hasEnded || !this.#ctx.isActive() || !this.#isStillAllowed(step, session)) {
       session.remove(allocation)
       this.#jobTracker.onRunGivenUp(session, allocation, 'not-started')
       return
     }
-    const ticket = this.#advice?.ticketFor(allocation.task.step, session.id)
+    const ticket = this.#advice?.ticketFor(step, session.id)
     void session.start(allocation, job.definition.payload, ticket)
   }
 
+  /** The entry of the runner or the configuration may have changed while the run was being stored. */
+  #isStillAllowed(step: StepExecution, session: RunnerSession): boolean {
+    const queue = queuesOf(this.#ctx).get(step.job.definition.queue)
+    const { entry } = session
+    return (
+      queue !== undefined &&
+      entry !== undefined &&
+      this.#canStartOn(session) &&
+      isAllowedOn(step, queue, entry)
+    )
+  }
+
   #canStartOn(session: RunnerSession): boolean {
     const zone = session.entry?.zone
     return (
--- a/packages/dispatcher/src/term-context.ts
+++ b/packages/dispatcher/src/term-context.ts
@@ -3,6 +3,7 @@
   JobQueue,
   RunnerFailureTracker,
   RunTimeEstimator,
+  SchedulerConfiguration,
 } from '@bulrushbridge/scheduler'
 import type { DispatcherOptions, RunnerConnections } from './dispatcher.js'
 import type { OrganisationUsage } from './organisation-usage.js'
@@ -36,7 +37,19 @@
   onStartConfirmed: (ms: number) => void
 }
 
+/** The queues of each configuration that is in use, as a configuration may have thousands. */
+const queuesByConfiguration = new WeakMap<SchedulerConfiguration, ReadonlyMap<string, JobQueue>>()
+
+const noQueues: ReadonlyMap<string, JobQueue> = new Map()
+
 /** The queues of the current configuration, by name. */
 export function queuesOf({ opts }: TermContext): ReadonlyMap<string, JobQueue> {
-  return new Map(opts.view.configuration()?.queues.map(queue => [queue.name, queue]))
+  const cfg = opts.view.configuration()
+  if (cfg === undefined) return noQueues
+  let queues = queuesByConfiguration.get(cfg)
+  if (queues === undefined) {
+    queues = new Map(cfg.queues.map(queue => [queue.name, queue]))
+    queuesByConfiguration.set(cfg, queues)
+  }
+  return queues
 }
--- a/packages/scheduler/src/choose-starts.ts
+++ b/packages/scheduler/src/choose-starts.ts
@@ -2,6 +2,7 @@
 import type { JobQueue } from './configuration.js'
 import { maxSuspicion, mustRunAlone, suspicionOf } from './crash-suspects.js'
 import type { StepExecution, Task } from './job-execution.js'
+import { hasNeededLabel } from './runner-constraints.js'
 import { compareUrgency, urgencyOf } from './urgency.js'
 import type { RunTimeEstimator } from './run-time-estimator.js'
 
@@ -138,7 +139,6 @@
   #keepRunnerFree(step: StepExecution, queue: JobQueue): void {
     if (queue.advice !== undefined || this.#poolsWithKeptRunner.has(queue.pool)) return
     const amounts = reservedAmounts(step)
-    const { needs } = step.definition
     let fewest: AvailableRunner | undefined
     for (const runner of this.#runnersByPool.get(queue.pool) ?? []) {
       if (
@@ -147,7 +147,7 @@
         countFitting(runner.capacity, amounts) < 1
       )
         continue
-      if (needs !== undefined && !runner.labels.includes(needs)) continue
+      if (!hasNeededLabel(step, runner)) continue
       if (fewest === undefined || runner.finiteTasks < fewest.finiteTasks) fewest = runner
     }
     if (fewest === undefined) return
@@ -234,11 +234,11 @@
 
   #canRun(task: Task, runner: AvailableRunner, amounts: Amounts): boolean {
     const { step, crashes } = task
-    const { needs, maxPerRunner } = step.definition
+    const { maxPerRunner } = step.definition
     if (runner.isExclusive) return false
     if (mustRunAlone(task) && runner.finiteTasks > 0) return false
     if (crashes > 0 && runner.suspicion + suspicionOf(crashes) > maxSuspicion) return false
-    if (needs !== undefined && !runner.labels.includes(needs)) return false
+    if (!hasNeededLabel(step, runner)) return false
     if (countFitting(runner.free, amounts) < 1) return false
     return maxPerRunner === undefined || this.#tasksOn(step, runner) < maxPerRunner
   }
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -98,6 +98,7 @@
   type RunnerReport,
   type UpkeepWave,
 } from './runner.js'
+export { isAllowedOn } from './runner-constraints.js'
 export { fencesPerTerm, isOfEarlierTerm, runnerFence } from './runner-fence.js'
 export { createRunnerFailureTracker, type RunnerFailureTracker } from './runner-failure-tracker.js'
 export { isSocketAddress } from './socket-address.js'
