--- a/packages/dispatcher/__tests__/uncertain-orders.test.ts
+++ b/packages/dispatcher/__tests__/uncertain-orders.test.ts
@@ -39,6 +39,33 @@
   t.same([...late.running], [], 'the task runs once')
 })
 
+// Guards against ROUTE: a run that was given up although its start could still be carried out left its
+// place to another task of the step, and the runner had more of them than `maxPerRunner`.
+void t.test('a start that may still be carried out keeps its place on the runner', async t => {
+  const fleet = createFleet()
+  const other = await fleet.addRunner('r2')
+  const dispatcher = fleet.start('host-1')
+  t.teardown(() => dispatcher.close())
+  // With a task on it, the other runner is the better fit for the next one.
+  await fleet.submit(laterId, [oneTask])
+  await waitUntil(() => other.running.size === 1)
+  await fleet.addRunner('r2', { isDraining: true })
+  const late = await fleet.addRunner('r1')
+  // Longer than the pause between two reads of the registry.
+  await pause(400)
+  late.fault = 'late'
+  await fleet.submit(id, [{ ...oneTask, count: 2, maxPerRunner: 1 }])
+  await waitUntil(() => late.delayedCalls === 1)
+  late.fault = 'unhealthy'
+  await waitUntil(() => late.refusedOrders > 0)
+  await fleet.addRunner('r2')
+  await waitUntil(() => other.running.size === 2)
+  late.fault = 'none'
+  await waitUntil(() => late.running.size === 1)
+  late.applyDelayed()
+  t.equal(late.running.size, 1, 'the runner has one task of the step')
+})
+
 // Guards against UNASKED: an unhealthy runner refused the stop of a cancelled job's run without
 // carrying it out, and the run went on until the end of the day.
 void t.test('a stop that an unhealthy runner refuses is sent again', async t => {
