fix(dispatcher): let an answered poll outweigh an older list of machines

Cause: the machine of a runner was ordered into upkeep or another pool, without an answer. The runner restarted under its id, which ends its cordon, and got work. A list of machines that was requested before showed the machine as down, and the runs were given up although the runner answered polls.

Change: a session gives up its runs by a list only if the runner has answered no poll that was sent after the list was requested.

Measured: 'a list from before a restart does not end runs of a machine due for upkeep' failed before (run 2 of the task started) and passes.

--- /dev/null
+++ b/packages/dispatcher/__tests__/old-machine-lists.test.ts
@@ -0,0 +1,72 @@
+import type { CallResult, Machine, MachineAnswer, MachineApi } from '@bulrushbridge/scheduler'
+import { waitUntil } from '@bulrushbridge/standins'
+import t from 'tap'
+import { createFleet, oneTask } from './fixture.js'
+
+const id = '00000000000000d1'
+const task = `${id}.0.0.0`
+const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms))
+
+const machine: Machine = {
+  id: 'm1',
+  pool: 'pool',
+  state: 'up',
+  zone: 'zone-a',
+  labels: ['kind', 'rack-1'],
+  capacity: { cpuMillis: 4_000, memoryMb: 4_000, accelerators: 0 },
+  runnerId: 'r1',
+}
+
+/** A machine service that answers lists when the test says so, and never answers orders. */
+function createSlowMachines() {
+  const unanswered: CallResult<MachineAnswer> = { outcome: 'unknown', reason: 'no answer' }
+  const requested: ((result: CallResult<Machine[]>) => void)[] = []
+  const orders: string[] = []
+  const order = (kind: string) => () => {
+    orders.push(kind)
+    return Promise.resolve(unanswered)
+  }
+  const api: MachineApi<Machine> = {
+    list: () => new Promise(resolve => requested.push(resolve)),
+    move: order('move'),
+    upkeep: order('upkeep'),
+    close: () => Promise.resolve(),
+  }
+  const answerLists = (machines: Machine[]) => {
+    for (const answer of requested.splice(0)) answer({ outcome: 'done', value: machines })
+  }
+  return { api, orders, requested, answerLists }
+}
+
+// Guards against TWICE: the machine of a runner was ordered into upkeep or another pool without an
+// answer, and the runner restarted and got work; a list of machines from before showed the machine
+// as down, and the runs were given up and started again.
+void t.test(
+  'a list from before a restart does not end runs of a machine due for upkeep',
+  async t => {
+    const machines = createSlowMachines()
+    const fleet = createFleet({
+      machines: machines.api,
+      waves: [{ id: 1, machines: ['m1'], timeMs: 60_000, maxUnavailable: 1 }],
+      dispatcherLeaseMs: 5_000,
+    })
+    const runner = await fleet.addRunner('r1')
+    const dispatcher = fleet.start('host-1')
+    t.teardown(async () => {
+      machines.answerLists([])
+      await dispatcher.close()
+    })
+    await waitUntil(() => machines.requested.length > 0)
+    machines.answerLists([machine])
+    await waitUntil(() => machines.orders.includes('upkeep'))
+    // The list of the next round is requested before the runner restarts.
+    await waitUntil(() => machines.requested.length > 0)
+    runner.restart()
+    await fleet.addRunner('r1')
+    await fleet.submit(id, [oneTask])
+    await waitUntil(() => runner.running.has(task))
+    machines.answerLists([{ ...machine, state: 'down', runnerId: undefined }])
+    await pause(500)
+    t.same(runner.startedRuns, [{ task, run: 1 }])
+  },
+)
--- a/packages/dispatcher/src/machine-controller.ts
+++ b/packages/dispatcher/src/machine-controller.ts
@@ -96,7 +96,7 @@
     }
     this.#giveUpLostRunners(lostRunners, result.value, listRequestedAt)
     for (const wave of waves) await this.#waves.advance(wave, result.value, listRequestedAt)
-    await this.#moves.advance(result.value, this.#waves)
+    await this.#moves.advance(result.value, listRequestedAt, this.#waves)
     await this.#orderRecord.removeOutdated()
     return waves.length + lostRunners.length > 0 || this.#moves.isBusy
   }
@@ -118,8 +118,8 @@
       ),
     )
     for (const session of missing) {
-      const { unreachableSince: since, hasAnswered } = session
-      const isAnswering = hasAnswered && since === undefined
+      const { unreachableSince: since, answeredPollSentAt } = session
+      const isAnswering = answeredPollSentAt !== undefined && since === undefined
       if (isAnswering || (since ?? 0) > listRequestedAt || runnersOnUpMachines.has(session.id))
         continue
       this.#opts.log.info('runner given up, no machine that is up runs it', {
@@ -128,7 +128,7 @@
         unreachableMs: since === undefined ? undefined : Math.round(performance.now() - since),
         listTookMs: Math.round(performance.now() - listRequestedAt),
       })
-      session.markMachineUnavailable()
+      session.markMachineUnavailable(listRequestedAt)
     }
   }
 }
--- a/packages/dispatcher/src/pool-moves.ts
+++ b/packages/dispatcher/src/pool-moves.ts
@@ -56,11 +56,18 @@
     return this.#poolNames().some(pool => this.#opts.waitingAmounts(pool).cpuMillis > 0)
   }
 
-  /** Sends the move orders that the current demand of the pools requires. */
-  async advance(machines: readonly Machine[], waves: WaveOrders): Promise<void> {
+  /**
+   * Sends the move orders that the current demand of the pools requires. `machines` is the platform's
+   * list, requested at local time `listRequestedAt`.
+   */
+  async advance(
+    machines: readonly Machine[],
+    listRequestedAt: number,
+    waves: WaveOrders,
+  ): Promise<void> {
     const now = performance.now()
     if (!this.#isLentRead) await this.#readLent()
-    this.#finishMoves(machines)
+    this.#finishMoves(machines, listRequestedAt)
     this.#updateIdleTimes(machines, now)
     // A machine that is due for upkeep does not move before it, as its wave would have to wait.
     const movable = machines.filter(
@@ -94,13 +101,13 @@
     ])
   }
 
-  #finishMoves(machines: readonly Machine[]): void {
+  #finishMoves(machines: readonly Machine[], listRequestedAt: number): void {
     const byId = new Map(machines.map(machine => [machine.id, machine]))
     for (const [id, move] of [...this.#moving]) {
       const machine = byId.get(id)
       const isReplaced = machine?.state !== 'up' || machine.runnerId !== move.runnerId
       if (isReplaced && move.runnerId !== undefined) {
-        this.#opts.sessions.get(move.runnerId)?.markMachineUnavailable()
+        this.#opts.sessions.get(move.runnerId)?.markMachineUnavailable(listRequestedAt)
       }
       const hasArrived =
         machine === undefined || (machine.state === 'up' && machine.pool === move.to)
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -108,8 +108,8 @@
   isUpkeepExpected = false
   /** Since when polls have failed; undefined while they succeed. */
   unreachableSince: number | undefined
-  /** The runner has answered a poll of this term. */
-  hasAnswered = false
+  /** When the last poll of this term that the runner answered was sent; undefined before the first. */
+  answeredPollSentAt: number | undefined
   readonly #opts: RunnerSessionOptions
   readonly #closing = new AbortController()
   readonly #clock: RunnerClock
@@ -244,8 +244,12 @@
     return this.#orders.pace(allocation, percent)
   }
 
-  /** Gives up all runs, because the machine is down, has moved, or runs another runner. */
-  markMachineUnavailable(): void {
+  /**
+   * Gives up all runs, because the list of machines that was requested at `listRequestedAt` shows the
+   * machine as down, as moved or with another runner. An answer to a later poll outweighs the list.
+   */
+  markMachineUnavailable(listRequestedAt: number): void {
+    if ((this.answeredPollSentAt ?? 0) > listRequestedAt) return
     this.#isReconciled = false
     this.#needsResync = true
     this.#loseRuns([...this.allocations.values()], 'machine-gone')
@@ -332,7 +336,7 @@
   }
 
   async #applyReport(report: RunnerReport, sentAt: number): Promise<void> {
-    this.hasAnswered = true
+    this.answeredPollSentAt = sentAt
     const previous = this.#runnerStartedAt
     const isNewIncarnation = report.startedAt !== undefined && report.startedAt !== previous
     if (isNewIncarnation) this.#beginIncarnation(report.startedAt)
--- a/packages/dispatcher/src/wave-orders.ts
+++ b/packages/dispatcher/src/wave-orders.ts
@@ -182,7 +182,7 @@
       const machine = byId.get(id)
       const session = order.runnerId === undefined ? undefined : sessions.get(order.runnerId)
       const isReplaced = machine?.state !== 'up' || machine.runnerId !== order.runnerId
-      if (isReplaced) session?.markMachineUnavailable()
+      if (isReplaced) session?.markMachineUnavailable(listRequestedAt)
       const hasUpkeepTimePassed = listRequestedAt - order.orderedAt > timing.upkeepMs
       if (!order.isAccepted || machine?.state === 'upkeep' || !hasUpkeepTimePassed) continue
       if (session !== undefined) {
