fix(dispatcher): acknowledge the ends of a runner once

Cause: each poll repeated the number of the last acknowledged end, also when nothing was left to acknowledge. A poll that is carried out late, after its runner restarted and ended a run, acknowledged that end by the numbers of the earlier life; nobody had read it, and the run was given up as lost with the earlier life.

Change: a poll acknowledges only ends that no answered poll has acknowledged.

Measured: 'a delayed poll acknowledges no end of the next life of its runner' failed before (the job did not complete) and passes. What remains: the one poll that acknowledges can still be the delayed one.

--- /dev/null
+++ b/packages/dispatcher/__tests__/restarted-runners.test.ts
@@ -0,0 +1,65 @@
+import type { PollRequest } from '@bulrushbridge/scheduler'
+import { createMemoryRunner, waitUntil } from '@bulrushbridge/standins'
+import t from 'tap'
+import { createFleet, oneTask, type FleetOptions } from './fixture.js'
+
+const [firstId, secondId, thirdId] = ['00000000000000a1', '00000000000000b1', '00000000000000c1']
+const taskOf = (id: string) => `${id}.0.0.0`
+const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms))
+
+/** Calls the runners of a fleet directly; each poll waits for `beforePoll`. */
+function connectWith(
+  beforePoll: (request: PollRequest) => Promise<unknown>,
+): NonNullable<FleetOptions['connectRunners']> {
+  return ({ runners }) => ({
+    createRunner: ({ runnerId }) => {
+      const api = (runners.get(runnerId) ?? createMemoryRunner()).api()
+      return {
+        ...api,
+        poll: async request => {
+          await beforePoll(request)
+          return api.poll(request)
+        },
+      }
+    },
+    close: () => Promise.resolve(),
+  })
+}
+
+// Guards against TWICE: every poll repeated the number of the last acknowledged end; a delayed one
+// reached the runner after its restart and acknowledged an end of the new life that nobody had read.
+void t.test('a delayed poll acknowledges no end of the next life of its runner', async t => {
+  const polls = { areHeld: false, held: 0 }
+  let release: () => void = () => undefined
+  const released = new Promise<void>(resolve => (release = resolve))
+  const fleet = createFleet({
+    dispatcherLeaseMs: 5_000,
+    connectRunners: connectWith(async () => {
+      if (!polls.areHeld) return
+      polls.held += 1
+      await released
+    }),
+  })
+  const runner = await fleet.addRunner('r1')
+  const dispatcher = fleet.start('host-1')
+  t.teardown(() => dispatcher.close())
+  await fleet.submit(firstId, [oneTask])
+  await fleet.submit(secondId, [oneTask])
+  await waitUntil(() => runner.running.size === 2)
+  runner.end(taskOf(firstId), 'done')
+  await waitUntil(() => runner.acknowledged === 1)
+  // The poll that acknowledged the end has returned, and others have followed.
+  await pause(200)
+  polls.areHeld = true
+  await waitUntil(() => polls.held > 0)
+  runner.restart()
+  await fleet.submit(thirdId, [oneTask])
+  await waitUntil(() => runner.running.has(taskOf(thirdId)))
+  runner.end(taskOf(thirdId), 'done')
+  polls.areHeld = false
+  release()
+  await fleet.addRunner('r1')
+  await waitUntil(async () => (await fleet.progress(thirdId))?.status === 'completed')
+  const runs = runner.startedRuns.filter(({ task }) => task === taskOf(thirdId))
+  t.same(runs, [{ task: taskOf(thirdId), run: 1 }])
+})
--- a/packages/dispatcher/src/end-tracker.ts
+++ b/packages/dispatcher/src/end-tracker.ts
@@ -24,6 +24,11 @@
     return this.#received > this.#stored
   }
 
+  /** Whether every stored end has been acknowledged. */
+  get isAcknowledged(): boolean {
+    return this.#acknowledged === this.#stored
+  }
+
   /** Whether every received end has been acknowledged. */
   get isFullyAcknowledged(): boolean {
     return this.#acknowledged === this.#received
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -308,7 +308,10 @@
   async #poll(api: RunnerApi): Promise<void> {
     const sentAt = performance.now()
     const isResync = this.#needsResync
-    const acknowledged = isResync ? 0 : this.#endTracker.stored
+    // Ends are acknowledged once, as a poll that is carried out after a restart of the runner would
+    // acknowledge ends of the new incarnation.
+    const hasAcknowledged = this.#endTracker.isAcknowledged
+    const acknowledged = isResync || hasAcknowledged ? 0 : this.#endTracker.stored
     const result = await api.poll({
       fence: this.#fence(),
       acknowledged,
