fix(runner-relay): do not repeat a poll that acknowledges ends

Change: only polls that acknowledge nothing are repeated; the session polls again without an acknowledgement.

Measured: 'a poll that acknowledges ends is not repeated without the relay' failed before and passes.

--- a/packages/runner-relay/__tests__/relayed-runners.test.ts
+++ b/packages/runner-relay/__tests__/relayed-runners.test.ts
@@ -102,6 +102,15 @@
   t.equal(network.runner('r0').startedRuns.length, 1)
 })
 
+// Guards against TWICE: a poll that a relay did not answer was repeated a second later, and could
+// acknowledge ends of a runner that had restarted since.
+void t.test('a poll that acknowledges ends is not repeated without the relay', async t => {
+  const { network, api } = await connectToFakeRelay(t)
+  const polled = await api.poll({ ...pollRequest, acknowledged: 1 })
+  t.match(polled, { outcome: 'unknown' })
+  t.equal(network.runner('r0').acknowledged, 0)
+})
+
 // Guards against a run that is started twice, or counts as not started, after the answer to its
 // start was lost with the relay.
 void t.test('a relay that ends before its answer arrives leaves the order unknown', async t => {
--- a/packages/runner-relay/src/relayed-runners.ts
+++ b/packages/runner-relay/src/relayed-runners.ts
@@ -242,7 +242,8 @@
       performance.now() + request.waitMs + pollResultMarginMs,
     )
     if (result !== undefined) return toPollResult(result)
-    if (this.#isClosed) return unknownOutcome(connection.host)
+    // A second poll later must not acknowledge ends, as the runner may have restarted since.
+    if (this.#isClosed || request.acknowledged > 0) return unknownOutcome(connection.host)
     // A poll may be made twice, and this one may have been made without an answer.
     return this.#direct.poll({ ...request, waitMs: 0 })
   }
