fix(dispatcher): order a start on an idle runner after a poll has shown its life

Cause: an idle runner is not polled. After its restart the registry may still show the earlier entry, which equals the last known start time; the poll that a new run wakes can be slower than the write of the run.

Change: the order waits for the write and, for a runner that was idle, for the poll that the run has woken. Both are under way at the same time.

Measured: 'an idle runner that has restarted gets no start by its earlier entry' failed before and passes. What remains: a poll that hangs on a dead connection hides a restart until it times out.

--- a/packages/dispatcher/__tests__/restarted-runners.test.ts
+++ b/packages/dispatcher/__tests__/restarted-runners.test.ts
@@ -63,3 +63,26 @@
   const runs = runner.startedRuns.filter(({ task }) => task === taskOf(thirdId))
   t.same(runs, [{ task: taskOf(thirdId), run: 1 }])
 })
+
+// Guards against ROUTE: an idle runner is not polled, so its restart as another kind was noticed only
+// after a start by its earlier registry entry had been ordered.
+void t.test('an idle runner that has restarted gets no start by its earlier entry', async t => {
+  const fleet = createFleet({
+    dispatcherLeaseMs: 5_000,
+    // Longer than a write of the store.
+    connectRunners: connectWith(() => pause(30)),
+  })
+  const runner = await fleet.addRunner('r1')
+  const dispatcher = fleet.start('host-1')
+  t.teardown(() => dispatcher.close())
+  await waitUntil(() => dispatcher.isHolder)
+  // The session becomes idle.
+  await pause(500)
+  runner.restart()
+  await fleet.submit(firstId, [{ ...oneTask, needs: 'kind' }])
+  await pause(500)
+  t.same(runner.startedRuns, [])
+  await fleet.addRunner('r1', { labels: ['other-kind', 'rack-1'] })
+  const other = await fleet.addRunner('r2')
+  await waitUntil(() => other.running.has(taskOf(firstId)))
+})
--- a/packages/dispatcher/src/idle-pause.ts
+++ b/packages/dispatcher/src/idle-pause.ts
@@ -12,6 +12,10 @@
     this.#pausing = undefined
   }
 
+  get isPausing(): boolean {
+    return this.#pausing !== undefined
+  }
+
   /** Ends the pause; does nothing if there is none. */
   wake(): void {
     this.#pausing?.abort()
--- a/packages/dispatcher/src/placement-pass.ts
+++ b/packages/dispatcher/src/placement-pass.ts
@@ -110,7 +110,7 @@
     job.beginRun(task, runnerId, session.runnerStartedAt)
     const allocation = createAllocation(task, session.runnerStartedAt)
     session.add(allocation)
-    void this.#ctx.storeJob(job).then(() => {
+    void Promise.all([this.#ctx.storeJob(job), session.whenCurrent()]).then(() => {
       this.#orderStart(session, allocation, job)
     })
   }
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -134,6 +134,8 @@
    */
   #needsResync = true
   readonly #idlePause = new IdlePause()
+  /** Of a runner that is not polled while it is idle; settled by the next poll. */
+  #nextPoll: Deferred | undefined
 
   constructor(opts: RunnerSessionOptions) {
     this.#opts = opts
@@ -218,6 +220,7 @@
 
   /** Adds the allocation of a recorded run. */
   add(allocation: Allocation): void {
+    if (this.#idlePause.isPausing) this.#nextPoll ??= createDeferred()
     this.load.add(allocation)
     this.#opts.events.onAllocationChange(allocation, 1)
     this.#idlePause.wake()
@@ -229,6 +232,14 @@
     this.#opts.events.onAllocationChange(allocation, -1)
   }
 
+  /**
+   * Resolves when a poll has shown whether the runner restarted while it was idle and not polled; at
+   * once if it is polled anyway.
+   */
+  whenCurrent(): Promise<void> {
+    return this.#nextPoll?.promise ?? Promise.resolve()
+  }
+
   /** Sends the start order of a recorded run; retries or stops it if the answer is lost. */
   start(allocation: Allocation, payload: string, ticket: string | undefined): Promise<void> {
     return this.#orders.start(allocation, payload, ticket)
@@ -335,7 +346,9 @@
       return
     }
     this.#endTracker.acknowledge(acknowledged)
-    await this.#applyReport(result.value.report, sentAt)
+    const applied = this.#applyReport(result.value.report, sentAt)
+    this.#settleNextPoll()
+    await applied
   }
 
   async #applyReport(report: RunnerReport, sentAt: number): Promise<void> {
@@ -520,8 +533,14 @@
     this.#opts.events.onRunGivenUp(this, allocation, cause)
   }
 
+  #settleNextPoll(): void {
+    this.#nextPoll?.resolve()
+    this.#nextPoll = undefined
+  }
+
   #markUnreachable(reason: string): void {
     this.#needsResync = true
+    this.#settleNextPoll()
     if (this.unreachableSince === undefined) {
       this.unreachableSince = performance.now()
       this.#opts.log.warn('runner unreachable', {
@@ -550,3 +569,15 @@
     return wait(systemClock, ms, this.#closing.signal)
   }
 }
+
+/** A promise that other code resolves. */
+interface Deferred {
+  promise: Promise<void>
+  resolve: () => void
+}
+
+function createDeferred(): Deferred {
+  let resolve: () => void = () => undefined
+  const promise = new Promise<void>(settle => (resolve = settle))
+  return { promise, resolve }
+}
