fix(dispatcher): ignore clock readings of an earlier life of a runner

Found by the review.

Cause: the answer to an order that was sent before a restart set the clock of the new incarnation, which only takes higher readings.

Change: the reading of an order counts only while its fencing token is the present one of the runner.

Measured: 'an answer of an earlier life does not set the clock of the present one' failed before (lease to 9000400 on a clock near 1000) and passes.

--- a/packages/dispatcher/__tests__/runner-session.test.ts
+++ b/packages/dispatcher/__tests__/runner-session.test.ts
@@ -312,3 +312,49 @@
   t.same(givenUp, [])
   for (const store of stores) store()
 })
+
+// Guards against leases on a wrong clock: the answer to a stop arrived after the restart of its runner,
+// and the reading of the earlier clock became that of the present one.
+void t.test('an answer of an earlier life does not set the clock of the present one', async t => {
+  const clocks = [9_000_000, 1_000]
+  let life = 0
+  const deadlines: number[] = []
+  let answerStop: () => void = () => undefined
+  const stopAnswered = new Promise<void>(resolve => (answerStop = resolve))
+  const { runner, session } = openSession({}, api => ({
+    ...api,
+    stop: async order => {
+      const clockMs = clocks[life]
+      const result = await api.stop(order)
+      await stopAnswered
+      if (result.outcome !== 'done') return result
+      return { outcome: 'done', value: { ...result.value, clockMs } }
+    },
+    poll: async order => {
+      if (life === 1 && order.leaseDeadline !== undefined) deadlines.push(order.leaseDeadline)
+      const result = await api.poll(order)
+      if (result.outcome !== 'done' || result.value.isFenced) return result
+      const report = { ...result.value.report, clockMs: clocks[life] ?? 0 }
+      return { outcome: 'done', value: { isFenced: false, report } }
+    },
+  }))
+  t.teardown(() => session.close())
+  await waitUntil(() => session.isAvailable)
+  const task = createTaskWithRun()
+  const allocation = createAllocation(task, 1)
+  session.add(allocation)
+  await session.start(allocation, '', undefined)
+  void session.stop(allocation)
+  await pause(50)
+  runner.restart()
+  life = 1
+  registerAgain(session, runner)
+  await waitUntil(() => session.isAvailable)
+  answerStop()
+  await pause(100)
+  const later = createAllocation(task, 2, { name: 'job.0.0.1', run: 1 })
+  session.add(later)
+  await session.start(later, '', undefined)
+  await waitUntil(() => deadlines.length > 2)
+  t.ok((deadlines.at(-1) ?? 0) < 100_000, `lease to ${deadlines.at(-1)} on a clock near 1000`)
+})
--- a/packages/dispatcher/src/runner-orders.ts
+++ b/packages/dispatcher/src/runner-orders.ts
@@ -73,7 +73,7 @@
         leaseDeadline,
       })
       if (!this.#opts.isAllocated(allocation)) return
-      this.#observeClock(result)
+      this.#observeClock(result, fence)
       if (result.outcome === 'done') {
         this.#applyStartAnswer(allocation, result.value, { fence, isRepeated: isOutcomeUnknown })
         return
@@ -105,7 +105,7 @@
       const { taskName: task, runNumber: run } = allocation
       const fence = this.#opts.fence()
       const result = await api.stop({ task, run, fence })
-      this.#observeClock(result)
+      this.#observeClock(result, fence)
       const answer = result.outcome === 'done' ? result.value : undefined
       const isSuperseded = answer?.refusal === 'fence' && fence < this.#opts.fence()
       if (answer !== undefined && !isSuperseded && !wasStopRefused(answer)) {
@@ -158,8 +158,10 @@
     else this.#opts.onNotStarted(allocation)
   }
 
-  #observeClock(result: CallResult<RunnerOrderAnswer>): void {
+  /** The answer to a call with an outdated token may be of an earlier incarnation, with another clock. */
+  #observeClock(result: CallResult<RunnerOrderAnswer>, fence: number): void {
     if (result.outcome !== 'done' || result.value.clockMs === undefined) return
+    if (fence !== this.#opts.fence()) return
     this.#opts.observeClock(result.value.clockMs)
   }
 
