fix(dispatcher): poll a lost runner as soon as it registers again

Cause: a session that is not registered and has no runs does not poll. The same entry as before did not wake it.

Measured: 'a lost runner that registers again is polled soon' failed before (no second start within 10 s) and passes.

--- a/packages/dispatcher/__tests__/restarted-runners.test.ts
+++ b/packages/dispatcher/__tests__/restarted-runners.test.ts
@@ -1,4 +1,4 @@
-import type { PollRequest } from '@bulrushbridge/scheduler'
+import type { Machine, PollRequest } from '@bulrushbridge/scheduler'
 import { createMemoryRunner, waitUntil } from '@bulrushbridge/standins'
 import t from 'tap'
 import { createFleet, oneTask, type FleetOptions } from './fixture.js'
@@ -86,3 +86,43 @@
   const other = await fleet.addRunner('r2')
   await waitUntil(() => other.running.has(taskOf(firstId)))
 })
+
+// Guards against a runner without work: its entry was removed while it could not be reached and had
+// lost its runs, and when it registered again it was polled only after a minute.
+void t.test('a lost runner that registers again is polled soon', async t => {
+  const unused = () => Promise.resolve({ outcome: 'not-done', reason: 'unused' } as const)
+  const machine: Machine = {
+    id: 'm1',
+    pool: 'pool',
+    state: 'up',
+    zone: 'zone-a',
+    labels: ['kind', 'rack-1'],
+    capacity: { cpuMillis: 4_000, memoryMb: 4_000, accelerators: 0 },
+    runnerId: 'r1',
+  }
+  let listed = [machine]
+  const fleet = createFleet({
+    dispatcherLeaseMs: 5_000,
+    machines: {
+      list: () => Promise.resolve({ outcome: 'done', value: listed }),
+      move: unused,
+      upkeep: unused,
+      close: () => Promise.resolve(),
+    },
+  })
+  const runner = await fleet.addRunner('r1')
+  const dispatcher = fleet.start('host-1')
+  t.teardown(() => dispatcher.close())
+  await fleet.submit(firstId, [oneTask])
+  await waitUntil(() => runner.running.has(taskOf(firstId)))
+  runner.fault = 'unreachable'
+  listed = []
+  await fleet.removeRunner('r1')
+  // The list of machines ends the run.
+  await pause(3_000)
+  listed = [machine]
+  runner.end(taskOf(firstId), 'lapsed')
+  runner.fault = 'none'
+  await fleet.addRunner('r1')
+  await waitUntil(() => runner.startedRuns.length > 1)
+})
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -193,6 +193,8 @@
   update(entry: RunnerEntry): void {
     const before = this.#entry
     this.#entry = entry
+    // A session that was unregistered and has no allocations does not poll.
+    if (!this.#isRegistered) this.#idlePause.wake()
     this.#isRegistered = true
     const changed = before === undefined ? undefined : changedFields(before, entry)
     if (changed !== undefined)
