fix(dispatcher): free the place of a run whose task is done meanwhile

Found by the review.

Cause: when an earlier run that had been given up turned out to be done while the next one was being stored, the recorded run was neither ordered nor removed.

Measured: 'a run whose task is done while it is being stored leaves its place' failed before (the runner stayed full for 10 s) and passes.

--- a/packages/dispatcher/__tests__/restarted-runners.test.ts
+++ b/packages/dispatcher/__tests__/restarted-runners.test.ts
@@ -126,3 +126,52 @@
   await fleet.addRunner('r1')
   await waitUntil(() => runner.startedRuns.length > 1)
 })
+
+// Guards against a place that stays taken: the task of a run that was being stored was done by an
+// earlier run, which had been given up; the recorded run was neither ordered nor removed.
+void t.test('a run whose task is done while it is being stored leaves its place', async t => {
+  const unused = () => Promise.resolve({ outcome: 'not-done', reason: 'unused' } as const)
+  const fleet = createFleet({
+    dispatcherLeaseMs: 5_000,
+    machines: {
+      list: () => Promise.resolve({ outcome: 'done', value: [] }),
+      move: unused,
+      upkeep: unused,
+      close: () => Promise.resolve(),
+    },
+  })
+  const whole = { ...oneTask, amounts: { cpuMillis: 4_000, memoryMb: 100, accelerators: 0 } }
+  const first = await fleet.addRunner('r1')
+  const dispatcher = fleet.start('host-1')
+  t.teardown(() => dispatcher.close())
+  await fleet.submit(firstId, [whole])
+  await waitUntil(() => first.running.has(taskOf(firstId)))
+  await pause(300)
+  const { store } = fleet
+  const commit = store.commit.bind(store)
+  let heldCommits = 0
+  let release: () => void = () => undefined
+  const released = new Promise<void>(resolve => (release = resolve))
+  store.commit = async (tx, opts) => {
+    if (tx.writes.some(({ key }) => key === firstId)) {
+      heldCommits += 1
+      await released
+    }
+    return commit(tx, opts)
+  }
+  first.fault = 'unreachable'
+  const second = await fleet.addRunner('r2')
+  await waitUntil(() => heldCommits > 0)
+  // The second run is recorded by now, and its write waits.
+  await pause(400)
+  first.end(taskOf(firstId), 'done')
+  first.fault = 'none'
+  await pause(400)
+  release()
+  await waitUntil(async () => (await fleet.progress(firstId))?.status === 'completed')
+  t.same(second.startedRuns, [])
+  await fleet.addRunner('r1', { isDraining: true })
+  await pause(400)
+  await fleet.submit(secondId, [whole])
+  await waitUntil(() => second.running.has(taskOf(secondId)))
+})
--- a/packages/dispatcher/src/placement-pass.ts
+++ b/packages/dispatcher/src/placement-pass.ts
@@ -119,7 +119,11 @@
   #orderStart(session: RunnerSession, allocation: Allocation, job: JobExecution): void {
     const isCurrent =
       allocation.task?.run?.number === allocation.runNumber && allocation.state === 'recorded'
-    if (!isCurrent) return
+    if (!isCurrent) {
+      // The task was done by an earlier run while this one was being stored.
+      if (allocation.state === 'recorded') session.remove(allocation)
+      return
+    }
     const { step } = allocation.task
     if (job.hasEnded || !this.#ctx.isActive() || !this.#isStillAllowed(step, session)) {
       session.remove(allocation)
