fix(job-front): a cancellation stays unknown after a lost answer

Cause: the outcome of a cancellation was taken from its last attempt only. When an attempt got no answer and the next one was refused, the caller was told that nothing was done, although the first attempt may take effect.

Change: a lost answer counts for all later attempts, as it does for the acceptance of a job.

Measured: the new test in job-handler.test.ts failed before (outcome `not-run` although the delayed transaction committed) and passes now; 195 of 195 checks of job-front and store pass.

--- a/packages/job-front/__tests__/job-handler.test.ts
+++ b/packages/job-front/__tests__/job-handler.test.ts
@@ -91,11 +91,13 @@
     await server.close()
     await acceptor.close()
   })
-  const call = async (method: string, path: string) =>
-    (await fetch(`http://${server.address}${path}`, { method })).status
-  const get = (path: string) => call('GET', path)
-  const cancel = (path: string) => call('DELETE', path)
-  return { get, cancel, store, acceptor, refreshCount: () => refreshCount, completeRefresh }
+  const send = (method: string, path: string, waitMs?: number) => {
+    const headers = waitMs === undefined ? {} : { 'deadline-ms': String(waitMs) }
+    return fetch(`http://${server.address}${path}`, { method, headers })
+  }
+  const get = async (path: string) => (await send('GET', path)).status
+  const cancel = async (path: string) => (await send('DELETE', path)).status
+  return { send, get, cancel, store, acceptor, refreshCount: () => refreshCount, completeRefresh }
 }
 
 // Guards against a host that answers by a newer configuration and, to a request sent later, by an
@@ -165,3 +167,21 @@
   t.ok(await store.read(acceptedJobsTable, cancellation, { part: partOf(job.id) }))
   t.equal(await get(path), 200)
 })
+
+// Guards against a caller that is told that its cancellation was certainly not
+// stored, although an earlier attempt to store it got no answer and takes effect later.
+void t.test('a cancellation without an answer is unknown, also when then refused', async t => {
+  const { store, acceptor, send } = await setup(t)
+  await acceptor.accept(job, performance.now() + 1_000)
+  const commit = store.commit.bind(store)
+  store.fault = 'late'
+  store.commit = (tx, opts) => {
+    const result = commit(tx, opts)
+    store.fault = 'refuse'
+    return result
+  }
+  const response = await send('DELETE', `/removed/${job.id}`, 1_250)
+  t.equal(response.status, 504)
+  t.equal(response.headers.get('bulrush-outcome'), 'unknown')
+  t.match(store.applyDelayed(), [{ committed: true }])
+})
--- a/packages/job-front/src/job-handler.ts
+++ b/packages/job-front/src/job-handler.ts
@@ -231,17 +231,18 @@
 
   /** Commits a transaction that may be repeated; a failed check counts as success. */
   async #commitWithRetries(tx: Transaction, part: string, deadline: number): Promise<void> {
+    let mayBeStored = false
     for (;;) {
       try {
         const attemptDeadline = Math.min(deadline, performance.now() + cancelAttemptTimeoutMs)
         await this.#opts.store.commit(tx, { part, deadline: attemptDeadline })
         return
       } catch (cause) {
+        if (cause instanceof StoreError && !cause.isResultKnown) mayBeStored = true
         if (performance.now() < deadline - cancelAttemptTimeoutMs) continue
-        const isUnknown = cause instanceof StoreError && !cause.isResultKnown
-        throw new RequestError(isUnknown ? 'acceptance-unknown' : 'store-unavailable', {
+        throw new RequestError(mayBeStored ? 'acceptance-unknown' : 'store-unavailable', {
           retryAfterMs,
-          outcome: isUnknown ? 'unknown' : 'not-run',
+          outcome: mayBeStored ? 'unknown' : 'not-run',
           cause,
         })
       }
