fix(job-front): pause between attempts to store a cancellation

Cause: the loop of a cancellation had no pause. While the store refused or failed at once, it sent one transaction after another until 900 ms before the deadline, and starved the event loop of the host meanwhile.

Change: cancellations are stored by the loop of the acceptance of jobs, now `retryWrite` in a file of its own: 80 ms between attempts, 250 ms in all while the store refuses, and until the deadline after a lost answer. Before, a refused cancellation was also retried longer; the caller now gets the 503 early, with a time to retry after, as for a job. A failed check still counts as success.

Outcomes `not-run` and `unknown` are as before.

--- a/packages/job-front/__tests__/job-handler.test.ts
+++ b/packages/job-front/__tests__/job-handler.test.ts
@@ -185,3 +185,39 @@
   t.equal(response.headers.get('bulrush-outcome'), 'unknown')
   t.match(store.applyDelayed(), [{ committed: true }])
 })
+
+// Guards against a cancellation that floods the store, whose calls are limited and shared, with
+// attempts while the store refuses or fails at once.
+void t.test('a cancellation that fails at once is retried after pauses', async t => {
+  const { store, acceptor, send } = await setup(t)
+  await acceptor.accept(job, performance.now() + 1_000)
+  const cancelDuring = async (fault: typeof store.fault) => {
+    const callsBefore = store.commitCalls
+    store.fault = fault
+    const { status, headers } = await send('DELETE', `/removed/${job.id}`, 1_500)
+    const outcome = headers.get('bulrush-outcome')
+    return { status, outcome, headers, calls: store.commitCalls - callsBefore }
+  }
+  const refused = await cancelDuring('refuse')
+  t.match(refused, { status: 503, outcome: 'not-run' })
+  t.ok(refused.headers.has('retry-after'))
+  t.ok(refused.calls <= 5, `${refused.calls} calls, which are refused`)
+  const lost = await cancelDuring('lose-before')
+  t.match(lost, { status: 504, outcome: 'unknown' })
+  t.ok(lost.calls <= 20, `${lost.calls} calls without an answer`)
+})
+
+// Guards against a cancellation that fails because of one refusal.
+void t.test('a cancellation that is refused once is stored by a later attempt', async t => {
+  const { store, acceptor, cancel } = await setup(t)
+  await acceptor.accept(job, performance.now() + 1_000)
+  const commit = store.commit.bind(store)
+  store.fault = 'refuse'
+  store.commit = (tx, opts) => {
+    const result = commit(tx, opts)
+    store.fault = 'none'
+    return result
+  }
+  t.equal(await cancel(`/removed/${job.id}`), 200)
+  t.ok(await store.read(acceptedJobsTable, `${job.id}.cancel`, { part: partOf(job.id) }))
+})
--- a/packages/job-front/src/job-acceptor.ts
+++ b/packages/job-front/src/job-acceptor.ts
@@ -1,4 +1,4 @@
-import { RequestError, systemClock } from '@bulrushbridge/errors'
+import { RequestError } from '@bulrushbridge/errors'
 import {
   acceptedJobsTable,
   partOf,
@@ -13,12 +13,11 @@
 } from '@bulrushbridge/scheduler'
 import {
   createGroupCommitter,
-  StoreError,
-  wait,
   type GroupCommitter,
   type TableService,
   type Transaction,
 } from '@bulrushbridge/store'
+import { retryWrite } from './write-retries.js'
 
 /** How long the first job of a group waits for others, in milliseconds. */
 const groupWindowMs = 3
@@ -28,18 +27,6 @@
  */
 const maxGroupWrites = 72
 
-/** Timeout of one attempt to store a job, in milliseconds; a slow store takes about 400. */
-const attemptTimeoutMs = 900
-
-/** Pause between attempts to store a job, in milliseconds. */
-const retryPauseMs = 80
-
-/** Time for which a job is retried while the store refuses it, in milliseconds. */
-const maxRefusalRetryMs = 250
-
-/** Time after which a caller may retry when the store was not available, in milliseconds. */
-export const retryAfterMs = 1_000
-
 /** Accepts jobs by storing them. */
 export interface JobAcceptor {
   /**
@@ -88,34 +75,15 @@
   deadline: number,
 ): Promise<'accepted' | 'known'> {
   const tx = createAcceptTransaction(job)
-  const startedAt = performance.now()
-  let mayBeStored = false
-  for (;;) {
-    const attemptDeadline = Math.min(deadline, performance.now() + attemptTimeoutMs)
-    try {
-      const result = await committer.commit(tx, { deadline: attemptDeadline })
-      if (result.committed) return 'accepted'
-      const outcome = mayBeStored ? 'accepted' : 'known'
-      // The row that failed the check may be this job's, until it is read.
-      mayBeStored = true
-      if (!(await wasCancelledBefore(store, job.id, deadline))) return outcome
-      throw new RequestError('job-cancelled')
-    } catch (cause) {
-      if (cause instanceof RequestError) throw cause
-      if (cause instanceof StoreError && !cause.isResultKnown) mayBeStored = true
-      const now = performance.now()
-      // When the store refuses, the caller gets the error early. When it does not respond, it may
-      // have stored the job, so attempts go on until the deadline.
-      const hasRetryTimeEnded = mayBeStored
-        ? now + retryPauseMs >= deadline
-        : now - startedAt >= maxRefusalRetryMs
-      if (hasRetryTimeEnded && mayBeStored) {
-        throw new RequestError('acceptance-unknown', { outcome: 'unknown', cause })
-      }
-      if (hasRetryTimeEnded) throw new RequestError('store-unavailable', { retryAfterMs, cause })
-      await wait(systemClock, retryPauseMs)
-    }
-  }
+  return retryWrite(deadline, async (attemptDeadline, state) => {
+    const result = await committer.commit(tx, { deadline: attemptDeadline })
+    if (result.committed) return 'accepted'
+    const outcome = state.mayBeStored ? 'accepted' : 'known'
+    // The row that failed the check may be this job's, until it is read.
+    state.mayBeStored = true
+    if (!(await wasCancelledBefore(store, job.id, deadline))) return outcome
+    throw new RequestError('job-cancelled')
+  })
 }
 
 /** Whether a job was cancelled before it was stored. */
--- a/packages/job-front/src/job-handler.ts
+++ b/packages/job-front/src/job-handler.ts
@@ -21,7 +21,8 @@
 } from '@bulrushbridge/scheduler'
 import { StoreError, type TableService, type Transaction } from '@bulrushbridge/store'
 import type { Logger, Metrics } from '@bulrushbridge/telemetry'
-import { retryAfterMs, type JobAcceptor } from './job-acceptor.js'
+import type { JobAcceptor } from './job-acceptor.js'
+import { retryAfterMs, retryWrite } from './write-retries.js'
 
 /**
  * Time for which a caller is assumed to wait when its request sets no deadline, in milliseconds.
@@ -34,9 +35,6 @@
 /** Time for one read of the store, in milliseconds. */
 const readTimeoutMs = 1_200
 
-/** Timeout of one attempt to store a cancellation, in milliseconds. */
-const cancelAttemptTimeoutMs = 900
-
 /** Decodes the requests of callers and encodes the responses to them. */
 export interface CallerCodec {
   /** Request header with the time for which the caller waits, in milliseconds. */
@@ -231,22 +229,9 @@
 
   /** Commits a transaction that may be repeated; a failed check counts as success. */
   async #commitWithRetries(tx: Transaction, part: string, deadline: number): Promise<void> {
-    let mayBeStored = false
-    for (;;) {
-      try {
-        const attemptDeadline = Math.min(deadline, performance.now() + cancelAttemptTimeoutMs)
-        await this.#opts.store.commit(tx, { part, deadline: attemptDeadline })
-        return
-      } catch (cause) {
-        if (cause instanceof StoreError && !cause.isResultKnown) mayBeStored = true
-        if (performance.now() < deadline - cancelAttemptTimeoutMs) continue
-        throw new RequestError(mayBeStored ? 'acceptance-unknown' : 'store-unavailable', {
-          retryAfterMs,
-          outcome: mayBeStored ? 'unknown' : 'not-run',
-          cause,
-        })
-      }
-    }
+    await retryWrite(deadline, attemptDeadline =>
+      this.#opts.store.commit(tx, { part, deadline: attemptDeadline }),
+    )
   }
 
   async #sendWaitingCount(ctx: RequestContext): Promise<void> {
