fix(store): take a lease whose rows cannot be decoded

Cause: the rows of a lease were used as read. A lease row without a value threw at each attempt, and one without a readable lifetime never expired, so that no host took the lease. A row of another form counted as released and was taken at once, even while its holder renewed it.

Change: rows are decoded by schemas. An unreadable lease row, which a live holder would renew, is left alone until it has not changed for the lifetime in it, or else that of the candidate. The token follows the one in the fence row, also if only that field is readable. Without it, it follows the higher of the token in the lease row and the version of the fence row times the stride. Each acquisition writes both rows in one transaction and raises the token by at most one stride, so no earlier token exceeds the version of either row times the stride. This holds for a counter of the whole store and for one of the row. The transaction checks both rows as before. Unreadable rows go to `onError`, which the dispatcher logs.

Ruled out: the heads of the parts, which also hold the last fence, as the store package does not know them; always using the version, as tokens would jump without need.

Limits: the bound does not cover tokens raised by a greater stride, or by a readable row of another writer that is lost later, nor a row that was deleted where versions are counted for each row. A token from the version can exceed 2^31 once the store has carried out two million transactions.

--- a/packages/store/src/duty-lease.ts
+++ b/packages/store/src/duty-lease.ts
@@ -2,13 +2,19 @@
 import { systemClock } from '@bulrushbridge/errors'
 import { HandoverWatch, isMuchStronger, requestHandover } from './duty-handover.js'
 import type { DutyLease, DutyLeaseOptions, HeldLease } from './duty-lease-api.js'
-import { fencesTable, leasesTable, type DutyLeaseRow, type FenceRow } from './duty-tables.js'
+import {
+  decodeFenceRow,
+  fencesTable,
+  leasesTable,
+  nextToken,
+  unreadableRowError,
+  type DutyLeaseRow,
+  type FenceRow,
+} from './duty-tables.js'
+import { LeaseObserver } from './lease-observer.js'
 import type { Row } from './table-service.js'
 import { wait, type WaitingClock } from './wait.js'
 
-/** Processes wait longer than the lease by this ratio, because clocks run at different speeds. */
-const clockDriftRatio = 0.02
-
 /**
  * Share of a lease's lifetime for which a candidate leaves a free lease to those with much more
  * capacity. They look at the row six times in that lifetime.
@@ -22,7 +28,8 @@
 
 /**
  * Starts to compete for the lease of a duty. The lease is free when its row has no holder, or when
- * the row has not changed for the lifetime of the lease, measured on the clock of this process.
+ * the row has not changed for the lifetime of the lease, measured on the clock of this process. A
+ * row that cannot be decoded may have a holder, which changes it as it renews the lease.
  *
  * @example
  * const duty = createDutyLease({ table, duty: 'placement/7', holder: 'entry-3', ttlMs: 5_000 })
@@ -37,6 +44,7 @@
   readonly #opts: DutyLeaseOptions
   readonly #clock: WaitingClock
   readonly #instance = randomUUID()
+  readonly #observer: LeaseObserver
   readonly #closing = new AbortController()
   readonly #listeners = new Set<(held: HeldLease | undefined) => void>()
   readonly #handoverWatch: HandoverWatch | undefined
@@ -44,7 +52,6 @@
   /** Renewals whose responses have not arrived yet. */
   readonly #pendingRenewals = new Set<Promise<unknown>>()
   #lease: LeaseWithDeadline | undefined
-  #observedRow: { version: number; since: number } | undefined
   /** When this candidate first saw the lease free. */
   #freeSince: number | undefined
   /** The lease that this candidate last asked for, and when. */
@@ -56,6 +63,7 @@
   constructor(opts: DutyLeaseOptions) {
     this.#opts = opts
     this.#clock = opts.clock ?? systemClock
+    this.#observer = new LeaseObserver({ ...opts, instance: this.#instance })
     const { table, duty, onHandoverRequest: onRequest, onError } = opts
     this.#handoverWatch =
       onRequest === undefined ? undefined : new HandoverWatch({ table, duty, onRequest, onError })
@@ -191,32 +199,25 @@
   async #acquireIfFree(): Promise<boolean> {
     const { duty, ttlMs } = this.#opts
     const deadline = this.#clock.now() + ttlMs / 3
-    const row = await this.#opts.table.read<DutyLeaseRow>(leasesTable, duty, { deadline })
+    const row = await this.#opts.table.read(leasesTable, duty, { deadline })
     // The time is read after the response, because the renewal that the row shows was sent earlier.
     const now = this.#clock.now()
-    const version = row?.version ?? 0
-    if (this.#observedRow?.version !== version) this.#observedRow = { version, since: now }
-    if (!this.#isLeaseFree(row, now - this.#observedRow.since)) {
+    const { value, isFree } = this.#observer.observe(row, now)
+    if (!isFree) {
       this.#freeSince = undefined
-      if (row !== undefined) await this.#requestFromWeakerHolder(row.value)
+      if (value !== undefined) await this.#requestFromWeakerHolder(value)
       return false
     }
     this.#freeSince ??= now
-    if (now - this.#freeSince < this.#deferralMs(row)) return false
-    return this.#acquire(version)
-  }
-
-  #isLeaseFree(row: Row<DutyLeaseRow> | undefined, unchangedMs: number): boolean {
-    if (row?.value.holder === undefined || row.value.instance === this.#instance) return true
-    if (this.#opts.isSoleHolder === true && row.value.holder === this.#opts.holder) return true
-    return unchangedMs >= row.value.ttlMs * (1 + clockDriftRatio)
+    if (now - this.#freeSince < this.#deferralMs(value)) return false
+    return this.#acquire(row)
   }
 
   /** How long a free lease is left to candidates with much more capacity, in milliseconds. */
-  #deferralMs(row: Row<DutyLeaseRow> | undefined): number {
+  #deferralMs(row: DutyLeaseRow | undefined): number {
     const { capacity, ttlMs } = this.#opts
-    if (capacity === undefined || row?.value.capacity === undefined) return 0
-    return isMuchStronger(row.value.capacity, capacity) ? deferralRatio * ttlMs : 0
+    if (capacity === undefined || row?.capacity === undefined) return 0
+    return isMuchStronger(row.capacity, capacity) ? deferralRatio * ttlMs : 0
   }
 
   /**
@@ -234,18 +235,21 @@
     this.#requested = { token, at: now }
   }
 
-  async #acquire(version: number): Promise<boolean> {
-    const { table, duty, ttlMs, tokenStride = 1 } = this.#opts
+  async #acquire(lease: Row | undefined): Promise<boolean> {
+    const { table, duty, ttlMs, tokenStride = 1, onError } = this.#opts
     const readDeadline = this.#clock.now() + ttlMs / 3
-    const previousFence = await table.read<FenceRow>(fencesTable, duty, { deadline: readDeadline })
+    const fence = await table.read(fencesTable, duty, { deadline: readDeadline })
+    if (fence !== undefined && decodeFenceRow(fence.value) === undefined) {
+      onError?.(unreadableRowError(fencesTable, duty))
+    }
     const sentAt = this.#clock.now()
-    const token = (Math.floor((previousFence?.value.token ?? 0) / tokenStride) + 1) * tokenStride
+    const token = nextToken({ fence, lease, stride: tokenStride })
     const fenceRow: FenceRow = { token, instance: this.#instance }
     const result = await table.commit(
       {
         checks: [
-          { table: leasesTable, key: duty, version },
-          { table: fencesTable, key: duty, version: previousFence?.version ?? 0 },
+          { table: leasesTable, key: duty, version: lease?.version ?? 0 },
+          { table: fencesTable, key: duty, version: fence?.version ?? 0 },
         ],
         writes: [
           { table: leasesTable, key: duty, value: this.#createLeaseRow(token, 0) },
@@ -255,12 +259,13 @@
       { deadline: sentAt + ttlMs / 2 },
     )
     if (!result.committed) return false
-    const writtenFence = await table.read<FenceRow>(fencesTable, duty, { deadline: sentAt + ttlMs })
-    if (writtenFence?.value.token !== token || writtenFence.value.instance !== this.#instance)
-      return false
+    const writtenFence = await table.read(fencesTable, duty, { deadline: sentAt + ttlMs })
+    const written = decodeFenceRow(writtenFence?.value)
+    if (writtenFence === undefined) return false
+    if (written?.token !== token || written.instance !== this.#instance) return false
     const check = { table: fencesTable, key: duty, version: writtenFence.version }
     this.#lease = { token, check, deadline: sentAt + ttlMs }
-    this.#observedRow = undefined
+    this.#observer.reset()
     this.#freeSince = undefined
     return true
   }
