fix(job-front): a stored cancellation is not reported as not run

Cause: the cancellation of an absent job first stores a row that keeps the job from being accepted, then reads the job again. When that read failed, the caller was told that nothing was done, although the row is stored.

Change: the outcome of a failed read after that write is unknown. The status is 503 as before, so the caller may repeat the cancellation.

Measured: the new test in job-handler.test.ts failed before (outcome `not-run`, and the job was refused as cancelled afterwards) and passes now; 273 of 273 checks of job-front and store pass.

--- a/packages/job-front/__tests__/job-handler.test.ts
+++ b/packages/job-front/__tests__/job-handler.test.ts
@@ -9,6 +9,7 @@
   type SchedulerConfiguration,
 } from '@bulrushbridge/scheduler'
 import { createMemoryStore, waitUntil } from '@bulrushbridge/standins'
+import { StoreError } from '@bulrushbridge/store'
 import { createLogger, createMetrics } from '@bulrushbridge/telemetry'
 import t, { type Test } from 'tap'
 import { createJobAcceptor, createJobHandler } from '../src/index.js'
@@ -221,3 +222,20 @@
   t.equal(await cancel(`/removed/${job.id}`), 200)
   t.ok(await store.read(acceptedJobsTable, `${job.id}.cancel`, { part: partOf(job.id) }))
 })
+
+// Guards against a caller that is told that nothing was done although the cancellation of an absent
+// job is stored, because the read that follows it failed.
+void t.test('a cancellation whose last read fails is unknown', async t => {
+  const { store, acceptor, send } = await setup(t)
+  const read = store.read.bind(store)
+  let readCount = 0
+  store.read = (table, key, opts) => {
+    readCount += 1
+    return readCount === 2 ? Promise.reject(new StoreError('no answer')) : read(table, key, opts)
+  }
+  const response = await send('DELETE', `/removed/${job.id}`)
+  t.equal(response.status, 503)
+  t.equal(response.headers.get('bulrush-outcome'), 'unknown')
+  const err = await acceptor.accept(job, performance.now() + 1_000).catch((cause: unknown) => cause)
+  t.match(err, { kind: 'job-cancelled' })
+})
--- a/packages/job-front/src/job-handler.ts
+++ b/packages/job-front/src/job-handler.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { sendJson, readBody, type CallerHandler } from '@bulrushbridge/caller-server'
-import { RequestError, systemClock } from '@bulrushbridge/errors'
+import { RequestError, systemClock, type Outcome } from '@bulrushbridge/errors'
 import {
   cancelSuffix,
   findQueue,
@@ -200,7 +200,7 @@
     if (progress === undefined) {
       await this.#preventAcceptance(id, deadline)
       // The job may have been stored since it was read as absent.
-      progress = await this.#readProgress(ctx)
+      progress = await this.#readProgress(ctx, 'unknown')
     }
     if (progress === undefined) throw new RequestError('job-absent')
     if (!hasEnded(progress.status)) await this.#storeCancellation(id, deadline)
@@ -250,26 +250,27 @@
 
   /**
    * Reads a job's progress; undefined when the caller's organisation has no such job in the queue.
+   * `outcome` is that of the request if the read fails.
    */
-  async #readProgress({
-    subpath: id,
-    queue,
-    organisation,
-  }: RequestContext): Promise<Progress | undefined> {
+  async #readProgress(
+    { subpath: id, queue, organisation }: RequestContext,
+    outcome?: Outcome,
+  ): Promise<Progress | undefined> {
     const opts = { part: partOf(id), deadline: performance.now() + readTimeoutMs }
-    const row = await this.#readStore(() => this.#opts.store.read(progressTable, id, opts))
+    const read = () => this.#opts.store.read(progressTable, id, opts)
+    const row = await this.#readStore(read, outcome)
     const parsed = progressSchema.safeParse(row?.value)
     if (!parsed.success) return undefined
     const isOwn = queue.isAnonymousAllowed || parsed.data.organisation === organisation
     return parsed.data.queue === queue.name && isOwn ? parsed.data : undefined
   }
 
-  async #readStore<T>(read: () => Promise<T>): Promise<T> {
+  async #readStore<T>(read: () => Promise<T>, outcome: Outcome = 'not-run'): Promise<T> {
     try {
       return await read()
     } catch (cause) {
       if (!(cause instanceof StoreError)) throw cause
-      throw new RequestError('store-unavailable', { retryAfterMs, cause })
+      throw new RequestError('store-unavailable', { retryAfterMs, outcome, cause })
     }
   }
 }
