--- a/packages/job-front/__tests__/job-handler.test.ts
+++ b/packages/job-front/__tests__/job-handler.test.ts
@@ -9,6 +9,7 @@
   type SchedulerConfiguration,
 } from '@bulrushbridge/scheduler'
 import { createMemoryStore, waitUntil } from '@bulrushbridge/standins'
+import { StoreError } from '@bulrushbridge/store'
 import { createLogger, createMetrics } from '@bulrushbridge/telemetry'
 import t, { type Test } from 'tap'
 import { createJobAcceptor, createJobHandler } from '../src/index.js'
@@ -91,11 +92,13 @@
     await server.close()
     await acceptor.close()
   })
-  const call = async (method: string, path: string) =>
-    (await fetch(`http://${server.address}${path}`, { method })).status
-  const get = (path: string) => call('GET', path)
-  const cancel = (path: string) => call('DELETE', path)
-  return { get, cancel, store, acceptor, refreshCount: () => refreshCount, completeRefresh }
+  const send = (method: string, path: string, waitMs?: number) => {
+    const headers = waitMs === undefined ? {} : { 'deadline-ms': String(waitMs) }
+    return fetch(`http://${server.address}${path}`, { method, headers })
+  }
+  const get = async (path: string) => (await send('GET', path)).status
+  const cancel = async (path: string) => (await send('DELETE', path)).status
+  return { send, get, cancel, store, acceptor, refreshCount: () => refreshCount, completeRefresh }
 }
 
 // Guards against a host that answers by a newer configuration and, to a request sent later, by an
@@ -165,3 +168,74 @@
   t.ok(await store.read(acceptedJobsTable, cancellation, { part: partOf(job.id) }))
   t.equal(await get(path), 200)
 })
+
+// Guards against a caller that is told that its cancellation was certainly not
+// stored, although an earlier attempt to store it got no answer and takes effect later.
+void t.test('a cancellation without an answer is unknown, also when then refused', async t => {
+  const { store, acceptor, send } = await setup(t)
+  await acceptor.accept(job, performance.now() + 1_000)
+  const commit = store.commit.bind(store)
+  store.fault = 'late'
+  store.commit = (tx, opts) => {
+    const result = commit(tx, opts)
+    store.fault = 'refuse'
+    return result
+  }
+  const response = await send('DELETE', `/removed/${job.id}`, 1_250)
+  t.equal(response.status, 504)
+  t.equal(response.headers.get('bulrush-outcome'), 'unknown')
+  t.match(store.applyDelayed(), [{ committed: true }])
+})
+
+// Guards against a cancellation that floods the store, whose calls are limited and shared, with
+// attempts while the store refuses or fails at once.
+void t.test('a cancellation that fails at once is retried after pauses', async t => {
+  const { store, acceptor, send } = await setup(t)
+  await acceptor.accept(job, performance.now() + 1_000)
+  const cancelDuring = async (fault: typeof store.fault) => {
+    const callsBefore = store.commitCalls
+    store.fault = fault
+    const { status, headers } = await send('DELETE', `/removed/${job.id}`, 1_500)
+    const outcome = headers.get('bulrush-outcome')
+    return { status, outcome, headers, calls: store.commitCalls - callsBefore }
+  }
+  const refused = await cancelDuring('refuse')
+  t.match(refused, { status: 503, outcome: 'not-run' })
+  t.ok(refused.headers.has('retry-after'))
+  t.ok(refused.calls <= 5, `${refused.calls} calls, which are refused`)
+  const lost = await cancelDuring('lose-before')
+  t.match(lost, { status: 504, outcome: 'unknown' })
+  t.ok(lost.calls <= 20, `${lost.calls} calls without an answer`)
+})
+
+// Guards against a cancellation that fails because of one refusal.
+void t.test('a cancellation that is refused once is stored by a later attempt', async t => {
+  const { store, acceptor, cancel } = await setup(t)
+  await acceptor.accept(job, performance.now() + 1_000)
+  const commit = store.commit.bind(store)
+  store.fault = 'refuse'
+  store.commit = (tx, opts) => {
+    const result = commit(tx, opts)
+    store.fault = 'none'
+    return result
+  }
+  t.equal(await cancel(`/removed/${job.id}`), 200)
+  t.ok(await store.read(acceptedJobsTable, `${job.id}.cancel`, { part: partOf(job.id) }))
+})
+
+// Guards against a caller that is told that nothing was done although the cancellation of an absent
+// job is stored, because the read that follows it failed.
+void t.test('a cancellation whose last read fails is unknown', async t => {
+  const { store, acceptor, send } = await setup(t)
+  const read = store.read.bind(store)
+  let readCount = 0
+  store.read = (table, key, opts) => {
+    readCount += 1
+    return readCount === 2 ? Promise.reject(new StoreError('no answer')) : read(table, key, opts)
+  }
+  const response = await send('DELETE', `/removed/${job.id}`)
+  t.equal(response.status, 503)
+  t.equal(response.headers.get('bulrush-outcome'), 'unknown')
+  const err = await acceptor.accept(job, performance.now() + 1_000).catch((cause: unknown) => cause)
+  t.match(err, { kind: 'job-cancelled' })
+})
--- a/packages/job-front/src/job-handler.ts
+++ b/packages/job-front/src/job-handler.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { sendJson, readBody, type CallerHandler } from '@bulrushbridge/caller-server'
-import { RequestError, systemClock } from '@bulrushbridge/errors'
+import { RequestError, systemClock, type Outcome } from '@bulrushbridge/errors'
 import {
   cancelSuffix,
   findQueue,
@@ -21,7 +21,8 @@
 } from '@bulrushbridge/scheduler'
 import { StoreError, type TableService, type Transaction } from '@bulrushbridge/store'
 import type { Logger, Metrics } from '@bulrushbridge/telemetry'
-import { retryAfterMs, type JobAcceptor } from './job-acceptor.js'
+import type { JobAcceptor } from './job-acceptor.js'
+import { retryAfterMs, retryWrite } from './write-retries.js'
 
 /**
  * Time for which a caller is assumed to wait when its request sets no deadline, in milliseconds.
@@ -34,9 +35,6 @@
 /** Time for one read of the store, in milliseconds. */
 const readTimeoutMs = 1_200
 
-/** Timeout of one attempt to store a cancellation, in milliseconds. */
-const cancelAttemptTimeoutMs = 900
-
 /** Decodes the requests of callers and encodes the responses to them. */
 export interface CallerCodec {
   /** Request header with the time for which the caller waits, in milliseconds. */
@@ -202,7 +200,7 @@
     if (progress === undefined) {
       await this.#preventAcceptance(id, deadline)
       // The job may have been stored since it was read as absent.
-      progress = await this.#readProgress(ctx)
+      progress = await this.#readProgress(ctx, 'unknown')
     }
     if (progress === undefined) throw new RequestError('job-absent')
     if (!hasEnded(progress.status)) await this.#storeCancellation(id, deadline)
@@ -231,21 +229,9 @@
 
   /** Commits a transaction that may be repeated; a failed check counts as success. */
   async #commitWithRetries(tx: Transaction, part: string, deadline: number): Promise<void> {
-    for (;;) {
-      try {
-        const attemptDeadline = Math.min(deadline, performance.now() + cancelAttemptTimeoutMs)
-        await this.#opts.store.commit(tx, { part, deadline: attemptDeadline })
-        return
-      } catch (cause) {
-        if (performance.now() < deadline - cancelAttemptTimeoutMs) continue
-        const isUnknown = cause instanceof StoreError && !cause.isResultKnown
-        throw new RequestError(isUnknown ? 'acceptance-unknown' : 'store-unavailable', {
-          retryAfterMs,
-          outcome: isUnknown ? 'unknown' : 'not-run',
-          cause,
-        })
-      }
-    }
+    await retryWrite(deadline, attemptDeadline =>
+      this.#opts.store.commit(tx, { part, deadline: attemptDeadline }),
+    )
   }
 
   async #sendWaitingCount(ctx: RequestContext): Promise<void> {
@@ -264,26 +250,27 @@
 
   /**
    * Reads a job's progress; undefined when the caller's organisation has no such job in the queue.
+   * `outcome` is that of the request if the read fails.
    */
-  async #readProgress({
-    subpath: id,
-    queue,
-    organisation,
-  }: RequestContext): Promise<Progress | undefined> {
+  async #readProgress(
+    { subpath: id, queue, organisation }: RequestContext,
+    outcome?: Outcome,
+  ): Promise<Progress | undefined> {
     const opts = { part: partOf(id), deadline: performance.now() + readTimeoutMs }
-    const row = await this.#readStore(() => this.#opts.store.read(progressTable, id, opts))
+    const read = () => this.#opts.store.read(progressTable, id, opts)
+    const row = await this.#readStore(read, outcome)
     const parsed = progressSchema.safeParse(row?.value)
     if (!parsed.success) return undefined
     const isOwn = queue.isAnonymousAllowed || parsed.data.organisation === organisation
     return parsed.data.queue === queue.name && isOwn ? parsed.data : undefined
   }
 
-  async #readStore<T>(read: () => Promise<T>): Promise<T> {
+  async #readStore<T>(read: () => Promise<T>, outcome: Outcome = 'not-run'): Promise<T> {
     try {
       return await read()
     } catch (cause) {
       if (!(cause instanceof StoreError)) throw cause
-      throw new RequestError('store-unavailable', { retryAfterMs, cause })
+      throw new RequestError('store-unavailable', { retryAfterMs, outcome, cause })
     }
   }
 }
