fix(dispatcher): order the members of a gang together or not at all

Found by the review.

Cause: each member of a gang was checked by itself when its start was ordered.

Change: the order of a member asks for all runners of its gang, and waits for the polls of all that were idle.

Measured: 'no member of a gang is ordered if one of them may not start any more' failed before (one member started) and passes.

--- a/packages/dispatcher/__tests__/changed-runners.test.ts
+++ b/packages/dispatcher/__tests__/changed-runners.test.ts
@@ -1,4 +1,4 @@
-import { waitUntil } from '@bulrushbridge/standins'
+import { waitUntil, type MemoryStore } from '@bulrushbridge/standins'
 import t from 'tap'
 import { createFleet, oneTask } from './fixture.js'
 
@@ -7,6 +7,22 @@
 const needsKind = { ...oneTask, needs: 'kind' }
 const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms))
 
+/** Holds the writes of the job until they are released. */
+function holdWrites(store: MemoryStore): { held: number; release: () => void } {
+  const commit = store.commit.bind(store)
+  let release: () => void = () => undefined
+  const released = new Promise<void>(resolve => (release = resolve))
+  const writes = { held: 0, release }
+  store.commit = async (tx, opts) => {
+    if (tx.writes.some(({ key }) => key === id)) {
+      writes.held += 1
+      await released
+    }
+    return commit(tx, opts)
+  }
+  return writes
+}
+
 // Guards against ROUTE: a runner restarted as another kind, and until its new registry entry was read,
 // tasks that need its earlier label started on it.
 void t.test('a restarted runner gets no task by the entry of its earlier life', async t => {
@@ -53,25 +69,34 @@
     t.teardown(() => dispatcher.close())
     await waitUntil(() => dispatcher.isHolder)
     await fleet.submit(id, [needsKind])
-    const { store } = fleet
-    const commit = store.commit.bind(store)
-    let heldCommits = 0
-    let release: () => void = () => undefined
-    const released = new Promise<void>(resolve => (release = resolve))
-    store.commit = async (tx, opts) => {
-      if (tx.writes.some(({ key }) => key === id)) {
-        heldCommits += 1
-        await released
-      }
-      return commit(tx, opts)
-    }
-    await waitUntil(() => heldCommits > 0)
+    const writes = holdWrites(fleet.store)
+    await waitUntil(() => writes.held > 0)
     await fleet.addRunner('r1', changed)
     // Longer than the pause between two reads of the registry.
     await pause(400)
-    release()
+    writes.release()
     const other = await fleet.addRunner('r2')
     await waitUntil(() => other.running.has(task))
     t.same(runner.startedRuns, [])
   })
 }
+
+// Guards against GANG: one member of a gang was not ordered, because its runner had changed, and the
+// others started and waited for it.
+void t.test('no member of a gang is ordered if one of them may not start any more', async t => {
+  const fleet = createFleet({ dispatcherLeaseMs: 5_000 })
+  const first = await fleet.addRunner('r1')
+  const second = await fleet.addRunner('r2')
+  const dispatcher = fleet.start('host-1')
+  t.teardown(() => dispatcher.close())
+  await waitUntil(() => dispatcher.isHolder)
+  const amounts = { cpuMillis: 4_000, memoryMb: 100, accelerators: 0 }
+  await fleet.submit(id, [{ ...oneTask, amounts, count: 2, isGang: true }])
+  const writes = holdWrites(fleet.store)
+  await waitUntil(() => writes.held > 0)
+  await fleet.addRunner('r1', { pool: 'other-pool' })
+  await pause(400)
+  writes.release()
+  await pause(500)
+  t.same([first.startedRuns, second.startedRuns], [[], []])
+})
--- a/packages/dispatcher/src/placement-pass.ts
+++ b/packages/dispatcher/src/placement-pass.ts
@@ -110,9 +110,22 @@
     job.beginRun(task, runnerId, session.runnerStartedAt)
     const allocation = createAllocation(task, session.runnerStartedAt)
     session.add(allocation)
-    void Promise.all([this.#ctx.storeJob(job), session.whenCurrent()]).then(() => {
-      this.#orderStart(session, allocation, job)
-    })
+    void this.#ctx
+      .storeJob(job)
+      .then(() => this.#whenCurrent(this.#sessionsOf(task, session)))
+      .then(() => {
+        this.#orderStart(session, allocation, job)
+      })
+  }
+
+  async #whenCurrent(sessions: readonly (RunnerSession | undefined)[]): Promise<void> {
+    await Promise.all(sessions.map(async session => session?.whenCurrent()))
+  }
+
+  /** The sessions on which a task starts together with others: those of its gang, or its own. */
+  #sessionsOf({ step }: Task, session: RunnerSession): (RunnerSession | undefined)[] {
+    if (step.definition.isGang !== true) return [session]
+    return step.tasks.map(({ run }) => run && this.#ctx.sessions.get(run.runnerId))
   }
 
   /** Sends the start order of a stored run, unless the run must not start any more. */
@@ -125,7 +138,11 @@
       return
     }
     const { step } = allocation.task
-    if (job.hasEnded || !this.#ctx.isActive() || !this.#isStillAllowed(step, session)) {
+    // A gang starts only as a whole.
+    const isAllowed = this.#sessionsOf(allocation.task, session).every(each =>
+      this.#isStillAllowed(step, each),
+    )
+    if (job.hasEnded || !this.#ctx.isActive() || !isAllowed) {
       session.remove(allocation)
       this.#jobTracker.onRunGivenUp(session, allocation, 'not-started')
       return
@@ -135,15 +152,10 @@
   }
 
   /** The entry of the runner or the configuration may have changed while the run was being stored. */
-  #isStillAllowed(step: StepExecution, session: RunnerSession): boolean {
+  #isStillAllowed(step: StepExecution, session: RunnerSession | undefined): boolean {
     const queue = queuesOf(this.#ctx).get(step.job.definition.queue)
-    const { entry } = session
-    return (
-      queue !== undefined &&
-      entry !== undefined &&
-      this.#canStartOn(session) &&
-      isAllowedOn(step, queue, entry)
-    )
+    if (queue === undefined || session?.entry === undefined) return false
+    return this.#canStartOn(session) && isAllowedOn(step, queue, session.entry)
   }
 
   #canStartOn(session: RunnerSession): boolean {
