fix(runner-relay): make no calls that arrived while the process was stopped

Cause: only a timer noticed a pause. The existing test blocks the event loop where timers run before sockets are read. A process that is stopped in a timer, or whose epoll_wait already has the data, reads its sockets first and makes the outdated calls.

Change: PauseDetector.peek() tells of a pause without starting a new interval, and a connection asks it before each line. The threshold is that of the timer.

Ruled out: check() for each line, which restarts the interval and so hides a pause made of several shorter delays.

--- a/packages/runner-relay/__tests__/relay-server.test.ts
+++ b/packages/runner-relay/__tests__/relay-server.test.ts
@@ -1,43 +1,8 @@
-import { once } from 'node:events'
-import { request } from 'node:http'
 import { waitUntil } from '@bulrushbridge/standins'
-import t, { type Test } from 'tap'
-import { createPauseDetector, type RelayServer } from '../src/index.js'
-import { relayPath } from '../src/relay-messages.js'
-import { createNetwork, startOrder } from './fixture.js'
-
-/** Opens a connection as a dispatcher does, whose lines the test writes. */
-async function connect(t: Test, { address }: RelayServer) {
-  const [host, port] = address.split(':')
-  const req = request({ host, port, path: relayPath, method: 'POST', agent: false })
-  req.flushHeaders()
-  req.on('error', () => undefined)
-  t.teardown(() => req.destroy())
-  const [res] = (await once(req, 'response')) as [NodeJS.ReadableStream]
-  let text = ''
-  let isClosed = false
-  res.on('data', (chunk: Buffer) => (text += chunk.toString()))
-  res.on('error', () => undefined)
-  res.on('close', () => (isClosed = true))
-  return {
-    write: (line: string) => req.write(`${line}\n`),
-    isClosed: () => isClosed,
-    result: (id: number) =>
-      text
-        .split('\n')
-        .filter(line => line.startsWith(`{"id":${id},`))
-        .map(line => JSON.parse(line) as unknown)[0],
-  }
-}
-
-const startCall = (id: number, task: string, fence: number, runnerId = 'r1') =>
-  JSON.stringify({
-    id,
-    kind: 'start',
-    address: '127.0.0.1:1',
-    runnerId,
-    order: startOrder(task, fence),
-  })
+import t from 'tap'
+import { createPauseDetector } from '../src/index.js'
+import { createNetwork } from './fixture.js'
+import { connect, startCall } from './relay-client.js'
 
 // Guards against orders of a dispatcher that has been replaced. The runner cannot refuse them if it
 // has restarted since, and so has seen no fencing token.
@@ -129,5 +94,10 @@
   t.equal(elapse(3_000, 3_000), 2_800)
   t.equal(elapse(200, 5_200), 5_000)
   t.equal(elapse(200, 200), 0)
+  now += 700
+  t.equal(detector.peek(), 500)
+  t.equal(detector.peek(), 500, 'peek starts no interval')
+  t.equal(detector.check(), 500)
+  t.equal(detector.peek(), 0)
   t.end()
 })
--- a/packages/runner-relay/src/pause-detector.ts
+++ b/packages/runner-relay/src/pause-detector.ts
@@ -1,7 +1,12 @@
 /** Detects that the process did not run for a time: it was paused, or the machine suspended. */
 export interface PauseDetector {
-  /** Returns for how long the process was paused since the last call, in ms; 0 if it was not. */
+  /** Returns for how long the process was paused since the last check, in ms; 0 if it was not. */
   check(): number
+  /**
+   * Returns what `check` would return now. For data that arrives: after a pause, sockets can be
+   * read before the timer of the check runs.
+   */
+  peek(): number
 }
 
 /**
@@ -23,14 +28,19 @@
   const { intervalMs, toleranceMs, now = () => performance.now(), wallNow = Date.now } = opts
   let checkedAt = now()
   let wallCheckedAt = wallNow()
+  const peek = () => {
+    const steadyMs = now() - checkedAt
+    const wallMs = Math.abs(wallNow() - wallCheckedAt)
+    const delayMs = Math.max(steadyMs, wallMs) - intervalMs
+    return delayMs > toleranceMs ? delayMs : 0
+  }
   return {
     check: () => {
-      const steadyMs = now() - checkedAt
-      const wallMs = Math.abs(wallNow() - wallCheckedAt)
+      const pausedMs = peek()
       checkedAt = now()
       wallCheckedAt = wallNow()
-      const delayMs = Math.max(steadyMs, wallMs) - intervalMs
-      return delayMs > toleranceMs ? delayMs : 0
+      return pausedMs
     },
+    peek,
   }
 }
--- a/packages/runner-relay/src/relay-server.ts
+++ b/packages/runner-relay/src/relay-server.ts
@@ -59,6 +59,17 @@
   const instance = randomUUID()
   const connections = new Set<RelayServerConnection>()
   const fences = new FenceRecord()
+  const pauseDetector = createPauseDetector({
+    intervalMs: aliveIntervalMs,
+    toleranceMs: pauseToleranceMs,
+  })
+  /** Closes the connections if there was a pause: calls that arrived meanwhile are outdated. */
+  const closeAfterPause = (pausedMs: number): boolean => {
+    if (pausedMs === 0 || connections.size === 0) return false
+    opts.log.warn('relay was paused, its connections are closed', { pausedMs })
+    for (const connection of connections) connection.close()
+    return true
+  }
   const server = createServer((req, res) => {
     if (req.method !== 'POST' || req.url !== relayPath) {
       res.writeHead(404).end()
@@ -66,7 +77,9 @@
     }
     res.writeHead(200, { [instanceHeader]: instance, 'content-type': 'application/x-ndjson' })
     res.flushHeaders()
-    const connection = new RelayServerConnection(req, res, opts, fences)
+    const connection = new RelayServerConnection(req, res, opts, fences, () =>
+      closeAfterPause(pauseDetector.peek()),
+    )
     connections.add(connection)
     res.on('close', () => {
       connections.delete(connection)
@@ -75,18 +88,8 @@
   })
   // The body of a request goes on for as long as the dispatcher's term.
   server.requestTimeout = 0
-  const pauseDetector = createPauseDetector({
-    intervalMs: aliveIntervalMs,
-    toleranceMs: pauseToleranceMs,
-  })
   const aliveTimer = setInterval(() => {
-    const pausedMs = pauseDetector.check()
-    if (pausedMs > 0 && connections.size > 0) {
-      // The calls that arrived meanwhile are outdated, so none of them may be read.
-      opts.log.warn('relay was paused, its connections are closed', { pausedMs })
-      for (const connection of connections) connection.close()
-      return
-    }
+    if (closeAfterPause(pauseDetector.check())) return
     for (const connection of connections) connection.showAlive()
   }, aliveIntervalMs)
   await new Promise<void>((resolve, reject) => {
@@ -140,6 +143,7 @@
     res: ServerResponse,
     opts: RelayServerOptions,
     fences: FenceRecord,
+    closeAfterPause: () => boolean,
   ) {
     this.#req = req
     this.#res = res
@@ -159,7 +163,7 @@
     readLines(
       req,
       line => {
-        if (this.#isClosed) return
+        if (this.#isClosed || closeAfterPause()) return
         const call = parseCall(line)
         if (call === undefined) reject()
         else void this.#carryOut(call)
