fix(placement): fail a job at the fourth worker lost under it

Cause: a task whose worker restarted or went out of reach ended as 'stopped', like one that was stopped by order, and its job was queued again without a trace.

Change: an idempotent job counts workers lost without notice (another boot, or out of reach until the leases ended) in its row, `workerLosses`, in the transaction that ends the task. At the fourth loss it fails with a reason and the decision record `job-lost-workers`. A run of 10 s clears the count, in the store. Workers that were leaving, had no row or were in a zone that is out count for none, nor do ordered stops and refused starts. Rows without the field count as 0. Non-idempotent jobs still end as `lost` at once.

--- a/packages/host/src/rows.ts
+++ b/packages/host/src/rows.ts
@@ -46,6 +46,8 @@
   urgent: boolean
   /** Kind of the job; task sizes and run times are learned per kind. */
   kind: string
+  /** Losses of workers that counted against the job at the claim. */
+  workerLosses?: number
   /** Fencing token under which the task was claimed. */
   token: number
   /** Boot id of the worker at the claim. After a reboot the worker cannot tell if it ran the task. */
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -74,6 +74,8 @@
   kind: string
   /** Racks on whose workers the job has failed. */
   failedRacks?: string[]
+  /** Number of workers that were lost without notice under the job since its last long run. */
+  workerLosses?: number
   /** State that the job saved when it was last removed from a worker. */
   checkpoint?: unknown
   /** Name of the entry host that accepted the job. */
@@ -97,6 +99,7 @@
   | 'request'
   | 'kind'
   | 'failedRacks'
+  | 'workerLosses'
   | 'acceptedAt'
 >
 
@@ -134,7 +137,8 @@
 
 /** Write that adds a job to `jobs-queued`. */
 export function queuedRowWrite(job: StoredJob): Write {
-  const { id, team, queue, idempotent, urgent, request, kind, failedRacks, acceptedAt } = job
+  const { id, team, queue, idempotent, urgent, request, kind, acceptedAt } = job
+  const { failedRacks, workerLosses } = job
   const value: QueuedJob = {
     id,
     team,
@@ -145,6 +149,7 @@
     kind,
     acceptedAt,
     ...(failedRacks === undefined ? {} : { failedRacks }),
+    ...(workerLosses === undefined ? {} : { workerLosses }),
   }
   return { table: queuedTable, key: queuedKey(job), value }
 }
@@ -168,7 +173,7 @@
   row: Row<StoredJob>,
   to: StoredJobState,
   reason?: string,
-  changes: Pick<StoredJob, 'failedRacks' | 'checkpoint'> = {},
+  changes: Pick<StoredJob, 'failedRacks' | 'workerLosses' | 'checkpoint'> = {},
 ): { checks: Check[]; writes: Write[] } {
   const job = row.value
   const from = job.state
--- a/packages/placement/__tests__/fixture.ts
+++ b/packages/placement/__tests__/fixture.ts
@@ -39,6 +39,7 @@
   const standin = await createTableStandin()
   const zonesOut = new Set<string>()
   const unlisted = new Set<string>()
+  const leaving = new Set<string>()
   const workers: WorkerStandin[] = []
   const closers: (() => Promise<void>)[] = []
   t.teardown(async () => {
@@ -96,7 +97,7 @@
       held: () => duty.held(),
       configuration: () => ({ queues: [queue], shares, zonesOut }),
       confirmedUntil: () => clock.now() + 2_000,
-      listed: () => ({ leaving: new Set(), unlisted }),
+      listed: () => ({ leaving, unlisted }),
       onDecision: decision => decisions.push(decision),
     })
     closers.push(async () => {
@@ -128,6 +129,14 @@
     return { clock, duty, permits, placement, decisions, passTime, acquireDuty, runRoundsUntil }
   }
 
+  /** Restarts a worker as after a crash: at the same address, with another boot and no tasks. */
+  const restartWorker = async (worker: WorkerStandin) => {
+    const port = Number(worker.address.split(':')[1])
+    await worker.close()
+    const restarted = await createWorkerStandin({ ...worker.listedHost, port })
+    workers[workers.indexOf(worker)] = restarted
+  }
+
   const jobs = createJobService({ table, member: 'e1' })
   const acceptJob = (job: Partial<AcceptOptions> = {}) =>
     jobs.accept({
@@ -160,6 +169,8 @@
     workers,
     zonesOut,
     unlisted,
+    leaving,
+    restartWorker,
     createHolder,
     jobs,
     acceptJob,
--- a/packages/placement/__tests__/reclaim.test.ts
+++ b/packages/placement/__tests__/reclaim.test.ts
@@ -63,7 +63,9 @@
   for (const id of lampsJobs) if (await isInState(id, 'queued')) queued.push(id)
   t.equal(queued.length, 1, 'one task made enough room')
   const [id = ''] = queued
-  t.match((await readJob(id)).checkpoint, { ranMs: Number })
+  const { checkpoint, workerLosses } = await readJob(id)
+  t.match(checkpoint, { ranMs: Number })
+  t.equal(workerLosses, undefined, 'an ordered stop is no loss of a worker')
   await jobs.cancel({ team: 'mills', ids: [waiting] })
   await control.runRoundsUntil(() => isInState(id, 'running'))
 })
--- a/packages/placement/src/create-task-row.ts
+++ b/packages/placement/src/create-task-row.ts
@@ -28,5 +28,6 @@
     cpus: size.cpus,
     memoryMb: size.memoryMb,
     accelerators: size.accelerators,
+    ...(job.workerLosses === undefined ? {} : { workerLosses: job.workerLosses }),
   }
 }
--- a/packages/placement/src/placement-duty.ts
+++ b/packages/placement/src/placement-duty.ts
@@ -17,6 +17,7 @@
 import { estimateWaits } from './estimate-waits.js'
 import { WorkerClients, startWindowMs } from './worker-clients.js'
 import type { TrackedTask } from './tracked-task.js'
+import { markWithdrawnWorkers } from './worker-losses.js'
 import { WorkerReconciler, type PlacementDecision } from './worker-reconciler.js'
 
 /** Maximum number of tasks that one choice of placements starts. */
@@ -147,6 +148,11 @@
       await this.#learnedStateRow.load()
       await this.#poolSummaryRow.load()
       if (!this.#hasLoadedTasks) await this.#loadTasks()
+      markWithdrawnWorkers(this.#tasks.values(), {
+        ...this.#opts.listed(),
+        workers: this.#workers,
+        zonesOut: this.#opts.configuration().zonesOut,
+      })
       await this.#reconciler.reconcile(await this.#readCancellingJobs())
       await this.#startQueued()
       await this.#learnedStateRow.save()
--- a/packages/placement/src/task-starter.ts
+++ b/packages/placement/src/task-starter.ts
@@ -112,6 +112,7 @@
         now + startCallTimeoutMs,
       )
       if (answer === 'full') task.canBeRunning = false
+      if (answer === 'ended') task.isStartRefused = true
       if (answer !== 'started') return
       task.leaseEndsAt = clock.now() + taskLeaseMs
       await this.#opts.reconciler.confirmRunning(task)
--- a/packages/placement/src/task-store.ts
+++ b/packages/placement/src/task-store.ts
@@ -19,7 +19,7 @@
   type Write,
 } from '@bulrushbridge/store'
 import type { TaskPermits } from '@bulrushbridge/team-limit'
-import { jobAfterTask, type JobAfterTask, type TaskEnd } from './task-end.js'
+import { jobAfterTask, type EndedRun, type JobAfterTask, type TaskEnd } from './task-end.js'
 
 /** Attempts of a transaction whose rows keep changing: entry hosts also write the ledger row. */
 const maxAttempts = 8
@@ -104,6 +104,17 @@
     })
   }
 
+  /** Clears a job of the workers that were lost under it. */
+  async clearWorkerLosses(task: TaskRow): Promise<void> {
+    await this.#updateTask(task, job => {
+      const write = { table: tasksTable, key: taskKey(task), value: { ...task, workerLosses: 0 } }
+      if (job === undefined) return { checks: [], writes: [write] }
+      const { key, version, value } = job
+      const jobWrite = { table: storedJobsTable, key, value: { ...value, workerLosses: 0 } }
+      return { checks: [{ table: storedJobsTable, key, version }], writes: [write, jobWrite] }
+    })
+  }
+
   /**
    * Deletes an ended task, updates its job and returns the team's permit. Returns undefined when
    * the row is already deleted, because an earlier transaction took effect although its answer was
@@ -112,7 +123,7 @@
   async endTask(
     task: TaskRow,
     end: TaskEnd,
-    checkpoint?: unknown,
+    run: EndedRun = {},
   ): Promise<JobAfterTask | undefined> {
     let jobAfter: JobAfterTask | undefined
     const wasPresent = await this.#updateTask(task, async job => {
@@ -120,7 +131,7 @@
       const tx: Transaction = { checks: [...permits.checks], writes: [...permits.writes] }
       tx.writes.push({ table: tasksTable, key: taskKey(task), value: null })
       if (job === undefined) return tx
-      jobAfter = jobAfterTask(job.value, end, { rack: task.rack, checkpoint })
+      jobAfter = jobAfterTask(job.value, end, { ...run, rack: task.rack })
       const { checks, writes } = jobTransition(
         job,
         jobAfter.nextState,
--- a/packages/placement/src/tracked-task.ts
+++ b/packages/placement/src/tracked-task.ts
@@ -11,6 +11,10 @@
   leaseEndsAt: number
   /** False while the worker is known not to have started the task. */
   canBeRunning: boolean
+  /** True once the worker has refused the start, after a restart or because the start was late. */
+  isStartRefused?: boolean
+  /** True once the worker was ordered or announced to leave; its end then counts as no loss. */
+  isWorkerWithdrawn?: boolean
   /** Run time in the last report of the worker, in milliseconds. */
   reportedRunMs?: number
   /** True once a checkpoint call saved nothing; no further reclaim stops such a task. */
--- a/packages/placement/src/worker-reconciler.ts
+++ b/packages/placement/src/worker-reconciler.ts
@@ -6,10 +6,11 @@
 import { extendLease, hasLeaseLapsed, type TrackedTask } from './tracked-task.js'
 import type { LearnedSizes } from './learned-sizes.js'
 import type { PlacementConfiguration } from './placement-duty.js'
-import type { TaskEnd } from './task-end.js'
+import { decisionAfterTask, type TaskEnd } from './task-end.js'
 import type { TaskStore } from './task-store.js'
 import { taskLeaseMs } from './task-starter.js'
 import type { WorkerClients } from './worker-clients.js'
+import { hasLossesToClear } from './worker-losses.js'
 
 /** Timeout of one call to a worker, in milliseconds. */
 const callTimeoutMs = 1_000
@@ -144,7 +145,7 @@
       if (!(err instanceof WorkerError)) throw err
       this.#unreachableWorkers.add(worker)
       for (const task of calledTasks)
-        if (hasLeaseLapsed(task, clock.now())) await this.#endTask(task, 'stopped')
+        if (hasLeaseLapsed(task, clock.now())) await this.#endTask(task, 'stopped', true)
       return
     }
     clients.recordReading(address, listed)
@@ -203,6 +204,7 @@
     if (report.state === 'running') {
       task.reportedRunMs = report.runMs
       await this.confirmRunning(task)
+      await this.#clearWorkerLosses(task)
       return !(await this.#stopIfDue(client, task, cancelling))
     }
     await this.#endByReport(task, report, boot)
@@ -217,8 +219,9 @@
     if (token === undefined) return
     const report = await client.stop(task.row.taskId, token, this.#opts.clock.now() + callTimeoutMs)
     // A restarted worker does not know its former tasks, so a start without an answer may have run.
-    const hasStarted = report.started || task.row.state !== 'starting' || task.row.boot !== boot
-    await this.#endTask(task, hasStarted ? 'stopped' : 'never-started')
+    const isRestarted = task.row.boot !== boot
+    const hasStarted = report.started || task.row.state !== 'starting' || isRestarted
+    await this.#endTask(task, hasStarted ? 'stopped' : 'never-started', isRestarted)
   }
 
   /**
@@ -279,18 +282,24 @@
     const { state, boot: startBoot } = task.row
     const isRestarted = boot !== undefined && boot !== startBoot
     const hasStarted = report.started || state !== 'starting' || isRestarted
-    await this.#endTask(task, hasStarted ? 'stopped' : 'never-started')
+    await this.#endTask(task, hasStarted ? 'stopped' : 'never-started', isRestarted)
   }
 
-  async #endTask(task: TrackedTask, end: TaskEnd): Promise<void> {
-    const jobAfter = await this.#opts.taskStore.endTask(task.row, end, task.checkpoint)
-    this.#opts.tasks.delete(task.row.taskId)
-    if (jobAfter?.nextState !== 'parked') return
-    this.#opts.onDecision?.({
-      subject: { kind: 'job', id: task.row.jobId },
-      rule: 'job-failed-racks',
-      observed: { failedRacks: jobAfter.changes?.failedRacks },
-      action: 'park',
-    })
+  async #clearWorkerLosses(task: TrackedTask): Promise<void> {
+    if (!hasLossesToClear(task)) return
+    await this.#opts.taskStore.clearWorkerLosses(task.row)
+    task.row = { ...task.row, workerLosses: 0 }
+  }
+
+  /** Ends a task. `isWorkerGone` is true after a restart of its worker or an end of its lease. */
+  async #endTask(task: TrackedTask, end: TaskEnd, isWorkerGone = false): Promise<void> {
+    const { row, checkpoint, reportedRunMs: runMs = 0 } = task
+    const isExpected = task.isWorkerWithdrawn === true || task.isStartRefused === true
+    const isWorkerLost = isWorkerGone && !isExpected
+    const run = { checkpoint, runMs, isWorkerLost }
+    const jobAfter = await this.#opts.taskStore.endTask(row, end, run)
+    this.#opts.tasks.delete(row.taskId)
+    const decision = jobAfter && decisionAfterTask(row.jobId, jobAfter)
+    if (decision !== undefined) this.#opts.onDecision?.(decision)
   }
 }
