fix(dispatcher): keep a runner cordoned while an order for its machine is open

Found by the review.

Cause: an upkeep order got no answer and may be carried out late; it is repeated until it is accepted. A restart of the runner under its id ended the cordon, so tasks started there.

Change: a restart ends the cordon only if no order is open, neither accepted nor refused.

Measured: 'a runner whose upkeep order has no answer gets no task after a restart' failed before (two lasting tasks started) and passes.

--- a/packages/dispatcher/__tests__/wave-orders.test.ts
+++ b/packages/dispatcher/__tests__/wave-orders.test.ts
@@ -211,3 +211,37 @@
   await new Promise(resolve => setTimeout(resolve, 2_500))
   t.match(await fleet.store.read('status', 'wave/1'), { value: { state: 'completed' } })
 })
+
+// Guards against AVAIL: a restart ended the cordon of a runner whose upkeep order had no answer; lasting
+// tasks started there, and the repeated order ended them.
+void t.test('a runner whose upkeep order has no answer gets no task after a restart', async t => {
+  const listed: Machine = { ...machine('m1', 'up'), runnerId: 'r1' }
+  let orders = 0
+  const fleet = createFleet({
+    dispatcherLeaseMs: 5_000,
+    waves: [{ id: 1, machines: ['m1'], timeMs: 60_000, maxUnavailable: 1 }],
+    machines: {
+      list: () => Promise.resolve({ outcome: 'done', value: [structuredClone(listed)] }),
+      upkeep: () => {
+        orders += 1
+        return Promise.resolve({ outcome: 'unknown', reason: 'no answer' })
+      },
+      move: () => Promise.resolve({ outcome: 'not-done', reason: 'unused' }),
+      close: () => Promise.resolve(),
+    },
+  })
+  const runner = await fleet.addRunner('r1')
+  const dispatcher = fleet.start('host-1')
+  t.teardown(() => dispatcher.close())
+  await waitUntil(() => orders > 0)
+  runner.restart()
+  await fleet.addRunner('r1')
+  // Longer than the pause between two reads of the registry.
+  await new Promise(resolve => setTimeout(resolve, 400))
+  const id = '00000000000000c1'
+  await fleet.submit(id, [{ ...oneTask, count: 2, isLasting: true, mayMiss: 0 }])
+  await new Promise(resolve => setTimeout(resolve, 500))
+  t.same(runner.startedRuns, [])
+  const other = await fleet.addRunner('r2')
+  await waitUntil(() => other.running.size === 2)
+})
--- a/packages/dispatcher/src/pool-moves.ts
+++ b/packages/dispatcher/src/pool-moves.ts
@@ -161,16 +161,25 @@
     const session = existing === undefined ? sessionOf(this.#opts, listed) : undefined
     // Checked again, because a run may have started since the machines were listed.
     if (session !== undefined && session.allocations.size > 0) return
-    if (session !== undefined) session.isCordoned = true
+    if (session !== undefined) {
+      session.isCordoned = true
+      session.hasOpenMachineOrder = true
+    }
     const move = existing ?? { to, runnerId: listed?.runnerId, isAccepted: false }
     this.#moving.set(machine, move)
     const result = await sendMachineOrder(this.#opts, 'move', {
       fields: { machine, pool: to },
       call: () => machines.move({ machine, pool: to, holder, fence }),
     })
-    if (result === 'accepted') move.isAccepted = true
+    if (result === 'accepted') {
+      move.isAccepted = true
+      const ordered = this.#opts.sessions.get(move.runnerId ?? '')
+      if (ordered !== undefined) ordered.hasOpenMachineOrder = false
+    }
     if (result !== 'refused' || existing !== undefined) return
     this.#moving.delete(machine)
-    if (session !== undefined) session.isCordoned = false
+    if (session === undefined) return
+    session.isCordoned = false
+    session.hasOpenMachineOrder = false
   }
 }
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -102,6 +102,8 @@
   readonly allocations: ReadonlyMap<string, Allocation> = this.load.byKey
   /** No new runs start, because the machine is about to begin its upkeep or leave the pool. */
   isCordoned = false
+  /** An upkeep or a move of the machine was ordered and is neither accepted nor refused. */
+  hasOpenMachineOrder = false
   /** A pool move brought the machine into a working pool, see `PoolMoves`. */
   isLent = false
   /** An upkeep order, which ends everything on the machine, has been or may have been sent. */
@@ -401,6 +403,8 @@
     this.#isReconciled = false
     this.#needsResync = true
     this.#wasRestartExpected = this.#isEndExpected()
+    // The order may still be carried out.
+    if (this.hasOpenMachineOrder) return
     this.isCordoned = false
     this.isUpkeepExpected = false
   }
--- a/packages/dispatcher/src/wave-orders.ts
+++ b/packages/dispatcher/src/wave-orders.ts
@@ -268,7 +268,10 @@
     const { machines, holder, fence } = this.#opts
     const session = sessionOf(this.#opts, machine)
     const existing = this.#ordered.get(id)
-    if (existing === undefined && session !== undefined) session.isCordoned = true
+    if (existing === undefined && session !== undefined) {
+      session.isCordoned = true
+      session.hasOpenMachineOrder = true
+    }
     const order = existing ?? {
       waveId: wave.id,
       orderedAt: performance.now(),
@@ -285,11 +288,14 @@
     if (result === 'accepted') {
       order.isAccepted = true
       order.orderedAt = performance.now()
+      const ordered = this.#opts.sessions.get(order.runnerId ?? '')
+      if (ordered !== undefined) ordered.hasOpenMachineOrder = false
     }
     if (result !== 'refused' || existing !== undefined) return
     this.#ordered.delete(id)
     if (session === undefined) return
     session.isCordoned = false
+    session.hasOpenMachineOrder = false
     session.isUpkeepExpected = false
   }
 
