fix(dispatcher): decide nothing once the lease has ended by the clock

Operators of similar systems report a process that was paused and acted on a permission that had run out.

Cause: whether a term may decide was known from a listener, which the loop of the lease calls after its timer. After a pause longer than the lease, answers that had arrived meanwhile were applied first, and starts were ordered. Fencing tokens limit what that does; a runner that no later holder has called accepts the order.

Change: each decision asks the lease, which compares its deadline with the clock.

Measured: 'a dispatcher that was paused beyond its lease orders no start' failed before (the start was ordered) and passes.

--- a/packages/dispatcher/__tests__/takeover.test.ts
+++ b/packages/dispatcher/__tests__/takeover.test.ts
@@ -1,6 +1,6 @@
 import { waitUntil } from '@bulrushbridge/standins'
 import t from 'tap'
-import { createFleet, oneTask } from './fixture.js'
+import { createFleet, oneTask, timing } from './fixture.js'
 
 const id = '00000000000000a1'
 const task = `${id}.0.0.0`
@@ -108,3 +108,34 @@
   t.ok(strong.isHolder, 'the weak host does not take the lease back')
   t.equal(runner.startedRuns.length, 2, 'no task is started again')
 })
+
+// Guards against a process that was paused and acts on a lease that has run out meanwhile: what waited
+// for the store went on before the timer that notices the end of the lease.
+void t.test('a dispatcher that was paused beyond its lease orders no start', async t => {
+  const fleet = createFleet()
+  const runner = await fleet.addRunner('r1')
+  const dispatcher = fleet.start('host-1')
+  t.teardown(() => dispatcher.close())
+  await waitUntil(() => dispatcher.isHolder)
+  await fleet.submit(id, [oneTask])
+  const { store } = fleet
+  const commit = store.commit.bind(store)
+  let heldCommits = 0
+  let release: () => void = () => undefined
+  const released = new Promise<void>(resolve => (release = resolve))
+  store.commit = async (tx, opts) => {
+    if (tx.writes.some(({ key }) => key === id)) {
+      heldCommits += 1
+      await released
+    }
+    return commit(tx, opts)
+  }
+  await waitUntil(() => heldCommits > 0)
+  const resumeAt = performance.now() + 4 * timing.dispatcherLeaseMs
+  while (performance.now() < resumeAt);
+  release()
+  // No timer runs before the microtasks that the answer of the store leads to.
+  await new Promise(resolve => setImmediate(resolve))
+  t.same(runner.startedRuns, [])
+  await waitUntil(() => runner.running.has(task))
+})
--- a/packages/dispatcher/src/dispatcher.ts
+++ b/packages/dispatcher/src/dispatcher.ts
@@ -157,8 +157,11 @@
   async #beginTerm(held: HeldLease): Promise<void> {
     await this.#endTerm('superseded by an own term')
     this.#opts.log.info('dispatcher term started', { fence: held.token })
-    const term = new Term(this.#opts, held, () => {
-      this.#enqueue(() => (this.#term === term ? this.#endTerm('deposed') : Promise.resolve()))
+    const term = new Term(this.#opts, held, {
+      isLeaseHeld: () => this.#duty.held()?.token === held.token,
+      onFenced: () => {
+        this.#enqueue(() => (this.#term === term ? this.#endTerm('deposed') : Promise.resolve()))
+      },
     })
     this.#term = term
     // open() retries while the store is unavailable, so it must not block the end of the term.
--- a/packages/dispatcher/src/term.ts
+++ b/packages/dispatcher/src/term.ts
@@ -56,6 +56,14 @@
 /** Pause before a failed takeover step is retried, in milliseconds. */
 const takeoverRetryMs = 100
 
+/** What a term needs from its dispatcher. */
+export interface TermOwner {
+  /** Whether the lease of the term has not ended by the clock; it ends before `suspend` is called. */
+  isLeaseHeld: () => boolean
+  /** Called when a runner, the platform or the store has seen a later dispatcher. */
+  onFenced: () => void
+}
+
 /** One term of a dispatcher: from its takeover until it loses or releases the lease. */
 export class Term {
   readonly #ctx: TermContext
@@ -78,11 +86,11 @@
   #passTimer: NodeJS.Timeout | undefined
   #stopWatchingView: (() => void) | undefined
 
-  constructor(opts: DispatcherOptions, held: HeldLease, onFenced: () => void) {
+  constructor(opts: DispatcherOptions, held: HeldLease, owner: TermOwner) {
     this.#held = held
     // Every pending call and pause adds a listener, so Node's warning about a leak is switched off.
     setMaxListeners(0, this.#closing.signal)
-    const ctx = this.#createContext(opts, onFenced)
+    const ctx = this.#createContext(opts, owner)
     this.#ctx = ctx
     const { log, advice } = opts
     const onChange = () => {
@@ -167,7 +175,7 @@
     await this.#ctx.connections.close()
   }
 
-  #createContext(opts: DispatcherOptions, onFenced: () => void): TermContext {
+  #createContext(opts: DispatcherOptions, { isLeaseHeld, onFenced }: TermOwner): TermContext {
     return {
       opts,
       fence: this.#held.token,
@@ -182,7 +190,8 @@
       requestPass: () => {
         this.#requestPass()
       },
-      isActive: () => !this.#isSuspended && this.#isTakeoverComplete && !this.#isClosed(),
+      isActive: () =>
+        !this.#isSuspended && this.#isTakeoverComplete && !this.#isClosed() && isLeaseHeld(),
       onFenced,
       onStartConfirmed: ms => {
         this.#loadLog.addStart(ms)
