--- a/packages/dispatcher/__tests__/changed-runners.test.ts
+++ b/packages/dispatcher/__tests__/changed-runners.test.ts
@@ -1,28 +1,12 @@
-import { waitUntil, type MemoryStore } from '@bulrushbridge/standins'
+import { waitUntil } from '@bulrushbridge/standins'
 import t from 'tap'
-import { createFleet, oneTask } from './fixture.js'
+import { createFleet, holdWrites, oneTask } from './fixture.js'
 
 const id = '00000000000000c1'
 const task = `${id}.0.0.0`
 const needsKind = { ...oneTask, needs: 'kind' }
 const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms))
 
-/** Holds the writes of the job until they are released. */
-function holdWrites(store: MemoryStore): { held: number; release: () => void } {
-  const commit = store.commit.bind(store)
-  let release: () => void = () => undefined
-  const released = new Promise<void>(resolve => (release = resolve))
-  const writes = { held: 0, release }
-  store.commit = async (tx, opts) => {
-    if (tx.writes.some(({ key }) => key === id)) {
-      writes.held += 1
-      await released
-    }
-    return commit(tx, opts)
-  }
-  return writes
-}
-
 // Guards against ROUTE: a runner restarted as another kind, and until its new registry entry was read,
 // tasks that need its earlier label started on it.
 void t.test('a restarted runner gets no task by the entry of its earlier life', async t => {
@@ -69,7 +53,7 @@
     t.teardown(() => dispatcher.close())
     await waitUntil(() => dispatcher.isHolder)
     await fleet.submit(id, [needsKind])
-    const writes = holdWrites(fleet.store)
+    const writes = holdWrites(fleet.store, id)
     await waitUntil(() => writes.held > 0)
     await fleet.addRunner('r1', changed)
     // Longer than the pause between two reads of the registry.
@@ -92,7 +76,7 @@
   await waitUntil(() => dispatcher.isHolder)
   const amounts = { cpuMillis: 4_000, memoryMb: 100, accelerators: 0 }
   await fleet.submit(id, [{ ...oneTask, amounts, count: 2, isGang: true }])
-  const writes = holdWrites(fleet.store)
+  const writes = holdWrites(fleet.store, id)
   await waitUntil(() => writes.held > 0)
   await fleet.addRunner('r1', { pool: 'other-pool' })
   await pause(400)
--- a/packages/dispatcher/__tests__/fixture.ts
+++ b/packages/dispatcher/__tests__/fixture.ts
@@ -192,6 +192,25 @@
   }
 }
 
+/** Holds the writes of a job until they are released; counts them. */
+export function holdWrites(
+  store: MemoryStore,
+  jobId: string,
+): { readonly held: number; release: () => void } {
+  const commit = store.commit.bind(store)
+  let release: () => void = () => undefined
+  const released = new Promise<void>(resolve => (release = resolve))
+  const writes = { held: 0, release }
+  store.commit = async (tx, opts) => {
+    if (tx.writes.some(({ key }) => key === jobId)) {
+      writes.held += 1
+      await released
+    }
+    return commit(tx, opts)
+  }
+  return writes
+}
+
 const asRunnerEntry = (value: unknown) => value as RunnerEntry
 
 const runnerEntry: Omit<RunnerEntry, 'id' | 'address' | 'startedAt'> = {
--- a/packages/dispatcher/__tests__/restarted-runners.test.ts
+++ b/packages/dispatcher/__tests__/restarted-runners.test.ts
@@ -1,7 +1,7 @@
 import type { Machine, PollRequest } from '@bulrushbridge/scheduler'
 import { createMemoryRunner, waitUntil } from '@bulrushbridge/standins'
 import t from 'tap'
-import { createFleet, oneTask, type FleetOptions } from './fixture.js'
+import { createFleet, holdWrites, oneTask, type FleetOptions } from './fixture.js'
 
 const [firstId, secondId, thirdId] = ['00000000000000a1', '00000000000000b1', '00000000000000c1']
 const taskOf = (id: string) => `${id}.0.0.0`
@@ -147,27 +147,16 @@
   await fleet.submit(firstId, [whole])
   await waitUntil(() => first.running.has(taskOf(firstId)))
   await pause(300)
-  const { store } = fleet
-  const commit = store.commit.bind(store)
-  let heldCommits = 0
-  let release: () => void = () => undefined
-  const released = new Promise<void>(resolve => (release = resolve))
-  store.commit = async (tx, opts) => {
-    if (tx.writes.some(({ key }) => key === firstId)) {
-      heldCommits += 1
-      await released
-    }
-    return commit(tx, opts)
-  }
+  const writes = holdWrites(fleet.store, firstId)
   first.fault = 'unreachable'
   const second = await fleet.addRunner('r2')
-  await waitUntil(() => heldCommits > 0)
+  await waitUntil(() => writes.held > 0)
   // The second run is recorded by now, and its write waits.
   await pause(400)
   first.end(taskOf(firstId), 'done')
   first.fault = 'none'
   await pause(400)
-  release()
+  writes.release()
   await waitUntil(async () => (await fleet.progress(firstId))?.status === 'completed')
   t.same(second.startedRuns, [])
   await fleet.addRunner('r1', { isDraining: true })
--- a/packages/dispatcher/__tests__/takeover.test.ts
+++ b/packages/dispatcher/__tests__/takeover.test.ts
@@ -1,6 +1,6 @@
 import { waitUntil } from '@bulrushbridge/standins'
 import t from 'tap'
-import { createFleet, oneTask, timing } from './fixture.js'
+import { createFleet, holdWrites, oneTask, timing } from './fixture.js'
 
 const id = '00000000000000a1'
 const task = `${id}.0.0.0`
@@ -118,22 +118,11 @@
   t.teardown(() => dispatcher.close())
   await waitUntil(() => dispatcher.isHolder)
   await fleet.submit(id, [oneTask])
-  const { store } = fleet
-  const commit = store.commit.bind(store)
-  let heldCommits = 0
-  let release: () => void = () => undefined
-  const released = new Promise<void>(resolve => (release = resolve))
-  store.commit = async (tx, opts) => {
-    if (tx.writes.some(({ key }) => key === id)) {
-      heldCommits += 1
-      await released
-    }
-    return commit(tx, opts)
-  }
-  await waitUntil(() => heldCommits > 0)
+  const writes = holdWrites(fleet.store, id)
+  await waitUntil(() => writes.held > 0)
   const resumeAt = performance.now() + 4 * timing.dispatcherLeaseMs
   while (performance.now() < resumeAt);
-  release()
+  writes.release()
   // No timer runs before the microtasks that the answer of the store leads to.
   await new Promise(resolve => setImmediate(resolve))
   t.same(runner.startedRuns, [])
