--- a/packages/dispatcher/__tests__/restarted-runners.test.ts
+++ b/packages/dispatcher/__tests__/restarted-runners.test.ts
@@ -164,3 +164,25 @@
   await fleet.submit(secondId, [whole])
   await waitUntil(() => second.running.has(taskOf(secondId)))
 })
+
+// Guards against ROUTE: a poll that hangs on the connection to the earlier life of a runner hides its
+// restart, and starts by the earlier registry entry go out meanwhile.
+void t.test('a restarted runner gets no start while a poll to its earlier life hangs', async t => {
+  let areHanging = false
+  const fleet = createFleet({
+    dispatcherLeaseMs: 5_000,
+    connectRunners: connectWith(({ waitMs }) => pause(areHanging ? waitMs + 300 : 0)),
+  })
+  const runner = await fleet.addRunner('r1')
+  const dispatcher = fleet.start('host-1')
+  t.teardown(() => dispatcher.close())
+  await fleet.submit(firstId, [{ ...oneTask, needs: 'kind' }])
+  await waitUntil(() => runner.running.has(taskOf(firstId)))
+  areHanging = true
+  // The poll that is under way ends, and the next one hangs.
+  await pause(60)
+  runner.restart()
+  await fleet.submit(secondId, [{ ...oneTask, needs: 'kind' }])
+  await pause(200)
+  t.same(runner.startedRuns, [{ task: taskOf(firstId), run: 1 }])
+})
