--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -2,8 +2,7 @@
 // the command of the deploy file, one process for each entry host.
 import { spawn } from 'node:child_process'
 import { existsSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
-import { createServer } from 'node:http'
-import { Agent, request } from 'node:http'
+import { Agent, createServer, request } from 'node:http'
 import { tmpdir } from 'node:os'
 import { dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
@@ -52,7 +51,7 @@
   for (const each of runnerOpts) {
     runners.push(await startRunner({ ...each, store, record, host: '127.0.0.1' }))
   }
-  const cloud = await startCloud({ runners, runnerOpts })
+  const cloud = await startCloud({ runners, runnerOpts, bounds, holdUp: opts.holdUp, record })
   const processes = []
   for (let n = 1; n <= hosts; n++) processes.push(await createHost(n))
 
@@ -96,6 +95,7 @@
     store,
     runners,
     hosts: processes,
+    cloud,
     /** Signals a process that this script started. */
     signal(host, signal) {
       record('signal sent', { host: host.name, signal })
@@ -124,28 +124,78 @@
   }
 }
 
-/** The machine service: every runner is on a machine that is up. */
-async function startCloud({ runners, runnerOpts }) {
+/**
+ * The machine service. It takes upkeeps with the checks that PROTOCOL.md describes; moves are refused
+ * as busy, as there is no pool to move to. `holdUp(order)` returns for how long an order is held up:
+ * it then gets no answer and is carried out late.
+ */
+async function startCloud({ runners, runnerOpts, bounds, holdUp = () => 0, record }) {
+  const upkeepMs = (bounds.upkeep_s ?? 2) * 1_000
+  const machines = runnerOpts.map((each, n) => ({
+    name: `m-${each.id}`,
+    spec: each,
+    runner: runners[n],
+    fence: 0,
+    waves: new Set(),
+    isInUpkeep: false,
+  }))
+  const stateOf = machine => (machine.isInUpkeep ? 'upkeep' : machine.runner.isDown ? 'down' : 'up')
+
+  function carryOut({ machine: name, wave, holder, fence }) {
+    const machine = machines.find(each => each.name === name)
+    if (machine === undefined) return [400, {}]
+    if (fence < machine.fence) return [409, { reason: 'fence' }]
+    machine.fence = fence
+    if (machine.waves.has(wave)) return [200, {}]
+    if (stateOf(machine) !== 'up') return [409, { reason: 'busy' }]
+    const inUpkeep = machines.filter(each => each.isInUpkeep).map(each => each.name)
+    record('upkeep begins', { machine: name, wave, holder, fence, alreadyInUpkeep: inUpkeep })
+    machine.waves.add(wave)
+    machine.isInUpkeep = true
+    machine.runner.crash(upkeepMs, `${machine.runner.id}u`)
+    setTimeout(() => {
+      machine.isInUpkeep = false
+      record('upkeep ends', { machine: name })
+    }, upkeepMs)
+    return [200, {}]
+  }
+
   const server = createServer((req, res) => {
-    req.resume()
+    const chunks = []
+    req.on('data', chunk => chunks.push(chunk))
     req.on('end', () => {
-      const machines = runnerOpts.map((each, n) => ({
-        machine: `m-${each.id}`,
-        pool: each.service,
-        state: 'up',
-        zone: each.zone,
-        labels: ['a', each.rack],
-        capacity: each.capacity,
-        id: runners[n].id,
-      }))
-      // A case needs no orders for machines; each is refused as if the machine were leaving.
-      const [status, body] = req.url.startsWith('/v1/machines') ? [200, { machines }] : [409, { reason: 'busy' }]
-      res.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body))
+      const send = (status, body) =>
+        res.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body))
+      if (req.method === 'GET') {
+        const list = machines.map(machine => ({
+          machine: machine.name,
+          pool: machine.spec.service,
+          state: stateOf(machine),
+          zone: machine.spec.zone,
+          labels: ['a', machine.spec.rack],
+          capacity: machine.spec.capacity,
+          ...(stateOf(machine) === 'up' ? { id: machine.runner.id } : {}),
+        }))
+        return send(200, { machines: list })
+      }
+      if (req.url !== '/v1/machine-upkeep') return send(409, { reason: 'busy' })
+      const order = {
+        ...JSON.parse(Buffer.concat(chunks).toString('utf8')),
+        holder: req.headers['bulrushbridge-lease-holder'],
+        fence: Number(req.headers['bulrushbridge-fencing-token']),
+      }
+      const delayMs = holdUp(order)
+      if (delayMs === 0) return send(...carryOut(order))
+      record('upkeep order held up', { ...order, delayMs })
+      setTimeout(() => {
+        record('upkeep order carried out late', { ...order, answer: carryOut(order) })
+      }, delayMs)
     })
   })
   await listen(server, '127.0.0.1', 0)
   return {
     address: `127.0.0.1:${server.address().port}`,
+    machines,
     close() {
       server.closeAllConnections()
       server.close()
--- /dev/null
+++ b/review/standins/link.mjs
@@ -0,0 +1,53 @@
+// A proxy in front of one server, which can be cut: bytes in both directions are dropped without a
+// reset, and new connections get no answer, until it is healed.
+import { connect, createServer } from 'node:net'
+import { listen } from './store.mjs'
+
+export async function startLink({ host, to }) {
+  const pairs = new Set()
+  let isCut = false
+  const server = createServer(client => {
+    const pair = { client, upstream: undefined }
+    pairs.add(pair)
+    client.setNoDelay(true)
+    const drop = () => {
+      pairs.delete(pair)
+      client.destroy()
+      pair.upstream?.destroy()
+    }
+    client.on('error', drop)
+    client.on('close', drop)
+    if (isCut) {
+      client.pause()
+      return
+    }
+    pair.upstream = connect({ host, port: to })
+    pair.upstream.setNoDelay(true)
+    pair.upstream.on('error', drop)
+    pair.upstream.on('close', drop)
+    client.on('data', chunk => isCut || pair.upstream.write(chunk))
+    pair.upstream.on('data', chunk => isCut || client.write(chunk))
+  })
+  await listen(server, host, 0)
+  return {
+    address: `${host}:${server.address().port}`,
+    cut() {
+      isCut = true
+    },
+    /** What was held up is lost: its connections are dropped; new ones work. */
+    heal() {
+      isCut = false
+      for (const { client, upstream } of [...pairs]) {
+        client.destroy()
+        upstream?.destroy()
+      }
+    },
+    close() {
+      for (const { client, upstream } of [...pairs]) {
+        client.destroy()
+        upstream?.destroy()
+      }
+      server.close()
+    },
+  }
+}
--- a/review/standins/runner.mjs
+++ b/review/standins/runner.mjs
@@ -1,6 +1,7 @@
 // Stand-in for one runner, as PROTOCOL.md describes it: runs with leases on its own clock, fencing
 // tokens, numbered ends, registration in the store.
 import { createServer } from 'node:http'
+import { startLink } from './link.mjs'
 import { listen } from './store.mjs'
 
 const maxListedEnds = 500
@@ -10,7 +11,8 @@
  * task that lasts. `capacityGuard` is false as in the deployments: it starts all that it is told to.
  */
 export async function startRunner(opts) {
-  const { store, id, host, service, zone, rack, capacity, record } = opts
+  const { store, host, service, zone, rack, capacity, record } = opts
+  let { id } = opts
   const holdMaxMs = opts.holdMaxMs ?? 10_000
   const stopMs = opts.stopMs ?? 100
   const heartbeatMs = 1_500
@@ -22,6 +24,7 @@
     lives += 1
     life = {
       number: lives,
+      id,
       born: Date.now(),
       startedAt: performance.now(),
       running: new Map(),
@@ -127,7 +130,7 @@
 
   const report = current => ({
     service,
-    address: `${host}:${port}`,
+    address: link.address,
     zone,
     version: '1',
     slots: 8,
@@ -172,19 +175,33 @@
   })
   server.keepAliveTimeout = 60_000
   await listen(server, host, opts.port ?? 0)
-  const { port } = server.address()
+  const link = await startLink({ host, to: server.address().port })
   beginLife()
   register()
   const heartbeat = setInterval(register, heartbeatMs)
   const leaseTimer = setInterval(() => checkLease(life), 50)
 
   return {
-    id,
+    get id() {
+      return id
+    },
+    get isDown() {
+      return life.isDown === true
+    },
+    /** Partitions the runner from all that call it; it runs on and still reaches the store. */
+    cut() {
+      link.cut()
+      record('runner cut off', { runner: id })
+    },
+    heal() {
+      link.heal()
+      record('runner reachable again', { runner: id })
+    },
     get running() {
       return life.running
     },
     /** Crashes: all that runs is lost. The runner starts again, under its id, after `downMs`. */
-    crash(downMs) {
+    crash(downMs, nextId = id) {
       const current = life
       const lost = [...current.running.keys()]
       current.isDown = true
@@ -194,9 +211,12 @@
       for (const socket of sockets) socket.destroy()
       record('runner crashed', { runner: id, life: current.number, lost: lost.length, tasks: lost.slice(0, 8), downMs })
       // The registry entry of a runner that is silent is removed after three heartbeat intervals.
-      const removal = setTimeout(() => store.remove('servers', id), 3 * heartbeatMs)
+      const removal = setTimeout(() => store.remove('servers', current.id), 3 * heartbeatMs)
+      const lostId = id
       setTimeout(() => {
         clearTimeout(removal)
+        if (nextId !== lostId) store.remove('servers', lostId)
+        id = nextId
         beginLife()
         register()
         record('runner started again', { runner: id, life: life.number })
@@ -205,6 +225,7 @@
     close() {
       clearInterval(heartbeat)
       clearInterval(leaseTimer)
+      link.close()
       for (const timer of life.timers) clearTimeout(timer)
       server.closeAllConnections()
       server.close()
