test(review): show a stale upkeep order that exceeds the limit of a wave

An upkeep order of a killed holder that is carried out late begins an upkeep while the next holder has as many machines in upkeep as the wave allows; the record of earlier orders counts for 3 s only.

--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -126,10 +126,10 @@
 
 /**
  * The machine service. It takes upkeeps with the checks that PROTOCOL.md describes; moves are refused
- * as busy, as there is no pool to move to. `holdUp(order)` returns for how long an order is held up:
- * it then gets no answer and is carried out late.
+ * as busy, as there is no pool to move to. `holdUp(order)` tells whether an order is held up: it gets
+ * no answer, and is carried out when the case releases it.
  */
-async function startCloud({ runners, runnerOpts, bounds, holdUp = () => 0, record }) {
+async function startCloud({ runners, runnerOpts, bounds, holdUp = () => false, record }) {
   const upkeepMs = (bounds.upkeep_s ?? 2) * 1_000
   const machines = runnerOpts.map((each, n) => ({
     name: `m-${each.id}`,
@@ -149,9 +149,12 @@
     if (machine.waves.has(wave)) return [200, {}]
     if (stateOf(machine) !== 'up') return [409, { reason: 'busy' }]
     const inUpkeep = machines.filter(each => each.isInUpkeep).map(each => each.name)
-    record('upkeep begins', { machine: name, wave, holder, fence, alreadyInUpkeep: inUpkeep })
+    const entry = { machine: name, wave, holder, fence, alreadyInUpkeep: inUpkeep }
+    record('upkeep begins', entry)
+    cloud.onUpkeep?.(entry)
     machine.waves.add(wave)
     machine.isInUpkeep = true
+    machine.since = performance.now()
     machine.runner.crash(upkeepMs, `${machine.runner.id}u`)
     setTimeout(() => {
       machine.isInUpkeep = false
@@ -184,23 +187,26 @@
         holder: req.headers['bulrushbridge-lease-holder'],
         fence: Number(req.headers['bulrushbridge-fencing-token']),
       }
-      const delayMs = holdUp(order)
-      if (delayMs === 0) return send(...carryOut(order))
-      record('upkeep order held up', { ...order, delayMs })
-      setTimeout(() => {
-        record('upkeep order carried out late', { ...order, answer: carryOut(order) })
-      }, delayMs)
+      if (!holdUp(order)) return send(...carryOut(order))
+      record('upkeep order held up', order)
     })
   })
   await listen(server, '127.0.0.1', 0)
-  return {
+  const cloud = {
     address: `127.0.0.1:${server.address().port}`,
     machines,
+    onUpkeep: undefined,
+    /** Carries out an order that was held up. */
+    release(order) {
+      const [status, body] = carryOut(order)
+      record('upkeep order carried out late', { machine: order.machine, fence: order.fence, status, ...body })
+    },
     close() {
       server.closeAllConnections()
       server.close()
     },
   }
+  return cloud
 }
 
 /** Settings as on the page DEPLOY.md, with its bounds. */
