test(review): show a gang whose members resume from different checkpoints

After a crash of the runner of a gang, each member's next run carries the checkpoint that its own last run reported; the protocol asks for one value for all.

--- a/review/standins/runner.mjs
+++ b/review/standins/runner.mjs
@@ -1,5 +1,6 @@
 // Stand-in for one runner, as PROTOCOL.md describes it: runs with leases on its own clock, fencing
 // tokens, numbered ends, registration in the store.
+import { createHash } from 'node:crypto'
 import { createServer } from 'node:http'
 import { startLink } from './link.mjs'
 import { listen } from './store.mjs'
@@ -68,7 +69,7 @@
   }
 
   function start(body) {
-    const { task, run, deadline_ms: deadline, fence, spec } = body
+    const { task, run, deadline_ms: deadline, fence, spec, checkpoint } = body
     const answer = reason => [409, { clock_ms: clock(), reason }]
     if (isStale(fence)) return answer('fence')
     if (deadline <= clock()) return answer('late')
@@ -79,7 +80,9 @@
     const current = life
     const entry = { run, startedAt: performance.now(), workMs: opts.workMs(task, run), stopping: false }
     life.running.set(task, entry)
-    record('run started', { runner: id, life: life.number, task, run, fence, spec: spec?.slice(0, 20) })
+    const started = { runner: id, life: life.number, task, run, fence, spec: spec?.slice(0, 20), ...(checkpoint === undefined ? {} : { checkpoint }) }
+    record('run started', started)
+    opts.onStart?.(started)
     if (Number.isFinite(entry.workMs)) {
       const timer = setTimeout(() => {
         current.timers.delete(timer)
@@ -122,12 +125,21 @@
     }
     const running = [...current.running].map(([task, { run, startedAt, workMs }]) => {
       const share = Number.isFinite(workMs) ? (performance.now() - startedAt) / workMs : 1
-      return [task, run, '', Math.min(100, Math.floor(100 * share)), 0]
+      return [task, run, savedOf(task, startedAt), Math.min(100, Math.floor(100 * share)), 0]
     })
     const body = { clock_ms: clock(), running, ended: current.ended.slice(0, maxListedEnds), ...report(current) }
     return [200, body]
   }
 
+  /** The checkpoint of a run: a new value with each `saveMs` of work; empty without checkpoints. */
+  function savedOf(task, startedAt) {
+    if (opts.saveMs === undefined) return ''
+    const saves = Math.floor((performance.now() - startedAt) / opts.saveMs)
+    if (saves === 0) return ''
+    const digest = createHash('sha1').update(`${task} ${saves}`).digest('hex').slice(0, 8)
+    return `${(saves * opts.saveMs).toString(16).padStart(8, '0')}${digest}`
+  }
+
   const report = current => ({
     service,
     address: link.address,
