test(review): show two runs of a task after a late start order

A run whose start order got no answer is given up when the machine list shows its machine as down; the order is carried out late by the runner's next incarnation, which has seen no fencing token.

--- a/review/1/test.mjs
+++ b/review/1/test.mjs
@@ -28,7 +28,10 @@
 const runnerCount = 12
 
 /** 2,500 tasks of 20 thousandths of a core: 50 of the service's 192 cores. */
-const largeJob = { spec: 'large', steps: [{ count: 2_500, cpu: 20, mem_mb: 16, estimate_ms: 120_000 }] }
+const largeJob = {
+  spec: 'large',
+  steps: [{ count: 2_500, cpu: 20, mem_mb: 16, estimate_ms: 120_000 }],
+}
 const smallJob = { spec: 'small', steps: [{ count: 1, cpu: 500, mem_mb: 100, estimate_ms: 500 }] }
 const largeId = '1a00000000000001'
 
@@ -103,7 +106,8 @@
     const hasRoom = inUse < (runnerCount * capacity.cpu) / 2
     const now = performance.now()
     for (const id of accepted) {
-      const isWaiting = states.get(id) !== 'completed' && !runningTasks.some(task => task.startsWith(id))
+      const isWaiting =
+        states.get(id) !== 'completed' && !runningTasks.some(task => task.startsWith(id))
       if (!isWaiting || !hasRoom) waitingSince.delete(id)
       else if (!waitingSince.has(id)) waitingSince.set(id, now)
       else if (now - waitingSince.get(id) >= stuckMs) stuck.add(id)
--- a/review/5/test.mjs
+++ b/review/5/test.mjs
@@ -28,7 +28,14 @@
 const job = {
   spec: 'verdict',
   steps: [
-    { count: members, cpu: 1_800, mem_mb: 5_000, estimate_ms: workMs, gang: true, saves_progress: true },
+    {
+      count: members,
+      cpu: 1_800,
+      mem_mb: 5_000,
+      estimate_ms: workMs,
+      gang: true,
+      saves_progress: true,
+    },
   ],
 }
 const id = '5c0e7a2100000001'
@@ -67,8 +74,8 @@
   }
   await waitFor(
     async () =>
-      JSON.parse((await call(hosts[1], queue, 'GET', id, undefined, { key: 'key-a' })).text).state ===
-      'completed',
+      JSON.parse((await call(hosts[1], queue, 'GET', id, undefined, { key: 'key-a' })).text)
+        .state === 'completed',
     60_000,
     'the end of the job',
   )
--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -60,7 +60,21 @@
     const ip = `127.0.0.${10 + n}`
     const [frontPort, readyPort, controlPort, metricsPort] = await freePorts(ip, 4)
     const settings = join(folder, `${name}.toml`)
-    writeFileSync(settings, settingsText({ name, n, ip, frontPort, readyPort, controlPort, metricsPort, store, cloud, bounds }))
+    writeFileSync(
+      settings,
+      settingsText({
+        name,
+        n,
+        ip,
+        frontPort,
+        readyPort,
+        controlPort,
+        metricsPort,
+        store,
+        cloud,
+        bounds,
+      }),
+    )
     const host = { name, ip, frontPort, readyPort, settings, child: undefined, log: '' }
     host.start = () => {
       const [program, ...args] = command
@@ -199,7 +213,12 @@
     /** Carries out an order that was held up. */
     release(order) {
       const [status, body] = carryOut(order)
-      record('upkeep order carried out late', { machine: order.machine, fence: order.fence, status, ...body })
+      record('upkeep order carried out late', {
+        machine: order.machine,
+        fence: order.fence,
+        status,
+        ...body,
+      })
     },
     close() {
       server.closeAllConnections()
@@ -210,13 +229,47 @@
 }
 
 /** Settings as on the page DEPLOY.md, with its bounds. */
-function settingsText({ name, n, ip, frontPort, readyPort, controlPort, metricsPort, store, cloud, bounds }) {
+function settingsText({
+  name,
+  n,
+  ip,
+  frontPort,
+  readyPort,
+  controlPort,
+  metricsPort,
+  store,
+  cloud,
+  bounds,
+}) {
   const allBounds = {
-    contact_ms: 3000, ack_ms: 4000, drain_ms: 2000, grace_s: 6, config_ms: 2000, max_stretch_ms: 5000,
-    evacuate_ms: 5000, recover_s: 12, hold_max_ms: 10000, stop_ms: 200, gang_ms: 3000, cancel_ms: 3000,
-    visible_ms: 3000, early_ms: 250, finish_s: 14, status_s: 120, far_factor: 1.5, save_s: 0.5,
-    restore_ms: 600, notice_ms: 4500, move_s: 1.5, upkeep_s: 2, require_fencing: true, lease_ms: 3000,
-    thaw_ms: 300, pace_ms: 100, harm_ms: 4000, ...bounds,
+    contact_ms: 3000,
+    ack_ms: 4000,
+    drain_ms: 2000,
+    grace_s: 6,
+    config_ms: 2000,
+    max_stretch_ms: 5000,
+    evacuate_ms: 5000,
+    recover_s: 12,
+    hold_max_ms: 10000,
+    stop_ms: 200,
+    gang_ms: 3000,
+    cancel_ms: 3000,
+    visible_ms: 3000,
+    early_ms: 250,
+    finish_s: 14,
+    status_s: 120,
+    far_factor: 1.5,
+    save_s: 0.5,
+    restore_ms: 600,
+    notice_ms: 4500,
+    move_s: 1.5,
+    upkeep_s: 2,
+    require_fencing: true,
+    lease_ms: 3000,
+    thaw_ms: 300,
+    pace_ms: 100,
+    harm_ms: 4000,
+    ...bounds,
   }
   const lines = Object.entries(allBounds).map(([key, value]) => `${key} = ${value}`)
   return `node = "${name}"
@@ -288,7 +341,9 @@
 
 async function isReady({ ip, readyPort }) {
   try {
-    return (await send({ host: ip, port: readyPort, method: 'GET', path: '/v1/ready' })).status === 200
+    return (
+      (await send({ host: ip, port: readyPort, method: 'GET', path: '/v1/ready' })).status === 200
+    )
   } catch {
     return false
   }
--- a/review/standins/runner.mjs
+++ b/review/standins/runner.mjs
@@ -78,9 +78,22 @@
     if (run <= (life.highestOver.get(task) ?? 0)) return answer('old')
     if (life.running.has(task)) return answer('old')
     const current = life
-    const entry = { run, startedAt: performance.now(), workMs: opts.workMs(task, run), stopping: false }
+    const entry = {
+      run,
+      startedAt: performance.now(),
+      workMs: opts.workMs(task, run),
+      stopping: false,
+    }
     life.running.set(task, entry)
-    const started = { runner: id, life: life.number, task, run, fence, spec: spec?.slice(0, 20), ...(checkpoint === undefined ? {} : { checkpoint }) }
+    const started = {
+      runner: id,
+      life: life.number,
+      task,
+      run,
+      fence,
+      spec: spec?.slice(0, 20),
+      ...(checkpoint === undefined ? {} : { checkpoint }),
+    }
     record('run started', started)
     opts.onStart?.(started)
     if (Number.isFinite(entry.workMs)) {
@@ -107,7 +120,12 @@
     return [200, { clock_ms: clock() }]
   }
 
-  async function hold({ fence, last_seen: lastSeen = 0, deadline_ms: deadline, wait_ms: waitMs = 0 }) {
+  async function hold({
+    fence,
+    last_seen: lastSeen = 0,
+    deadline_ms: deadline,
+    wait_ms: waitMs = 0,
+  }) {
     if (isStale(fence)) return [409, { clock_ms: clock(), reason: 'fence' }]
     const current = life
     extend(deadline)
@@ -127,7 +145,12 @@
       const share = Number.isFinite(workMs) ? (performance.now() - startedAt) / workMs : 1
       return [task, run, savedOf(task, startedAt), Math.min(100, Math.floor(100 * share)), 0]
     })
-    const body = { clock_ms: clock(), running, ended: current.ended.slice(0, maxListedEnds), ...report(current) }
+    const body = {
+      clock_ms: clock(),
+      running,
+      ended: current.ended.slice(0, maxListedEnds),
+      ...report(current),
+    }
     return [200, body]
   }
 
@@ -160,9 +183,19 @@
     store.put('servers', id, report(life))
   }
 
-  const handlers = { '/v1/run-start': start, '/v1/run-stop': stop, '/v1/hold': hold, '/v1/pace': pace }
+  /** A start order that the network holds up: it got no answer and is carried out when released. */
+  let heldUp
+
+  const handlers = {
+    '/v1/run-start': start,
+    '/v1/run-stop': stop,
+    '/v1/hold': hold,
+    '/v1/pace': pace,
+  }
   function pace({ fence }) {
-    return isStale(fence) ? [409, { clock_ms: clock(), reason: 'fence' }] : [200, { clock_ms: clock() }]
+    return isStale(fence)
+      ? [409, { clock_ms: clock(), reason: 'fence' }]
+      : [200, { clock_ms: clock() }]
   }
 
   const server = createServer((req, res) => {
@@ -174,8 +207,20 @@
       if (current.isDown) return req.socket.destroy()
       let [status, body] = [404, {}]
       if ((req.headers['bulrushbridge-expect-instance'] ?? id) !== id) status = 421
-      else if (handler !== undefined)
-        [status, body] = await handler(JSON.parse(Buffer.concat(chunks).toString('utf8')))
+      else if (handler !== undefined) {
+        const call = JSON.parse(Buffer.concat(chunks).toString('utf8'))
+        if (handler === start && heldUp === undefined && opts.holdUp?.(call)) {
+          heldUp = call
+          record('start order held up', {
+            runner: id,
+            life: current.number,
+            task: call.task,
+            run: call.run,
+          })
+          return
+        }
+        ;[status, body] = await handler(call)
+      }
       if (current !== life || current.isDown || res.destroyed) return req.socket.destroy()
       res.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body))
     })
@@ -212,6 +257,22 @@
     get running() {
       return life.running
     },
+    get hasHeldUpOrder() {
+      return heldUp !== undefined
+    },
+    /** Carries out the start order that was held up. */
+    release() {
+      const [status, body] = start(heldUp)
+      record('start order carried out late', {
+        runner: id,
+        life: life.number,
+        task: heldUp.task,
+        run: heldUp.run,
+        fence: heldUp.fence,
+        status,
+        ...body,
+      })
+    },
     /** Crashes: all that runs is lost. The runner starts again, under its id, after `downMs`. */
     crash(downMs, nextId = id) {
       const current = life
@@ -221,7 +282,13 @@
       current.running.clear()
       for (const wake of [...current.waiters]) wake()
       for (const socket of sockets) socket.destroy()
-      record('runner crashed', { runner: id, life: current.number, lost: lost.length, tasks: lost.slice(0, 8), downMs })
+      record('runner crashed', {
+        runner: id,
+        life: current.number,
+        lost: lost.length,
+        tasks: lost.slice(0, 8),
+        downMs,
+      })
       // The registry entry of a runner that is silent is removed after three heartbeat intervals.
       const removal = setTimeout(() => store.remove('servers', current.id), 3 * heartbeatMs)
       const lostId = id
--- a/review/standins/store.mjs
+++ b/review/standins/store.mjs
@@ -58,7 +58,8 @@
     if (large !== undefined) {
       const { table, part = '', key } = large
       refusedTooLarge.push({ at: nowMs(), table, part, key, bytes: byteLength(large.value) })
-      if (refusedTooLarge.length <= 5) record?.('store refused a row that is too large', refusedTooLarge.at(-1))
+      if (refusedTooLarge.length <= 5)
+        record?.('store refused a row that is too large', refusedTooLarge.at(-1))
       return 400
     }
     return 200
@@ -127,7 +128,8 @@
         const result = apply(tx)
         return send(result.status, result.body)
       }
-      if (req.method === 'GET' && url.pathname === '/v1/rows-get') return send(200, page(url.searchParams))
+      if (req.method === 'GET' && url.pathname === '/v1/rows-get')
+        return send(200, page(url.searchParams))
       if (req.method === 'GET' && url.pathname === '/v1/rows-feed')
         return send(200, await feed(url.searchParams, res))
       if (req.method === 'GET' && url.pathname === '/v1/rows-parts') {
--- a/review/3/test.mjs
+++ b/review/waiting/test.mjs
@@ -84,7 +84,12 @@
         ([id, at]) => askedAt - at > countedAfterMs && !begun.has(id),
       )
       if (status !== 200 || waiting >= notBegun.length / 2) continue
-      const answer = { host: host.name, waiting, notBegun: notBegun.length, jobs: notBegun.map(([id]) => id).slice(0, 3) }
+      const answer = {
+        host: host.name,
+        waiting,
+        notBegun: notBegun.length,
+        jobs: notBegun.map(([id]) => id).slice(0, 3),
+      }
       broken.push(answer)
       record('too few jobs are given as waiting', answer)
     }
