test(review): show a start on a runner that is back as another kind

An unanswered start order is repeated while the runner's poll hangs; the next incarnation, under the same id, starts it without the label that it needs.

--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -11,6 +11,9 @@
 
 export const root = join(dirname(fileURLToPath(import.meta.url)), '..', '..')
 
+/** Longest time of a case, in milliseconds. */
+const maxCaseMs = 112_000
+
 /** Exit status of a case that could not run. */
 export const couldNotRun = 2
 
@@ -98,12 +101,30 @@
     return host
   }
 
+  async function close() {
+    for (const { child } of processes) {
+      if (child === undefined || child.exitCode !== null || child.signalCode !== null) continue
+      child.kill('SIGCONT')
+      child.kill('SIGKILL')
+      await new Promise(resolve => child.once('exit', resolve))
+    }
+    for (const runner of runners) runner.close()
+    cloud.close()
+    store.close()
+    rmSync(folder, { recursive: true, force: true })
+  }
+
   for (const host of processes) host.start()
-  await waitFor(
-    async () => (await Promise.all(processes.map(isReady))).every(Boolean),
-    20_000,
-    'the hosts to be ready',
-  )
+  try {
+    await waitFor(
+      async () => (await Promise.all(processes.map(isReady))).every(Boolean),
+      20_000,
+      'the hosts to be ready',
+    )
+  } catch (err) {
+    await close()
+    throw err
+  }
   record('all hosts are ready')
   return {
     store,
@@ -123,18 +144,7 @@
           .filter(line => line.includes(text))
           .map(line => `${name}: ${line}`),
       ),
-    async close() {
-      for (const { child } of processes) {
-        if (child === undefined || child.exitCode !== null || child.signalCode !== null) continue
-        child.kill('SIGCONT')
-        child.kill('SIGKILL')
-        await new Promise(resolve => child.once('exit', resolve))
-      }
-      for (const runner of runners) runner.close()
-      cloud.close()
-      store.close()
-      rmSync(folder, { recursive: true, force: true })
-    },
+    close,
   }
 }
 
@@ -405,6 +415,14 @@
   record('case begins', { trouble: isTrouble })
   let status = couldNotRun
   let deployment
+  const stop = async reason => {
+    record('the case was ended', { reason })
+    await deployment?.close()
+    write()
+    process.exit(couldNotRun)
+  }
+  for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => void stop(signal))
+  setTimeout(() => void stop('it took too long'), maxCaseMs).unref()
   try {
     status = (await play({
       record,
--- a/review/standins/link.mjs
+++ b/review/standins/link.mjs
@@ -6,6 +6,7 @@
 export async function startLink({ host, to }) {
   const pairs = new Set()
   let isCut = false
+  let isDown = false
   const server = createServer(client => {
     const pair = { client, upstream: undefined }
     pairs.add(pair)
@@ -17,16 +18,21 @@
     }
     client.on('error', drop)
     client.on('close', drop)
-    if (isCut) {
+    if (isCut || isDown) {
       client.pause()
       return
     }
     pair.upstream = connect({ host, port: to })
     pair.upstream.setNoDelay(true)
-    pair.upstream.on('error', drop)
-    pair.upstream.on('close', drop)
-    client.on('data', chunk => isCut || pair.upstream.write(chunk))
-    pair.upstream.on('data', chunk => isCut || client.write(chunk))
+    const dropUnlessLost = () => pair.isOfLostMachine || drop()
+    pair.upstream.on('error', dropUnlessLost)
+    pair.upstream.on('close', dropUnlessLost)
+    client.on('data', chunk => {
+      // A machine that is back resets connections from before it lost power.
+      if (pair.isOfLostMachine && !isDown) client.resetAndDestroy()
+      else if (!pair.isOfLostMachine && !isCut) pair.upstream.write(chunk)
+    })
+    pair.upstream.on('data', chunk => isCut || pair.isOfLostMachine || client.write(chunk))
   })
   await listen(server, host, 0)
   return {
@@ -34,6 +40,16 @@
     cut() {
       isCut = true
     },
+    /** The machine loses power: its connections go silent without a reset, new ones get no answer. */
+    losePower() {
+      isDown = true
+      for (const pair of pairs) pair.isOfLostMachine = true
+    },
+    /** The machine is back; new connections work. */
+    regainPower() {
+      isDown = false
+      for (const { client, upstream } of [...pairs]) if (upstream === undefined) client.destroy()
+    },
     /** What was held up is lost: its connections are dropped; new ones work. */
     heal() {
       isCut = false
--- a/review/standins/runner.mjs
+++ b/review/standins/runner.mjs
@@ -14,6 +14,7 @@
 export async function startRunner(opts) {
   const { store, host, service, zone, rack, capacity, record } = opts
   let { id } = opts
+  let labels = opts.labels ?? ['a', rack]
   const holdMaxMs = opts.holdMaxMs ?? 10_000
   const stopMs = opts.stopMs ?? 100
   const heartbeatMs = 1_500
@@ -173,7 +174,7 @@
     cold_remaining_ms: 0,
     seq: current.seq,
     capacity,
-    labels: ['a', rack],
+    labels,
     born: current.born,
   })
 
@@ -242,6 +243,9 @@
     get id() {
       return id
     },
+    get labels() {
+      return labels
+    },
     get isDown() {
       return life.isDown === true
     },
@@ -274,7 +278,8 @@
       })
     },
     /** Crashes: all that runs is lost. The runner starts again, under its id, after `downMs`. */
-    crash(downMs, nextId = id) {
+    crash(downMs, nextId = id, { isDark = false, nextLabels = labels } = {}) {
+      if (isDark) link.losePower()
       const current = life
       const lost = [...current.running.keys()]
       current.isDown = true
@@ -296,6 +301,8 @@
         clearTimeout(removal)
         if (nextId !== lostId) store.remove('servers', lostId)
         id = nextId
+        labels = nextLabels
+        link.regainPower()
         beginLife()
         register()
         record('runner started again', { runner: id, life: life.number })
