--- a/packages/dispatcher/__tests__/runner-allocations.test.ts
+++ b/packages/dispatcher/__tests__/runner-allocations.test.ts
@@ -17,7 +17,7 @@
 function startedTasks(): Task[] {
   const job = new JobExecution({ id: 'j', queue: 'q', payload: '', steps, acceptedAt: 0 })
   job.openDueOccurrences(0)
-  const tasks = job.startableSteps().flatMap(step => step.tasks)
+  const tasks = job.startableSteps().flatMap(step => [...step.tasks])
   for (const task of tasks) job.beginRun(task, 'r1', 1)
   return tasks
 }
--- a/packages/dispatcher/__tests__/session-fixture.ts
+++ b/packages/dispatcher/__tests__/session-fixture.ts
@@ -82,7 +82,7 @@
   const steps = [{ ...oneTask, count }]
   const job = new JobExecution({ id: 'job', queue: 'q', payload: '', steps, acceptedAt: 0 })
   job.openDueOccurrences(0)
-  const tasks = job.openOccurrences.get(0)?.steps[0]?.tasks ?? []
+  const tasks = [...(job.openOccurrences.get(0)?.steps[0]?.tasks ?? [])]
   for (const task of tasks) job.beginRun(task, 'r1', 1)
   return tasks
 }
--- a/packages/dispatcher/src/available-runner.ts
+++ b/packages/dispatcher/src/available-runner.ts
@@ -1,4 +1,8 @@
-import type { AvailableRunner, RunnerEntry } from '@bulrushbridge/scheduler'
+import {
+  maxUnconfirmedRuns,
+  type AvailableRunner,
+  type RunnerEntry,
+} from '@bulrushbridge/scheduler'
 import type { RunnerSession } from './runner-session.js'
 
 /** Converts the session of an available runner into the input of `chooseStarts`. */
@@ -19,5 +23,14 @@
     suspicion,
     isExclusive: loneTasks > 0,
     isLent: session.isLent,
+    unconfirmedRuns: countUnconfirmedRuns(session),
   }
 }
+
+/** Zero while the number can't matter, so that not every run of a fleet is looked at. */
+function countUnconfirmedRuns({ allocations }: RunnerSession): number {
+  if (allocations.size < maxUnconfirmedRuns) return 0
+  let count = 0
+  for (const { confirmedAt } of allocations.values()) if (confirmedAt === undefined) count += 1
+  return count
+}
--- a/packages/dispatcher/src/job-tracker.ts
+++ b/packages/dispatcher/src/job-tracker.ts
@@ -1,20 +1,20 @@
 import { normalizeError } from '@bulrushbridge/errors'
 import {
   cancelSuffix,
-  jobSchema,
   acceptedJobsTable,
   JobExecution,
   maxCrashes,
   partOf,
   trustedRunMs,
   type ReportedEnd,
-  type Progress,
   type Task,
 } from '@bulrushbridge/scheduler'
 import type { ChangedRow } from '@bulrushbridge/store'
 import { createAllocation, type Allocation } from './allocation.js'
+import { createJobLoader, type JobLoader, type LoadedJob } from './job-loader.js'
 import { applyEnd, findTask, type EndContext } from './run-ends.js'
 import type { GiveUpCause, RunnerSession, SessionEvents } from './runner-session.js'
+import type { EarlierProgress } from './read-progress.js'
 import { queuesOf, type TermContext } from './term-context.js'
 
 /** Time for which ended jobs are remembered, in ms; longer than any answer of the store takes. */
@@ -34,12 +34,15 @@
  * to the jobs' runs: listed ends, runs that are given up, and unexpected runs.
  */
 export class JobTracker {
-  /** Progress read from the store at the takeover, by job; emptied once the jobs have been read. */
-  readonly storedProgress = new Map<string, Progress>()
+  /** Progress read from the store at the takeover; emptied once the jobs have been read. */
+  readonly earlierProgress: EarlierProgress = new Map()
   readonly #ctx: TermContext
   readonly #openSession: (runnerId: string) => RunnerSession
   readonly #onJobForgotten: (jobId: string) => void
   readonly #endContext: EndContext
+  readonly #loader: JobLoader
+  /** Jobs that were cancelled before they were loaded. */
+  readonly #cancelledEarly = new Set<string>()
   /** Jobs that ended recently, with the time at which they were removed from memory. */
   readonly #recentlyEnded = new Map<string, number>()
 
@@ -47,6 +50,12 @@
     this.#ctx = ctx
     this.#openSession = openSession
     this.#onJobForgotten = onJobForgotten
+    this.#loader = createJobLoader({
+      ...ctx.opts,
+      onLoaded: job => {
+        this.#addJob(job)
+      },
+    })
     this.#endContext = {
       jobs: ctx.jobs,
       queueOf: job => queuesOf(ctx).get(job.definition.queue),
@@ -72,24 +81,26 @@
     }
     // A change that was read before the row was deleted must not bring back an ended job.
     if (this.#ctx.jobs.has(key) || this.#recentlyEnded.has(key)) return
-    const parsed = jobSchema.safeParse(value)
-    // A job under the key of another would share the names of its tasks.
-    if (!parsed.success || parsed.data.id !== key) {
-      this.#ctx.opts.log.error('stored job has an invalid format', { job: key })
-      return
-    }
-    const job = new JobExecution(parsed.data, this.storedProgress.get(key))
-    this.#ctx.jobs.set(key, job)
+    this.#loader.add(key, value, this.earlierProgress.get(key) ?? {})
+  }
+
+  /** Resolves when all jobs that have run before are in memory. */
+  whenStartedJobsLoaded(): Promise<void> {
+    return this.#loader.whenStartedJobsLoaded()
+  }
+
+  close(): void {
+    this.#loader.close()
+  }
+
+  #addJob({ definition, chunks, progress, blocks }: LoadedJob): void {
+    const { id } = definition
+    const job = new JobExecution(definition, progress, blocks)
+    job.definitionChunks = chunks
+    this.#ctx.jobs.set(id, job)
     for (const task of job.tasksWithRun()) this.#restoreRun(task)
-    const { queue, organisation, acceptedAt } = parsed.data
-    const ageMs = Date.now() - acceptedAt
-    this.#ctx.opts.log.info('job loaded', {
-      job: key,
-      queue,
-      organisation,
-      status: job.status,
-      ageMs,
-    })
+    this.#ctx.requestPass()
+    if (this.#cancelledEarly.delete(id)) this.#cancel(id)
   }
 
   /** Adds the allocation of a run that an earlier term recorded; it may be running. */
@@ -225,7 +236,10 @@
   #cancel(id: string): void {
     const job = this.#ctx.jobs.get(id)
     if (job === undefined) {
-      void this.#deleteCancellation(id)
+      if (this.#loader.isWaiting(id)) {
+        this.#cancelledEarly.add(id)
+        this.#loader.hurry(id)
+      } else void this.#deleteCancellation(id)
       return
     }
     if (job.isCancelled) return
@@ -276,6 +290,7 @@
   #forgetIfEnded(job: JobExecution): void {
     if (!job.hasEnded || job.tasksWithRun().next().done !== true) return
     this.#ctx.jobs.delete(job.definition.id)
+    this.#loader.remove(job.definition.id)
     this.#recentlyEnded.set(job.definition.id, performance.now())
     this.#onJobForgotten(job.definition.id)
   }
--- a/packages/dispatcher/src/part-writer.ts
+++ b/packages/dispatcher/src/part-writer.ts
@@ -1,23 +1,15 @@
 import { normalizeError, systemClock } from '@bulrushbridge/errors'
-import {
-  cancelSuffix,
-  partHeadsTable,
-  acceptedJobsTable,
-  partOf,
-  progressTable,
-  queuedJobKey,
-  queuedJobsTable,
-  type JobExecution,
-} from '@bulrushbridge/scheduler'
+import { partHeadsTable, type JobExecution } from '@bulrushbridge/scheduler'
 import { StoreError, wait, type Check, type TableService, type Write } from '@bulrushbridge/store'
 import type { Logger } from '@bulrushbridge/telemetry'
 import { z } from 'zod'
+import { groupIntoTransactions, takeJobRows } from './job-rows.js'
 
 /** Key of the head row of each part (partition) of the store; it names the term that may write. */
 const headKey = 'dispatcher'
 
-/** Most jobs in one transaction; each takes up to four of the 100 entries that the store allows. */
-const maxJobsPerTransaction = 24
+/** Most jobs whose rows are encoded at once; a transaction of usual jobs has as many. */
+const maxJobsPerBatch = 24
 
 /**
  * Timeout of one transaction, in ms; it takes 700 ms in a slow store, and other transactions may be
@@ -34,6 +26,9 @@
 /** Pause after a failed transaction, in milliseconds; its result may be unknown. */
 const retryPauseMs = 100
 
+/** Time after which a job that the store has rejected is written again, in milliseconds. */
+const rejectedJobPauseMs = 5_000
+
 const headSchema = z.object({ fence: z.number(), term: z.string() })
 
 /** Thrown when another dispatcher has taken over, and when the writer is closed during a claim. */
@@ -66,7 +61,7 @@
    * closed, or another dispatcher takes over, before that.
    */
   write(job: JobExecution): Promise<void>
-  /** How long the oldest unwritten change has waited, in milliseconds. */
+  /** How long the oldest unwritten change has waited, in ms; jobs that the store rejects are left out. */
   lagMs(): number
   close(): Promise<void>
 }
@@ -90,10 +85,18 @@
   resolvers: (() => void)[]
 }
 
+/** Result of a transaction: `rejected` if the store would refuse the same one again. */
+type CommitOutcome = 'stored' | 'failed' | 'rejected'
+
 class FencedPartWriter implements PartWriter {
   readonly #opts: PartWriterOptions
   readonly #closing = new AbortController()
   #pending = new Map<string, PendingWrite>()
+  /** Writes of jobs that the store rejects; they keep no other job from being written. */
+  readonly #rejected = new Map<string, PendingWrite>()
+  /** Jobs are written one by one until then, because the store has rejected a transaction. */
+  #soloUntil = 0
+  #rejectedTimer: NodeJS.Timeout | undefined
   #version = 0
   #loopDone: Promise<void> | undefined
   #isWriting = false
@@ -129,11 +132,13 @@
   write(job: JobExecution): Promise<void> {
     return new Promise(resolve => {
       const { id } = job.definition
-      const existing = this.#pending.get(id)
-      if (existing === undefined) {
-        this.#pending.set(id, { job, since: performance.now(), resolvers: [resolve] })
-      } else existing.resolvers.push(resolve)
-      if (!this.#isWriting) this.#loopDone = this.#writeLoop()
+      const existing = this.#pending.get(id) ?? this.#rejected.get(id)
+      if (existing !== undefined) {
+        existing.resolvers.push(resolve)
+        return
+      }
+      this.#pending.set(id, { job, since: performance.now(), resolvers: [resolve] })
+      this.#startLoop()
     })
   }
 
@@ -145,19 +150,20 @@
 
   async close(): Promise<void> {
     this.#closing.abort()
+    clearTimeout(this.#rejectedTimer)
     await this.#loopDone
   }
 
+  #startLoop(): void {
+    if (!this.#isWriting && this.#pending.size > 0) this.#loopDone = this.#writeLoop()
+  }
+
   async #writeLoop(): Promise<void> {
     this.#isWriting = true
     // Changes made in the same synchronous step share a transaction.
     await Promise.resolve()
     while (this.#pending.size > 0 && !this.#isStopped()) {
-      const batch = this.#takeBatch()
-      this.#oldestInFlightSince = batch[0]?.since
-      const isStored = await this.#commit(batch)
-      if (isStored) for (const { resolvers } of batch) for (const resolve of resolvers) resolve()
-      else this.#requeue(batch)
+      await this.#writeBatch(this.#takeBatch())
       this.#oldestInFlightSince = undefined
       if (this.#pending.size > 0) await wait(systemClock, batchPauseMs, this.#closing.signal)
     }
@@ -171,12 +177,58 @@
   }
 
   #takeBatch(): PendingWrite[] {
-    const batch = [...this.#pending.values()].slice(0, maxJobsPerTransaction)
+    const maxJobs = performance.now() < this.#soloUntil ? 1 : maxJobsPerBatch
+    const batch = [...this.#pending.values()].slice(0, maxJobs)
     for (const { job } of batch) this.#pending.delete(job.definition.id)
     return batch
   }
 
-  #requeue(batch: PendingWrite[]): void {
+  /** Writes jobs, in as many transactions as their size asks for. */
+  async #writeBatch(batch: readonly PendingWrite[]): Promise<void> {
+    this.#oldestInFlightSince = batch[0]?.since
+    const rows = new Map(batch.map(each => [each.job, takeJobRows(each.job)]))
+    let outcome: CommitOutcome = 'stored'
+    for (const { writes, completes } of groupIntoTransactions([...rows.values()])) {
+      outcome = await this.#commit(writes, completes.length)
+      if (outcome !== 'stored') break
+      for (const { job, status } of completes) {
+        rows.delete(job)
+        if (status !== 'queued') job.hasQueuedRow = false
+      }
+    }
+    const unwritten = batch.filter(({ job }) => rows.has(job))
+    for (const { job } of unwritten) job.markUnstored(rows.get(job)?.blockKeys ?? [])
+    const [first] = unwritten
+    if (outcome === 'rejected' && unwritten.length === 1 && first !== undefined) this.#reject(first)
+    else this.#requeue(unwritten)
+    if (outcome === 'rejected' && unwritten.length > 1)
+      this.#soloUntil = performance.now() + rejectedJobPauseMs
+    for (const { job, resolvers } of batch) {
+      if (!unwritten.some(each => each.job === job)) for (const resolve of resolvers) resolve()
+    }
+  }
+
+  /** Puts a job aside that the store rejects; it is written again after a pause. */
+  #reject(write: PendingWrite): void {
+    const { id } = write.job.definition
+    this.#opts.log.error('the store rejects the rows of a job', { part: this.#opts.part, job: id })
+    const later = this.#pending.get(id)
+    if (later !== undefined) write.resolvers.push(...later.resolvers)
+    this.#pending.delete(id)
+    this.#rejected.set(id, write)
+    this.#rejectedTimer ??= setTimeout(() => {
+      this.#rejectedTimer = undefined
+      const since = performance.now()
+      this.#requeue(Array.from(this.#rejected.values(), each => ({ ...each, since })))
+      this.#rejected.clear()
+      // Each of them is written alone, so that those which the store takes are told from the others.
+      this.#soloUntil = performance.now() + rejectedJobPauseMs / 2
+      this.#startLoop()
+    }, rejectedJobPauseMs)
+  }
+
+  #requeue(batch: readonly PendingWrite[]): void {
+    if (batch.length === 0) return
     const later = this.#pending
     this.#pending = new Map(batch.map(each => [each.job.definition.id, each]))
     for (const [id, each] of later) {
@@ -186,28 +238,27 @@
     }
   }
 
-  /** Returns whether the batch is stored; if not, it must be written again. */
-  async #commit(batch: readonly PendingWrite[]): Promise<boolean> {
+  async #commit(rows: readonly Write[], jobs: number): Promise<CommitOutcome> {
     const { store, part, log } = this.#opts
     try {
-      const writes = [this.#headWrite(), ...batch.flatMap(({ job }) => rowsOfJob(job))]
       const result = await store.commit(
-        { checks: [this.#headCheck(this.#version)], writes },
+        { checks: [this.#headCheck(this.#version)], writes: [this.#headWrite(), ...rows] },
         { part, deadline: performance.now() + commitTimeoutMs },
       )
       if (result.committed && result.version !== undefined) {
         this.#version = result.version
-        for (const { job } of batch) if (job.status !== 'queued') job.hasQueuedRow = false
-        return true
+        return 'stored'
       }
       await this.#checkOwnership()
     } catch (err) {
       const { message } = normalizeError(err)
       const isUnknown = err instanceof StoreError && !err.isResultKnown
-      log.warn('job transaction failed', { part, jobs: batch.length, isUnknown, reason: message })
+      const isRejected = err instanceof StoreError && err.isRejected
+      log.warn('job transaction failed', { part, jobs, isUnknown, isRejected, reason: message })
+      if (isRejected) return 'rejected'
       await wait(systemClock, retryPauseMs, this.#closing.signal)
     }
-    return false
+    return 'failed'
   }
 
   /**
@@ -236,22 +287,3 @@
     return { table: partHeadsTable, part, key: headKey, value: { fence, term } }
   }
 }
-
-/** All writes for a job; the accepted job and its cancellation are deleted once it has ended. */
-function rowsOfJob(job: JobExecution): Write[] {
-  const { id, queue } = job.definition
-  const part = partOf(id)
-  const rows: Write[] = [{ table: progressTable, part, key: id, value: job.encode() }]
-  if (job.status !== 'queued' && job.hasQueuedRow) {
-    rows.push({ table: queuedJobsTable, part, key: queuedJobKey(queue, id), value: null })
-  }
-  if (job.hasEnded && !hasRuns(job)) {
-    rows.push({ table: acceptedJobsTable, part, key: id, value: null })
-    rows.push({ table: acceptedJobsTable, part, key: `${id}${cancelSuffix}`, value: null })
-  }
-  return rows
-}
-
-function hasRuns(job: JobExecution): boolean {
-  return job.tasksWithRun().next().done !== true
-}
--- a/packages/dispatcher/src/placement-pass.ts
+++ b/packages/dispatcher/src/placement-pass.ts
@@ -1,6 +1,7 @@
 import {
   chooseStarts,
   isAllowedOn,
+  maxUnconfirmedRuns,
   noAmounts,
   sumWaitingWork,
   type Amounts,
@@ -25,6 +26,7 @@
   /** Sum of the amounts, by pool, of startable tasks for which the last pass found no runner. */
   #waiting = new Map<string, Amounts>()
   #waitingTaskCount = 0
+  #awaitsConfirmations = false
 
   constructor(ctx: TermContext, jobTracker: JobTracker, advice: AdviceCache | undefined) {
     this.#ctx = ctx
@@ -37,6 +39,11 @@
     return this.#waiting.get(pool) ?? noAmounts
   }
 
+  /** Whether a runner gets no more runs until it has confirmed others. */
+  get awaitsConfirmations(): boolean {
+    return this.#awaitsConfirmations
+  }
+
   /** Number of startable tasks that the last pass left without a run. */
   get waitingTaskCount(): number {
     return this.#waitingTaskCount
@@ -48,12 +55,13 @@
   }
 
   /**
-   * Places at most `maxStarts` tasks; each start order is sent once its run is stored. Returns
-   * whether it placed that many, so that there may be more to place.
+   * Places at most `maxStarts` tasks of jobs outside of `laggingParts` of the store; each start order
+   * is sent once its run is stored. Returns whether it placed that many, so that there may be more.
    */
-  place(maxStarts: number): boolean {
-    const steps = this.#startableSteps()
+  place(maxStarts: number, laggingParts: ReadonlySet<string>): boolean {
+    const steps = this.#startableSteps(laggingParts)
     this.#waitingTaskCount = 0
+    this.#awaitsConfirmations = false
     if (steps.length === 0) {
       this.#waiting = new Map()
       return false
@@ -73,10 +81,14 @@
       wallNow: Date.now(),
       maxStarts,
     })
+    this.#awaitsConfirmations = runners.some(
+      ({ unconfirmedRuns }) => unconfirmedRuns >= maxUnconfirmedRuns,
+    )
     for (const { task, runnerId } of starts) this.#beginRun(task, runnerId)
     this.#waitingTaskCount = steps.reduce((sum, { pendingCount }) => sum + pendingCount, 0)
     // What a full pass left out has not been offered to a runner, so it does not lack capacity.
     if (starts.length >= maxStarts) return true
+    if (this.#awaitsConfirmations) return false
     this.#waiting = sumWaitingWork({ steps, queues, runners, allowance })
     return false
   }
@@ -92,11 +104,11 @@
     return this.#advice?.runnersFor(step, queue.advice, ids)
   }
 
-  #startableSteps(): StepExecution[] {
+  #startableSteps(laggingParts: ReadonlySet<string>): StepExecution[] {
     const wallNow = Date.now()
     const steps: StepExecution[] = []
     for (const job of this.#ctx.jobs.values()) {
-      if (job.hasEnded) continue
+      if (job.hasEnded || laggingParts.has(job.part)) continue
       job.openDueOccurrences(wallNow)
       steps.push(...job.startableSteps())
     }
@@ -125,7 +137,7 @@
   /** The sessions on which a task starts together with others: those of its gang, or its own. */
   #sessionsOf({ step }: Task, session: RunnerSession): (RunnerSession | undefined)[] {
     if (step.definition.isGang !== true) return [session]
-    return step.tasks.map(({ run }) => run && this.#ctx.sessions.get(run.runnerId))
+    return Array.from(step.tasks.kept(), ({ run }) => run && this.#ctx.sessions.get(run.runnerId))
   }
 
   /** Sends the start order of a stored run, unless the run must not start any more. */
--- a/packages/dispatcher/src/progress-retention.ts
+++ b/packages/dispatcher/src/progress-retention.ts
@@ -1,6 +1,12 @@
 import { normalizeError, systemClock } from '@bulrushbridge/errors'
-import { hasEnded, partNames, progressSchema, progressTable } from '@bulrushbridge/scheduler'
-import { wait, type TableService } from '@bulrushbridge/store'
+import {
+  hasEnded,
+  partNames,
+  progressSchema,
+  progressTable,
+  taskBlocksTable,
+} from '@bulrushbridge/scheduler'
+import { wait, type Row, type TableService } from '@bulrushbridge/store'
 import type { Logger } from '@bulrushbridge/telemetry'
 
 /** Pause between two removals, in milliseconds. */
@@ -55,23 +61,44 @@
   }
 }
 
-/** Removes old progress rows of one part; exported for tests. */
+/** Removes old progress rows of one part, and blocks that ended jobs left; exported for tests. */
 export async function removeOldProgress(
   { store, statusKeptMs, log }: ProgressRetentionOptions,
   part: string,
   wallNow: number,
 ): Promise<void> {
+  // Blocks are read before progress: a job whose block is found has a progress row by then.
+  const blocks = await store.scan(taskBlocksTable, { part })
   const rows = await store.scan(progressTable, { part })
-  const old = rows.filter(({ value }) => {
-    const parsed = progressSchema.safeParse(value)
-    if (!parsed.success || !hasEnded(parsed.data.status)) return false
-    return wallNow - (parsed.data.endedAt ?? wallNow) > retentionMargin * statusKeptMs
-  })
-  for (let from = 0; from < old.length; from += maxRowsPerTransaction) {
-    const batch = old.slice(from, from + maxRowsPerTransaction)
-    const checks = batch.map(({ key, version }) => ({ table: progressTable, part, key, version }))
-    const writes = batch.map(({ key }) => ({ table: progressTable, part, key, value: null }))
-    await store.commit({ checks, writes }, { part })
+  const old: Row[] = []
+  const unfinished = new Set<string>()
+  for (const row of rows) {
+    const { data: progress } = progressSchema.safeParse(row.value)
+    const isOver = progress !== undefined && hasEnded(progress.status)
+    if (!isOver || progress.steps !== undefined) unfinished.add(row.key)
+    if (!isOver) continue
+    if (wallNow - (progress.endedAt ?? wallNow) > retentionMargin * statusKeptMs) old.push(row)
+  }
+  const leftBlocks = blocks.filter(({ key }) => !unfinished.has(key.slice(0, key.indexOf('.'))))
+  await removeRows(store, { table: progressTable, part }, old)
+  await removeRows(store, { table: taskBlocksTable, part }, leftBlocks)
+  if (old.length + leftBlocks.length > 0)
+    log.info('progress of ended jobs removed', {
+      part,
+      jobs: old.length,
+      blocks: leftBlocks.length,
+    })
+}
+
+async function removeRows(
+  store: TableService,
+  place: { table: string; part: string },
+  rows: readonly Row[],
+): Promise<void> {
+  for (let from = 0; from < rows.length; from += maxRowsPerTransaction) {
+    const batch = rows.slice(from, from + maxRowsPerTransaction)
+    const checks = batch.map(({ key, version }) => ({ ...place, key, version }))
+    const writes = batch.map(({ key }) => ({ ...place, key, value: null }))
+    await store.commit({ checks, writes }, { part: place.part })
   }
-  if (old.length > 0) log.info('progress of ended jobs removed', { part, jobs: old.length })
 }
--- a/packages/dispatcher/src/run-ends.ts
+++ b/packages/dispatcher/src/run-ends.ts
@@ -106,8 +106,10 @@
 
 function onFailed({ ctx, job, task, runnerId, applied }: EndArgs): void {
   // A gang's failed runs are counted at its first task, because all members share the attempts.
-  const countingTask = task.step.definition.isGang === true ? (task.step.tasks[0] ?? task) : task
+  const countingTask =
+    task.step.definition.isGang === true ? (task.step.tasks.get(0) ?? task) : task
   countingTask.failures += 1
+  job.touch(countingTask)
   task.lastFailedRunnerId = runnerId
   applied.isRunnerQuarantined = ctx.runnerFailures.recordFailure(
     runnerId,
@@ -124,6 +126,9 @@
 
 /** Saves the checkpoint of a run; all tasks of a gang resume from the same checkpoint. */
 function saveCheckpoint(task: Task, { checkpoint }: ReportedEnd): void {
-  const members = task.step.definition.isGang === true ? task.step.tasks : [task]
-  for (const member of members) member.checkpoint = checkpoint
+  const members = task.step.definition.isGang === true ? task.step.tasks.kept() : [task]
+  for (const member of members) {
+    member.checkpoint = checkpoint
+    task.step.job.touch(member)
+  }
 }
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -431,8 +431,10 @@
         allocation.percentAt = now
       }
       allocation.usage = usage
-      if (checkpoint !== '' && allocation.task?.step.definition.savesProgress === true) {
-        allocation.task.checkpoint = checkpoint
+      const { task: known } = allocation
+      if (checkpoint !== '' && known?.step.definition.savesProgress === true) {
+        known.checkpoint = checkpoint
+        known.step.job.touch(known)
       }
       if (allocation.state === 'recorded') allocation.state = 'present'
       if (allocation.runnerStartedAt !== this.runnerStartedAt) {
--- a/packages/dispatcher/src/term.ts
+++ b/packages/dispatcher/src/term.ts
@@ -5,10 +5,7 @@
   createRunnerFailureTracker,
   createRunTimeEstimator,
   acceptedJobsTable,
-  partOf,
   partNames,
-  progressSchema,
-  progressTable,
   type JobExecution,
 } from '@bulrushbridge/scheduler'
 import {
@@ -27,6 +24,7 @@
 import { createPartWriter, FencedError, type PartWriter } from './part-writer.js'
 import { PlacementPass } from './placement-pass.js'
 import { createProgressRetention, type ProgressRetention } from './progress-retention.js'
+import { readProgress } from './read-progress.js'
 import { createRunMonitor, type RunMonitor } from './run-monitor.js'
 import { RunnerSessions } from './runner-sessions.js'
 import { createStartLimit } from './start-limit.js'
@@ -39,8 +37,8 @@
 const passIntervalMs = 200
 
 /**
- * Nothing is placed while a change has waited this long to be stored, in ms; a transaction of a
- * slow store takes 400 ms.
+ * No job of a part of the store is placed while a change there has waited this long to be stored, in
+ * ms; a transaction of a slow store takes 400 ms.
  */
 const maxStoreLagMs = 2_000
 
@@ -133,11 +131,12 @@
     const { opts, jobs, sessions, startedAt } = this.#ctx
     this.#createWriters()
     await this.#retry('claim', () => Promise.all([...this.#writers.values()].map(w => w.claim())))
-    await this.#retry('read progress', () => this.#readProgress())
+    await this.#retry('read progress', () => readProgress(opts, this.#jobTracker.earlierProgress))
     if (this.#isClosed()) return
     // Jobs are read before runners, as an end of an unknown job would be acknowledged and lost.
     await this.#followJobs().ready
-    this.#jobTracker.storedProgress.clear()
+    this.#jobTracker.earlierProgress.clear()
+    await this.#jobTracker.whenStartedJobsLoaded()
     await this.#followRunners().ready
     if (this.#isClosed()) return
     this.#stopWatchingView = opts.view.onChange(() => {
@@ -165,6 +164,7 @@
     this.#stopWatchingView?.()
     clearTimeout(this.#passTimer)
     this.#loadLog.close()
+    this.#jobTracker.close()
     await Promise.all([
       this.#machineController?.close(),
       this.#retention?.close(),
@@ -195,6 +195,7 @@
       onFenced,
       onStartConfirmed: ms => {
         this.#loadLog.addStart(ms)
+        if (this.#placement.awaitsConfirmations) this.#requestPass()
       },
     }
   }
@@ -210,7 +211,7 @@
   }
 
   #storeJob(job: JobExecution): Promise<void> {
-    const writer = this.#writers.get(partOf(job.definition.id))
+    const writer = this.#writers.get(job.part)
     return writer === undefined ? Promise.resolve() : writer.write(job)
   }
 
@@ -250,23 +251,13 @@
     }
   }
 
-  async #readProgress(): Promise<void> {
-    const { store, log } = this.#ctx.opts
-    const { rows } = await store.snapshot(progressTable, partNames)
-    for (const { key, value } of rows) {
-      const parsed = progressSchema.safeParse(value)
-      if (parsed.success) this.#jobTracker.storedProgress.set(key, parsed.data)
-      else log.error('stored job progress has an invalid format', { job: key })
-    }
-  }
-
   #followJobs(): TableFollower {
     const applyRows: TableFollowerOptions['onChanges'] = rows => {
       for (const row of rows) this.#jobTracker.applyRow(row)
       this.#requestPass()
     }
     const follow = { table: acceptedJobsTable, parts: partNames, pauseMs: jobsFeedPauseMs }
-    return this.#follow({ ...follow, onSnapshot: applyRows, onChanges: applyRows })
+    return this.#follow({ ...follow, onSnapshotPage: applyRows, onChanges: applyRows })
   }
 
   #followRunners(): TableFollower {
@@ -319,12 +310,19 @@
   #pass(dueAt: number): void {
     const startedAt = performance.now()
     const maxStarts = this.#startLimit.next(startedAt - dueAt)
-    if (!this.#ctx.isActive() || this.#storeLagMs() > maxStoreLagMs) return
-    if (this.#placement.place(maxStarts)) this.#requestPass()
+    if (!this.#ctx.isActive()) return
+    if (this.#placement.place(maxStarts, this.#laggingParts())) this.#requestPass()
     this.#loadLog.addPass(performance.now() - startedAt)
     if (this.#placement.hasWaitingTasks) this.#machineController?.wake()
   }
 
+  #laggingParts(): ReadonlySet<string> {
+    const lagging = new Set<string>()
+    for (const [part, writer] of this.#writers)
+      if (writer.lagMs() > maxStoreLagMs) lagging.add(part)
+    return lagging
+  }
+
   /** How long the oldest unwritten change of a job has waited, in milliseconds. */
   #storeLagMs(): number {
     return Math.max(0, ...[...this.#writers.values()].map(writer => writer.lagMs()))
--- a/packages/dispatcher/src/unavailable-tasks.ts
+++ b/packages/dispatcher/src/unavailable-tasks.ts
@@ -17,13 +17,18 @@
   sessions: ReadonlyMap<string, RunnerSession>,
   exceptRunnerId?: string,
 ): number {
-  return step.tasks.filter(({ name, run }) => {
-    if (run === undefined) return true
-    if (run.runnerId === exceptRunnerId) return false
+  let available = 0
+  let elsewhere = 0
+  for (const { name, run } of step.tasks.kept()) {
+    if (run === undefined) continue
+    if (run.runnerId === exceptRunnerId) {
+      elsewhere += 1
+      continue
+    }
     const session = sessions.get(run.runnerId)
-    const allocation = session?.allocations.get(allocationKey(name, run.number))
-    const isReachable = session !== undefined && session.unreachableSince === undefined
-    if (!isReachable || session.isUpkeepExpected) return true
-    return allocation?.state !== 'present' || allocation.percent < workingPercent
-  }).length
+    if (session?.unreachableSince !== undefined || session?.isUpkeepExpected !== false) continue
+    const allocation = session.allocations.get(allocationKey(name, run.number))
+    if (allocation?.state === 'present' && allocation.percent >= workingPercent) available += 1
+  }
+  return step.tasks.length - available - elsewhere
 }
--- a/packages/errors/src/error-kinds.ts
+++ b/packages/errors/src/error-kinds.ts
@@ -49,6 +49,16 @@
     message: 'No worker of the pool is large enough for the job.',
     retryable: false,
   },
+  'job-limit-exceeded': {
+    status: 422,
+    message: 'The job exceeds a limit on the size of jobs.',
+    retryable: false,
+  },
+  'job-not-storable': {
+    status: 422,
+    message: 'The table service rejects the job, and would reject it again.',
+    retryable: false,
+  },
   'sender-too-slow': {
     status: 408,
     message: 'The request body did not arrive in time.',
@@ -81,6 +91,11 @@
     retryable: true,
   },
   'queue-full': { status: 503, message: 'The queue is full.', retryable: true },
+  'submissions-full': {
+    status: 503,
+    message: 'This entry host is handling as many submissions as its memory allows.',
+    retryable: true,
+  },
   'deadline-too-short': {
     status: 503,
     message: 'The expected wait is longer than the deadline allows.',
--- a/packages/job-front/__tests__/job-acceptor.test.ts
+++ b/packages/job-front/__tests__/job-acceptor.test.ts
@@ -69,3 +69,58 @@
   t.equal(await store.read(progressTable, job.id, { part }), undefined)
   await acceptor.close()
 })
+
+function withSteps(id: string, count: number): JobDefinition {
+  const [step] = job.steps
+  const needs = 'x'.repeat(200)
+  const steps = step === undefined ? [] : Array.from({ length: count }, () => ({ ...step, needs }))
+  return { ...job, id, steps }
+}
+
+/** Ids of jobs in one part of the store, so that they share transactions. */
+const idsOfPart = Array.from({ length: 400 }, (_, n) => `${n}`.padStart(16, 'c')).filter(
+  id => partOf(id) === part,
+)
+
+// Guards against LOST at acceptance: a definition that is larger than a row was refused for ever with
+// 503, as if a retry could help, and with it the jobs that shared its transaction.
+void t.test('a job with a large definition is accepted, and so are those beside it', async t => {
+  const store = createMemoryStore()
+  const acceptor = createJobAcceptor(store)
+  const jobs = idsOfPart.slice(0, 30).map((id, n) => withSteps(id, n === 7 ? 900 : 50))
+  const outcomes = await Promise.all(jobs.map(each => acceptor.accept(each, deadlineIn(1_000))))
+  t.ok(outcomes.every(outcome => outcome === 'accepted'))
+  t.equal(store.rejectedCalls, 0)
+  await acceptor.close()
+})
+
+void t.test('a job that no store could hold is refused with the limit', async t => {
+  const store = createMemoryStore()
+  const acceptor = createJobAcceptor(store)
+  const tooLarge = withSteps(job.id, 2_000)
+  const err = await acceptor.accept(tooLarge, deadlineIn(1_000)).catch((cause: unknown) => cause)
+  t.match(err, { kind: 'job-limit-exceeded', message: /450000 bytes/ })
+  t.equal(await store.read(progressTable, job.id, { part }), undefined)
+  await acceptor.close()
+})
+
+// Guards against LOST whatever the reason: one job that the store always refuses.
+void t.test('a job that the store rejects is refused alone and not retried', async t => {
+  const store = createMemoryStore()
+  const acceptor = createJobAcceptor(store)
+  const [first = '', second = ''] = idsOfPart
+  const unstorable = { ...job, id: first, queue: 'q', organisation: 'o' }
+  const commit = store.commit.bind(store)
+  store.commit = (tx, opts) =>
+    tx.writes.some(({ key }) => key === first)
+      ? commit({ ...tx, checks: [{ table: 't', key: 'k'.repeat(201), version: 0 }] }, opts)
+      : commit(tx, opts)
+  const [refused, accepted] = await Promise.all([
+    acceptor.accept(unstorable, deadlineIn(1_000)).catch((cause: unknown) => cause),
+    acceptor.accept({ ...job, id: second }, deadlineIn(1_000)),
+  ])
+  t.match(refused, { kind: 'job-not-storable' })
+  t.equal(accepted, 'accepted')
+  t.equal(store.rejectedCalls, 2, 'once with the other job and once alone')
+  await acceptor.close()
+})
--- a/packages/job-front/src/job-acceptor.ts
+++ b/packages/job-front/src/job-acceptor.ts
@@ -1,6 +1,7 @@
 import { RequestError } from '@bulrushbridge/errors'
 import {
-  acceptedJobsTable,
+  encodeDefinition,
+  maxDefinitionBytes,
   partOf,
   partNames,
   noQueue,
@@ -13,6 +14,7 @@
 } from '@bulrushbridge/scheduler'
 import {
   createGroupCommitter,
+  maxTransactionBytes,
   type GroupCommitter,
   type TableService,
   type Transaction,
@@ -34,7 +36,8 @@
    * same id has been stored before.
    *
    * @throws RequestError `store-unavailable` when the job is certainly not stored,
-   * `acceptance-unknown` when it may be stored, `job-cancelled` when it was cancelled before.
+   * `acceptance-unknown` when it may be stored, `job-cancelled` when it was cancelled before,
+   * `job-limit-exceeded` and `job-not-storable` when it can't be stored at all.
    */
   accept(job: JobDefinition, deadline: number): Promise<'accepted' | 'known'>
   close(): Promise<void>
@@ -53,7 +56,12 @@
         commit: (tx: Transaction, opts: { deadline?: number } = {}) =>
           store.commit(tx, { ...opts, part }),
       }
-      const group = { table, windowMs: groupWindowMs, maxRows: maxGroupWrites }
+      const group = {
+        table,
+        windowMs: groupWindowMs,
+        maxRows: maxGroupWrites,
+        maxBytes: maxTransactionBytes,
+      }
       return [part, createGroupCommitter(group)] as const
     }),
   )
@@ -104,6 +112,11 @@
 function createAcceptTransaction(job: JobDefinition): Transaction {
   const { id, queue, organisation, schedule } = job
   const part = partOf(id)
+  const definition = encodeDefinition(job)
+  if (definition === undefined) {
+    const message = `A job may take ${maxDefinitionBytes} bytes as JSON; this one takes more.`
+    throw new RequestError('job-limit-exceeded', { message })
+  }
   const progress: Progress = {
     status: 'queued',
     queue,
@@ -112,7 +125,7 @@
   return {
     checks: [{ table: progressTable, part, key: id, version: 0 }],
     writes: [
-      { table: acceptedJobsTable, part, key: id, value: job },
+      ...definition.map(row => ({ ...row, part })),
       { table: progressTable, part, key: id, value: progress },
       ...(schedule === undefined
         ? [{ table: queuedJobsTable, part, key: queuedJobKey(queue, id), value: 1 }]
--- a/packages/job-front/src/job-handler.ts
+++ b/packages/job-front/src/job-handler.ts
@@ -11,7 +11,9 @@
   partNames,
   progressSchema,
   progressTable,
+  queuedJobPrefix,
   queuedJobsTable,
+  JobLimitError,
   type SchedulerConfiguration,
   type JobSubmission,
   type JobStatus,
@@ -35,12 +37,22 @@
 /** Time for one read of the store, in milliseconds. */
 const readTimeoutMs = 1_200
 
+/**
+ * Most bytes of the bodies of submissions that are handled at once. A body takes several times its size
+ * in memory until its job is stored, and callers go on sending while the store does not answer.
+ */
+const maxSubmittingBytes = 12_000_000
+
+/** Most bytes of a body; larger jobs could not be stored, whatever the configuration allows. */
+const maxStorableBodyBytes = 1_000_000
+
 /** Decodes the requests of callers and encodes the responses to them. */
 export interface CallerCodec {
   /** Request header with the time for which the caller waits, in milliseconds. */
   deadlineHeader: string
   isJobId(text: string): boolean
   decodeKey(authorization: string | undefined): string | undefined
+  /** Undefined when the job is malformed; throws a JobLimitError when it is too large. */
   decodeJob(value: unknown): JobSubmission | undefined
   encodeStatus(status: JobStatus): unknown
   encodeWaitingCount(count: number): unknown
@@ -90,6 +102,7 @@
   readonly #handlersByMethod: Record<string, ((ctx: RequestContext) => Promise<void>) | undefined>
   /** Settles when the refresh of the view that is in progress is over. */
   #refreshing: Promise<void> | undefined
+  #submittingBytes = 0
 
   constructor(opts: JobHandlerOptions) {
     this.#opts = opts
@@ -161,10 +174,28 @@
   }
 
   async #submit(ctx: RequestContext): Promise<void> {
+    const maxBytes = Math.min(ctx.cfg.maxBodyBytes, maxStorableBodyBytes)
+    const length = Number(ctx.req.headers['content-length'])
+    // Without a length the body may be as large as it may be at all.
+    const bytes = length <= maxBytes ? length : maxBytes
+    if (this.#submittingBytes + bytes > maxSubmittingBytes)
+      throw new RequestError('submissions-full', { retryAfterMs })
+    this.#submittingBytes += bytes
+    try {
+      await this.#accept(ctx)
+    } finally {
+      this.#submittingBytes -= bytes
+    }
+  }
+
+  async #accept(ctx: RequestContext): Promise<void> {
     const { req, res, cfg, queue, organisation, subpath: id, deadline, requestId } = ctx
     const { acceptor, codec, log, metrics } = this.#opts
     const receivedAt = Date.now()
-    const jobRequest = codec.decodeJob(await readJson(req, cfg.maxBodyBytes))
+    const jobRequest = decode(
+      codec,
+      await readJson(req, Math.min(cfg.maxBodyBytes, maxStorableBodyBytes)),
+    )
     if (jobRequest === undefined || id === '') throw new RequestError('bad-request')
     const job = {
       id,
@@ -237,8 +268,9 @@
   async #sendWaitingCount(ctx: RequestContext): Promise<void> {
     const { name } = ctx.queue
     const deadline = performance.now() + readTimeoutMs
-    // The range covers all keys with the prefix `name/`, because "0" is the character after "/".
-    const range = { from: `${name}/`, to: `${name}0`, deadline }
+    const from = queuedJobPrefix(name)
+    // The range covers all keys with the prefix, because "0" is the character after its "/".
+    const range = { from, to: `${from.slice(0, -1)}0`, deadline }
     const rows = await this.#readStore(() =>
       Promise.all(
         partNames.map(part => this.#opts.store.scan(queuedJobsTable, { ...range, part })),
@@ -275,6 +307,15 @@
   }
 }
 
+function decode(codec: CallerCodec, value: unknown): JobSubmission | undefined {
+  try {
+    return codec.decodeJob(value)
+  } catch (cause) {
+    if (!(cause instanceof JobLimitError)) throw cause
+    throw new RequestError('job-limit-exceeded', { message: cause.message, cause })
+  }
+}
+
 async function readJson(req: IncomingMessage, maxBytes: number): Promise<unknown> {
   const length = req.headers['content-length']
   const contentLength = length === undefined ? undefined : Number(length)
--- a/packages/job-front/src/write-retries.ts
+++ b/packages/job-front/src/write-retries.ts
@@ -25,7 +25,7 @@
  * may have stored the write, so attempts go on until the deadline.
  *
  * @throws RequestError `store-unavailable` when the write is certainly not stored,
- * `acceptance-unknown` when it may be stored.
+ * `acceptance-unknown` when it may be stored, `job-not-storable` when the store would always refuse it.
  *
  * @example
  * await retryWrite(deadline, attemptDeadline => store.commit(tx, { deadline: attemptDeadline }))
@@ -42,6 +42,8 @@
     } catch (cause) {
       if (cause instanceof RequestError) throw cause
       if (cause instanceof StoreError && !cause.isResultKnown) state.mayBeStored = true
+      if (cause instanceof StoreError && cause.isRejected && !state.mayBeStored)
+        throw new RequestError('job-not-storable', { cause })
       const now = performance.now()
       const hasRetryTimeEnded = state.mayBeStored
         ? now + retryPauseMs >= deadline
--- a/packages/scheduler/__tests__/demand-bursts.ts
+++ b/packages/scheduler/__tests__/demand-bursts.ts
@@ -407,5 +407,6 @@
     suspicion: 0,
     isExclusive: false,
     isLent,
+    unconfirmedRuns: 0,
   }
 }
--- a/packages/scheduler/__tests__/fixture.ts
+++ b/packages/scheduler/__tests__/fixture.ts
@@ -55,6 +55,7 @@
     servingTasks: 0,
     fillerTasks: 0,
     isLent: false,
+    unconfirmedRuns: 0,
     ...changes,
   }
 }
--- a/packages/scheduler/src/choose-starts.ts
+++ b/packages/scheduler/src/choose-starts.ts
@@ -1,9 +1,10 @@
 import { addAmounts, countFitting, type Amounts } from './amounts.js'
 import type { JobQueue } from './configuration.js'
 import { maxSuspicion, mustRunAlone, suspicionOf } from './crash-suspects.js'
-import type { StepExecution, Task } from './job-execution.js'
+import type { StepExecution } from './job-execution.js'
 import { hasNeededLabel } from './runner-constraints.js'
-import { compareUrgency, urgencyOf } from './urgency.js'
+import type { Task } from './task.js'
+import { compareUrgency, createCriticalPaths, urgencyOf } from './urgency.js'
 import type { RunTimeEstimator } from './run-time-estimator.js'
 
 /**
@@ -37,8 +38,16 @@
   isExclusive: boolean
   /** A move brought the machine into this pool, from a spare pool or from another one. */
   isLent: boolean
+  /** Runs that it has not confirmed yet; above {@link maxUnconfirmedRuns} it gets no new ones. */
+  unconfirmedRuns: number
 }
 
+/**
+ * Most runs of a runner that it has not confirmed yet, but for gangs. Start orders have a deadline;
+ * more of them than a runner answers in that time would fail and be sent again without end.
+ */
+export const maxUnconfirmedRuns = 48
+
 /** Input of {@link chooseStarts}, which changes the objects in `runners` and `allowance`. */
 export interface StartChoiceInput {
   steps: readonly StepExecution[]
@@ -83,10 +92,12 @@
  * for (const { task, runnerId } of chooseStarts(input)) record(task, runnerId)
  */
 export function chooseStarts(input: StartChoiceInput): TaskStart[] {
+  const pathsOf = createCriticalPaths(input.runTimes)
   const ranked = input.steps.flatMap(step => {
     const queue = input.queues.get(step.job.definition.queue)
     if (queue === undefined) return []
-    return [{ step, queue, urgency: urgencyOf(step, queue, input.runTimes, input.wallNow) }]
+    const urgency = urgencyOf(step, queue, input.runTimes, input.wallNow, pathsOf)
+    return [{ step, queue, urgency }]
   })
   ranked.sort((a, b) => compareUrgency(a.urgency, b.urgency))
   const chooser = new StartChooser(input)
@@ -123,8 +134,8 @@
 
   /** Starts the tasks of a step that must run alone. */
   startLoneTasks(step: StepExecution, queue: JobQueue): void {
-    for (const task of step.tasks) {
-      if (task.crashes === 0 || !isPending(task) || !mustRunAlone(task)) continue
+    for (const task of step.tasks.released()) {
+      if (!mustRunAlone(task)) continue
       if (this.starts.length >= this.#input.maxStarts) return
       const runner = this.#bestRunner(step, queue, task)
       if (runner !== undefined) this.#reserve(task, runner)
@@ -156,13 +167,14 @@
   }
 
   startStep(step: StepExecution, queue: JobQueue): void {
-    const pending = step.tasks.filter(task => isPending(task) && !mustRunAlone(task))
     if (step.definition.isGang === true) {
       // A gang starts only as a whole, and only when no task of its last run may still be running.
-      if (pending.length === step.tasks.length) this.#startGang(step, queue, pending)
+      if (step.pendingCount === step.tasks.length)
+        this.#startGang(step, queue, [...step.tasks.pending()])
       return
     }
-    for (const task of pending) {
+    for (const task of step.tasks.pending()) {
+      if (mustRunAlone(task)) continue
       if (this.starts.length >= this.#input.maxStarts) return
       const runner = this.#bestRunner(step, queue, task)
       if (runner !== undefined) this.#reserve(task, runner)
@@ -236,6 +248,8 @@
     const { step, crashes } = task
     const { maxPerRunner } = step.definition
     if (runner.isExclusive) return false
+    if (runner.unconfirmedRuns >= maxUnconfirmedRuns && step.definition.isGang !== true)
+      return false
     if (mustRunAlone(task) && runner.finiteTasks > 0) return false
     if (crashes > 0 && runner.suspicion + suspicionOf(crashes) > maxSuspicion) return false
     if (!hasNeededLabel(step, runner)) return false
@@ -300,6 +314,7 @@
   #adjust(task: Task, runner: AvailableRunner, times: 1 | -1): void {
     const { step } = task
     addAmounts(runner.free, reservedAmounts(step), -times)
+    runner.unconfirmedRuns += times
     if (step.definition.isLasting !== true) runner.finiteTasks += times
     runner.suspicion += times * suspicionOf(task.crashes)
     if (mustRunAlone(task)) runner.isExclusive = times === 1
@@ -330,10 +345,6 @@
   )
 }
 
-function isPending(task: Task): boolean {
-  return !task.isDone && task.run === undefined
-}
-
 /**
  * Resources that a task of a step reserves on its runner. A filler reserves no processor time,
  * because it uses only what other tasks leave.
--- a/packages/scheduler/src/crash-suspects.ts
+++ b/packages/scheduler/src/crash-suspects.ts
@@ -1,4 +1,4 @@
-import type { Task } from './job-execution.js'
+import type { Task } from './task.js'
 
 /**
  * Number of crashes of runners under a task after which its job fails. Before the last one the task
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -8,6 +8,7 @@
 export { chooseFillerPace, type FillerPace, type ServingLatency } from './choose-filler-pace.js'
 export {
   chooseStarts,
+  maxUnconfirmedRuns,
   reservedAmounts,
   type StartChoiceInput,
   type AvailableRunner,
@@ -21,6 +22,14 @@
   type RunnerPool,
   type JobQueue,
 } from './configuration.js'
+export {
+  chunkCountOf,
+  encodeDefinition,
+  joinDefinition,
+  maxDefinitionBytes,
+  type DefinitionRow,
+} from './job-definition-rows.js'
+export { JobLimitError } from './job-limit-error.js'
 export {
   hasEnded,
   jobSchema,
@@ -35,12 +44,10 @@
 } from './job.js'
 export {
   JobExecution,
-  parseTaskName,
+  type JobState,
   type Occurrence,
   type StepExecution,
-  type Task,
-  type TaskName,
-  type TaskRun,
+  type StoredBlock,
 } from './job-execution.js'
 export {
   createOperatorView,
@@ -112,7 +119,12 @@
   partNames,
   progressTable,
   queuedJobKey,
+  queuedJobPrefix,
   queuedJobsTable,
+  definitionChunksTable,
+  taskBlocksTable,
 } from './tables.js'
+export { type StepTasks } from './step-tasks.js'
+export { parseTaskName, type Task, type TaskName, type TaskRun } from './task.js'
 export { compareUrgency, latencyObjectiveMs, urgencyOf, type Urgency } from './urgency.js'
 export { sumWaitingWork, type WaitingWorkInput } from './waiting-work.js'
--- a/packages/scheduler/src/job-execution.ts
+++ b/packages/scheduler/src/job-execution.ts
@@ -1,45 +1,32 @@
 import { canBeSuspect } from './crash-suspects.js'
 import { hasEnded, type JobDefinition, type JobStatus, type Step } from './job.js'
-import type { Progress, TaskProgress } from './progress.js'
+import { NumberRanges } from './number-ranges.js'
+import { stepStates, type Progress, type TaskProgress } from './progress.js'
+import { StepTasks } from './step-tasks.js'
+import { applyBlock, encodeBlock, tasksPerBlock, type TaskBlock } from './task-block.js'
+import { partOf } from './tables.js'
+import { parseTaskName, type Task, type TaskRun } from './task.js'
 
 /** Most occurrences of one job that are open at once. */
 const maxOpenOccurrences = 1_000
 
-/** Most tasks of one job whose occurrences are open at once, unless a single occurrence has more. */
-const maxOpenTasks = 100_000
+/** Most steps of one job that a placement pass is offered. */
+const maxOfferedSteps = 64
 
-/** A recorded run of a task on a runner. */
-export interface TaskRun {
-  number: number
-  runnerId: string
-  /**
-   * When the runner started, in Unix milliseconds; tells it from later restarts with the same id.
-   */
-  runnerStartedAt: number
-}
+/** Most steps of one job whose occurrences are open at once; the job's row has each of them. */
+const maxOpenSteps = 8_000
 
-/** One task of a step. */
-export interface Task {
-  readonly name: string
-  readonly step: StepExecution
-  isDone: boolean
-  /** Number of runs that ended as failed. */
-  failures: number
-  /** Number of the last run; 0 before the first. */
-  lastRun: number
-  checkpoint: string
-  /** The run that may be active; no other run starts while it is set. */
-  run: TaskRun | undefined
-  /**
-   * Numbers of runs that were given up although their end was unknown; a runner may still report
-   * it.
-   */
-  abandonedRuns: number[]
-  /** Id of the runner of the last failed run, which the next run avoids. */
-  lastFailedRunnerId: string | undefined
-  /** Number of runners that crashed under the task, see `maxCrashes`. */
-  crashes: number
-}
+/** Most tasks of the open occurrences of a job whose progress is in its own row. */
+const maxInlineTasks = 256
+
+/** Most bytes of a job's own row; larger progress goes into blocks. */
+const maxInlineBytes = 16_000
+
+/** Most bytes of a block of tasks; in base64 it must be below the store's limit for a row. */
+const maxBlockBytes = 45_000
+
+/** Most tasks of one job whose occurrences are open at once, unless a single occurrence has more. */
+const maxOpenTasks = 100_000
 
 /** The tasks of one step in one occurrence of a job. */
 export interface StepExecution {
@@ -52,7 +39,7 @@
   readonly occurrence: number
   readonly number: number
   readonly definition: Step
-  readonly tasks: Task[]
+  readonly tasks: StepTasks
   /** Number of tasks that are not done and have no run. */
   pendingCount: number
   /** Number of tasks that are done. */
@@ -65,29 +52,59 @@
   /** When the steps may start, in Unix milliseconds; 0 for a job without a schedule. */
   readonly startableFrom: number
   readonly steps: StepExecution[]
+  /** Steps that are not done and whose preceding steps are; undefined after a step was done. */
+  readySteps: StepExecution[] | undefined
+}
+
+/** A stored block of tasks; `key` is `<occurrence>.<step>.<block>`. */
+export interface StoredBlock {
+  key: string
+  value: unknown
+}
+
+/** The stored state of a job: the value of its row, and the blocks to write or, if null, to delete. */
+export interface JobState {
+  progress: Progress
+  blocks: { key: string; value: TaskBlock | null }[]
 }
 
 /** A job that the dispatcher executes, with its progress. */
 export class JobExecution {
   readonly definition: JobDefinition
+  /** Part of the store that has the rows of the job. */
+  readonly part: string
   status: JobStatus = 'queued'
   endedAt: number | undefined
   /** A caller has cancelled the job. */
   isCancelled = false
   /** The job has a row in the table of jobs that are queued: none of their tasks has begun. */
   hasQueuedRow: boolean
+  /** Number of rows that hold the definition, if it is too large for the row of the job. */
+  definitionChunks = 0
   /** Occurrences that have begun and are not complete, by number. */
   readonly openOccurrences = new Map<number, Occurrence>()
   /** Numbers of the occurrences whose tasks are all done. */
-  readonly #completeOccurrences = new Set<number>()
+  #completeOccurrences = new NumberRanges()
+  /** All occurrences before this one are open or complete. */
+  #firstUnopened = 0
+  /** Where the next call of `startableSteps` goes on, if there are very many. */
+  #firstOfferedStep = 0
+  /** The progress of tasks is stored in blocks; it stays so until the job ends. */
+  #usesBlocks = false
+  /** Keys of blocks that differ from the stored ones. */
+  readonly #changedBlocks = new Set<string>()
+  /** Keys of blocks that may be stored. */
+  readonly #storedBlocks = new Set<string>()
   /** Tasks under which runners have crashed. */
   readonly #crashSuspects = new Set<Task>()
 
-  constructor(job: JobDefinition, progress?: Progress) {
+  constructor(job: JobDefinition, progress?: Progress, blocks: readonly StoredBlock[] = []) {
     this.definition = job
+    this.part = partOf(job.id)
     this.hasQueuedRow =
       job.schedule === undefined && (progress === undefined || progress.status === 'queued')
     if (progress !== undefined) this.#restore(progress)
+    for (const block of blocks) this.#restoreBlock(block)
   }
 
   get hasEnded(): boolean {
@@ -101,33 +118,46 @@
   openDueOccurrences(wallNow: number): boolean {
     const previousCount = this.openOccurrences.size
     const maxOpen = this.#maxOpenOccurrences()
-    for (let number = 0; number < this.#occurrenceCount(); number++) {
-      if (this.#startableFrom(number) > wallNow || this.openOccurrences.size >= maxOpen) break
-      if (!this.openOccurrences.has(number) && !this.#completeOccurrences.has(number))
-        this.openOccurrences.set(number, this.#createOccurrence(number))
+    const count = this.#occurrenceCount()
+    while (this.#firstUnopened < count && this.openOccurrences.size < maxOpen) {
+      const number = this.#firstUnopened
+      const completeUntil = this.#completeOccurrences.endOfRange(number)
+      if (completeUntil === undefined) {
+        if (this.#startableFrom(number) > wallNow) break
+        this.#openOccurrence(number)
+      }
+      this.#firstUnopened = (completeUntil ?? number) + 1
     }
     return this.openOccurrences.size > previousCount
   }
 
-  /** Steps that have tasks to start and whose preceding steps are done. */
+  /**
+   * Steps that have tasks to start and whose preceding steps are done. Of very many, each call returns
+   * others in turn, so that one job does not take the time of all.
+   */
   startableSteps(): StepExecution[] {
     const found: StepExecution[] = []
-    for (const { steps } of this.openOccurrences.values()) {
-      for (const execution of steps)
-        if (execution.pendingCount > 0 && isReady(execution, steps)) found.push(execution)
+    for (const occurrence of this.openOccurrences.values()) {
+      occurrence.readySteps ??= occurrence.steps.filter(
+        step => !isStepDone(step) && isReady(step, occurrence.steps),
+      )
+      for (const step of occurrence.readySteps) if (step.pendingCount > 0) found.push(step)
     }
-    return found
+    if (found.length <= maxOfferedSteps) return found
+    const from = this.#firstOfferedStep % found.length
+    this.#firstOfferedStep = from + maxOfferedSteps
+    return [...found.slice(from), ...found.slice(0, from)].slice(0, maxOfferedSteps)
   }
 
   task(occurrence: number, step: number, index: number): Task | undefined {
-    return this.openOccurrences.get(occurrence)?.steps[step]?.tasks[index]
+    return this.openOccurrences.get(occurrence)?.steps[step]?.tasks.get(index)
   }
 
   /** Yields all tasks that have a recorded run, whether it has started or not. */
   *tasksWithRun(): Generator<Task> {
     for (const { steps } of this.openOccurrences.values()) {
       for (const { tasks } of steps)
-        for (const task of tasks) if (task.run !== undefined) yield task
+        for (const task of tasks.kept()) if (task.run !== undefined) yield task
     }
   }
 
@@ -137,6 +167,7 @@
     task.lastRun = number
     task.run = { number, runnerId, runnerStartedAt }
     task.step.pendingCount -= 1
+    this.touch(task)
     if (this.status === 'queued') this.status = 'running'
     return task.run
   }
@@ -145,7 +176,9 @@
   clearRun(task: Task): void {
     if (task.run === undefined) return
     task.run = undefined
-    if (!task.isDone) task.step.pendingCount += 1
+    if (task.isDone) return
+    task.step.pendingCount += 1
+    this.touch(task)
   }
 
   /** Treats the run of a task as over although its runner has reported no end. */
@@ -159,12 +192,20 @@
     if (!canBeSuspect(task)) return
     task.crashes += 1
     this.#crashSuspects.add(task)
+    this.touch(task)
   }
 
   /** Clears a task of the suspicion that it crashes runners. */
   clearCrashes(task: Task): void {
     task.crashes = 0
     this.#crashSuspects.delete(task)
+    this.touch(task)
+  }
+
+  /** Notes that the state of a task has changed; callers that change its fields must call this. */
+  touch(task: Task): void {
+    if (!task.isDone) task.step.tasks.update(task)
+    this.#changedBlocks.add(blockKey(task.step, task.index))
   }
 
   /**
@@ -175,8 +216,14 @@
     const { step } = task
     const members = step.definition.isGang === true ? step.tasks : [task]
     for (const member of members) this.#markTaskDone(member)
+    if (!isStepDone(step)) return
     const occurrence = this.openOccurrences.get(step.occurrence)
-    if (occurrence?.steps.every(each => each.doneCount === each.tasks.length) === true) {
+    if (occurrence !== undefined) occurrence.readySteps = undefined
+    for (let index = 0; index < step.tasks.length; index += tasksPerBlock) {
+      const key = blockKey(step, index)
+      if (this.#storedBlocks.has(key)) this.#changedBlocks.add(key)
+    }
+    if (occurrence?.steps.every(isStepDone) === true) {
       this.openOccurrences.delete(step.occurrence)
       this.#completeOccurrences.add(step.occurrence)
       if (this.#completeOccurrences.size === this.#occurrenceCount() && !this.hasEnded)
@@ -191,25 +238,115 @@
   }
 
   /**
-   * Encodes the value of the job's progress row; an ended job without runs keeps no task progress.
+   * Encodes the job's progress for its own row; an ended job without runs keeps no task progress. Use
+   * {@link takeState} to store the job, which may be too large for one row.
    */
   encode(): Progress {
+    const summary = this.#encodeSummary()
+    if (this.#hasNoMoreRuns()) return summary
+    const occurrences: NonNullable<Progress['occurrences']> = {}
+    for (const [number, { steps }] of this.openOccurrences) {
+      if (steps.every(({ tasks }) => tasks.isUntouched)) continue
+      occurrences[String(number)] = steps.map(({ tasks }) => Array.from(tasks, encodeTask))
+    }
+    const crashes = this.#encodeCrashes()
+    return {
+      ...summary,
+      ...this.#encodeComplete(),
+      occurrences,
+      ...(crashes === undefined ? {} : { crashes }),
+    }
+  }
+
+  /**
+   * Returns what must be stored for the job to be stored as it is now. The blocks count as stored from
+   * now on; if they are not, {@link markUnstored} must be called with their keys.
+   */
+  takeState(): JobState {
+    if (this.#hasNoMoreRuns()) {
+      const blocks = [...this.#storedBlocks].map(key => ({ key, value: null }))
+      this.#storedBlocks.clear()
+      return { progress: this.#encodeSummary(), blocks }
+    }
+    if (!this.#usesBlocks) {
+      const progress = this.#fitsInline() ? this.encode() : undefined
+      if (progress !== undefined && jsonBytes(progress) <= maxInlineBytes) {
+        this.#changedBlocks.clear()
+        return { progress, blocks: [] }
+      }
+      this.#usesBlocks = true
+      this.#changeAllBlocks()
+    }
+    const steps: NonNullable<Progress['steps']> = {}
+    for (const [number, occurrence] of this.openOccurrences) {
+      const states = occurrence.steps.map(stateOfStep).join('')
+      if (/[^0]/.test(states)) steps[String(number)] = states
+    }
+    const progress = { ...this.#encodeSummary(), ...this.#encodeComplete(), steps }
+    return { progress, blocks: this.#takeChangedBlocks() }
+  }
+
+  /** Notes that blocks which {@link takeState} returned may not be stored as they were. */
+  markUnstored(keys: Iterable<string>): void {
+    for (const key of keys) {
+      this.#changedBlocks.add(key)
+      this.#storedBlocks.add(key)
+    }
+  }
+
+  #takeChangedBlocks(): JobState['blocks'] {
+    const blocks: JobState['blocks'] = []
+    for (const key of this.#changedBlocks) {
+      const value = this.#encodeBlock(key) ?? null
+      if (value === null && !this.#storedBlocks.has(key)) continue
+      blocks.push({ key, value })
+      if (value === null) this.#storedBlocks.delete(key)
+      else this.#storedBlocks.add(key)
+    }
+    this.#changedBlocks.clear()
+    return blocks
+  }
+
+  #encodeBlock(key: string): TaskBlock | undefined {
+    const [occurrence, step, block] = key.split('.').map(Number)
+    const execution = this.openOccurrences.get(occurrence ?? -1)?.steps[step ?? -1]
+    if (execution === undefined || isStepDone(execution)) return undefined
+    return encodeBlock(execution.tasks, block ?? 0, maxBlockBytes)
+  }
+
+  #changeAllBlocks(): void {
+    for (const { steps } of this.openOccurrences.values()) {
+      for (const step of steps) {
+        if (step.tasks.isUntouched || isStepDone(step)) continue
+        for (let index = 0; index < step.tasks.length; index += tasksPerBlock)
+          this.#changedBlocks.add(blockKey(step, index))
+      }
+    }
+  }
+
+  #fitsInline(): boolean {
+    const { steps } = this.definition
+    const taskCount = steps.reduce((sum, { count }) => sum + count, 0)
+    return taskCount * this.openOccurrences.size <= maxInlineTasks
+  }
+
+  #hasNoMoreRuns(): boolean {
+    return this.hasEnded && this.tasksWithRun().next().done === true
+  }
+
+  #encodeSummary(): Progress {
     const { queue, organisation } = this.definition
-    const summary = {
+    return {
       status: this.status,
       queue,
       ...(organisation === undefined ? {} : { organisation }),
       ...(this.endedAt === undefined ? {} : { endedAt: this.endedAt }),
     }
-    const hasRuns = !this.tasksWithRun().next().done
-    if (this.hasEnded && !hasRuns) return summary
-    const occurrences: NonNullable<Progress['occurrences']> = {}
-    for (const number of this.#completeOccurrences) occurrences[String(number)] = 1
-    for (const [number, { steps }] of this.openOccurrences) {
-      occurrences[String(number)] = steps.map(({ tasks }) => tasks.map(encodeTask))
-    }
-    const crashes = this.#encodeCrashes()
-    return { ...summary, occurrences, ...(crashes === undefined ? {} : { crashes }) }
+  }
+
+  #encodeComplete(): Pick<Progress, 'complete'> {
+    const complete = this.#completeOccurrences.toJSON()
+    return complete.length === 0 ? {} : { complete }
   }
 
   #encodeCrashes(): Progress['crashes'] {
@@ -222,18 +359,30 @@
   }
 
   #maxOpenOccurrences(): number {
-    const tasks = this.definition.steps.reduce((sum, { count }) => sum + count, 0)
-    return Math.min(maxOpenOccurrences, Math.max(1, Math.floor(maxOpenTasks / tasks)))
+    const { steps } = this.definition
+    const tasks = steps.reduce((sum, { count }) => sum + count, 0)
+    const limits = [maxOpenTasks / tasks, maxOpenSteps / steps.length]
+    return Math.max(1, Math.min(maxOpenOccurrences, ...limits.map(Math.floor)))
   }
 
   #restore(progress: Progress): void {
     this.status = progress.status
     this.endedAt = progress.endedAt
     this.isCancelled = progress.status === 'cancelled'
+    this.#completeOccurrences = new NumberRanges(progress.complete)
     for (const [name, stored] of Object.entries(progress.occurrences ?? {})) {
       const number = Number(name)
       if (stored === 1) this.#completeOccurrences.add(number)
-      else this.openOccurrences.set(number, this.#createOccurrence(number, stored))
+      else this.#restoreTasks(this.#openOccurrence(number), stored)
+    }
+    this.#usesBlocks = progress.steps !== undefined
+    for (const [name, states] of Object.entries(progress.steps ?? {})) {
+      const { steps } = this.#openOccurrence(Number(name))
+      for (const [index, step] of steps.entries()) {
+        if (states[index] !== stepStates.done) continue
+        step.tasks.markAllDone()
+        updateCounts(step)
+      }
     }
     for (const [name, crashes] of Object.entries(progress.crashes ?? {})) {
       const parsed = parseTaskName(`${this.definition.id}.${name}`)
@@ -245,31 +394,47 @@
     }
   }
 
-  #createOccurrence(number: number, stored?: TaskProgress[][]): Occurrence {
-    const steps = this.definition.steps.map((step, stepIndex) => {
-      const execution: StepExecution = {
-        name: `${this.definition.id}.${number}.${stepIndex}`,
-        job: this,
-        occurrence: number,
-        number: stepIndex,
-        definition: step,
-        tasks: [],
-        pendingCount: 0,
-        doneCount: 0,
-      }
-      for (let index = 0; index < step.count; index++) {
-        const task = decodeTask(
-          `${execution.name}.${index}`,
-          execution,
-          stored?.[stepIndex]?.[index] ?? 0,
-        )
-        execution.tasks.push(task)
-        if (task.isDone) execution.doneCount += 1
-        else if (task.run === undefined) execution.pendingCount += 1
+  #restoreTasks({ steps }: Occurrence, stored: TaskProgress[][]): void {
+    for (const [stepIndex, step] of steps.entries()) {
+      for (const [index, each] of (stored[stepIndex] ?? []).entries()) {
+        if (each === 1) step.tasks.markDone(index)
+        else if (each !== 0) restoreTask(step, index, each)
       }
-      return execution
-    })
-    return { number, startableFrom: this.#startableFrom(number), steps }
+      updateCounts(step)
+    }
+  }
+
+  #restoreBlock({ key, value }: StoredBlock): void {
+    this.#storedBlocks.add(key)
+    const [number = -1, step = -1, block = 0] = key.split('.').map(Number)
+    const isComplete = this.#completeOccurrences.has(number)
+    const execution = isComplete ? undefined : this.#openOccurrence(number).steps[step]
+    if (execution === undefined || isStepDone(execution)) {
+      // It is left over from a complete step and is deleted with the next write.
+      this.#changedBlocks.add(key)
+      return
+    }
+    this.#usesBlocks = true
+    applyBlock(execution.tasks, block, value)
+    for (const task of execution.tasks.kept()) if (task.crashes > 0) this.#crashSuspects.add(task)
+    updateCounts(execution)
+  }
+
+  #openOccurrence(number: number): Occurrence {
+    let occurrence = this.openOccurrences.get(number)
+    if (occurrence === undefined) {
+      occurrence = this.#createOccurrence(number)
+      this.openOccurrences.set(number, occurrence)
+    }
+    return occurrence
+  }
+
+  #createOccurrence(number: number): Occurrence {
+    const steps = this.definition.steps.map(
+      (definition, stepNumber) =>
+        new StepRuns(this, definition, { occurrence: number, number: stepNumber }),
+    )
+    return { number, startableFrom: this.#startableFrom(number), steps, readySteps: undefined }
   }
 
   #markTaskDone(task: Task): void {
@@ -278,7 +443,9 @@
     task.isDone = true
     task.run = undefined
     task.checkpoint = ''
+    task.step.tasks.markDone(task.index)
     task.step.doneCount += 1
+    this.touch(task)
   }
 
   #occurrenceCount(): number {
@@ -294,10 +461,56 @@
 function isReady(execution: StepExecution, steps: readonly StepExecution[]): boolean {
   return (execution.definition.after ?? []).every(earlierNumber => {
     const earlier = steps[earlierNumber]
-    return earlier !== undefined && earlier.doneCount === earlier.tasks.length
+    return earlier !== undefined && isStepDone(earlier)
   })
 }
 
+class StepRuns implements StepExecution {
+  readonly name: string
+  readonly occurrence: number
+  readonly number: number
+  readonly tasks: StepTasks
+  pendingCount: number
+  doneCount = 0
+
+  constructor(
+    readonly job: JobExecution,
+    readonly definition: Step,
+    { occurrence, number }: { occurrence: number; number: number },
+  ) {
+    this.name = `${job.definition.id}.${occurrence}.${number}`
+    this.occurrence = occurrence
+    this.number = number
+    this.tasks = new StepTasks(this, definition.count)
+    this.pendingCount = definition.count
+  }
+}
+
+function isStepDone({ doneCount, tasks }: StepExecution): boolean {
+  return doneCount === tasks.length
+}
+
+/** Counts the tasks of a step again, after they were restored. */
+function updateCounts(step: StepExecution): void {
+  let runCount = 0
+  for (const { run } of step.tasks.kept()) if (run !== undefined) runCount += 1
+  step.doneCount = step.tasks.doneCount
+  step.pendingCount = step.tasks.length - step.doneCount - runCount
+}
+
+function stateOfStep(step: StepExecution): string {
+  if (isStepDone(step)) return stepStates.done
+  return step.tasks.isUntouched ? stepStates.untouched : stepStates.inBlocks
+}
+
+function blockKey({ occurrence, number }: StepExecution, index: number): string {
+  return `${occurrence}.${number}.${Math.floor(index / tasksPerBlock)}`
+}
+
+function jsonBytes(value: unknown): number {
+  return Buffer.byteLength(JSON.stringify(value))
+}
+
 function encodeTask(task: Task): TaskProgress {
   if (task.isDone) return 1
   const { failures, lastRun, checkpoint, run } = task
@@ -305,40 +518,11 @@
   return [0, failures, lastRun, checkpoint, run?.runnerId ?? '', run?.runnerStartedAt ?? 0]
 }
 
-function decodeTask(name: string, step: StepExecution, stored: TaskProgress): Task {
-  const task: Task = {
-    name,
-    step,
-    isDone: stored === 1,
-    failures: 0,
-    lastRun: 0,
-    checkpoint: '',
-    run: undefined,
-    abandonedRuns: [],
-    lastFailedRunnerId: undefined,
-    crashes: 0,
-  }
-  if (typeof stored === 'number') return task
+function restoreTask(step: StepExecution, index: number, stored: TaskProgress): void {
+  const task = step.tasks.get(index)
+  if (task === undefined || typeof stored === 'number') return
   const [, failures, lastRun, checkpoint, runnerId, runnerStartedAt] = stored
   Object.assign(task, { failures, lastRun, checkpoint })
   if (runnerId !== '') task.run = { number: lastRun, runnerId, runnerStartedAt }
-  return task
-}
-
-/** The components of a task's name. */
-export interface TaskName {
-  jobId: string
-  occurrence: number
-  step: number
-  index: number
-}
-
-/**
- * Parses a task's name, `<job id>.<occurrence>.<step>.<index>`; undefined if it has another number
- * of components. A job id must not contain a dot.
- */
-export function parseTaskName(name: string): TaskName | undefined {
-  const [jobId, occurrence, step, index, ...rest] = name.split('.')
-  if (jobId === undefined || index === undefined || rest.length > 0) return undefined
-  return { jobId, occurrence: Number(occurrence), step: Number(step), index: Number(index) }
+  step.tasks.update(task)
 }
--- a/packages/scheduler/src/progress.ts
+++ b/packages/scheduler/src/progress.ts
@@ -30,6 +30,9 @@
  */
 export const noQueue = ''
 
+/** States of a step whose tasks are stored in blocks. */
+export const stepStates = { untouched: '0', done: '1', inBlocks: '2' } as const
+
 /** Value of a row in the table `progress`. */
 export const progressSchema = z.object({
   status: z.enum(jobStatuses),
@@ -44,10 +47,21 @@
    * When the job ended, in Unix milliseconds; the row is kept for the retention time after that.
    */
   endedAt: z.number().optional(),
-  /** Occurrences that have begun, by number: 1 if complete, else the progress of tasks by step. */
+  /**
+   * Occurrences that have begun, by number: the progress of tasks by step. 1 stands for a complete
+   * one; earlier builds wrote it.
+   */
   occurrences: z
     .record(z.string(), z.union([z.literal(1), z.array(z.array(taskProgressSchema))]))
     .optional(),
+  /** Ranges of the numbers of complete occurrences. */
+  complete: z.array(z.tuple([z.number(), z.number()])).optional(),
+  /**
+   * In place of `occurrences`, for a job whose tasks take too much for one row: by number of the
+   * occurrence one character of {@link stepStates} for each step. The progress of the tasks is in rows
+   * of the table of task blocks.
+   */
+  steps: z.record(z.string(), z.string()).optional(),
   /** Crashes of runners by task, `<occurrence>.<step>.<index>`; tasks without crashes are absent. */
   crashes: z.record(z.string(), z.number()).optional(),
 })
--- a/packages/scheduler/src/tables.ts
+++ b/packages/scheduler/src/tables.ts
@@ -19,6 +19,19 @@
  */
 export const progressTable = 'progress'
 
+/**
+ * Table of the progress of tasks, for jobs whose tasks take too much for their row in
+ * {@link progressTable}. The key of a row is `<job id>.<occurrence>.<step>.<block>`; the dispatcher
+ * writes it.
+ */
+export const taskBlocksTable = 'blocks'
+
+/**
+ * Table of the definitions of jobs that are too large for one row. The key of a row is
+ * `<job id>.<number>`, and the row in {@link acceptedJobsTable} has the number of these rows.
+ */
+export const definitionChunksTable = 'definitions'
+
 /**
  * Table with one row for each queued job, of which no task has begun. The key of the row is
  * `<queue>/<job id>`.
@@ -46,7 +59,16 @@
   return `p${Number.parseInt(digest.slice(0, 8), 16) % partCount}`
 }
 
+/** Longest name of a queue that is part of a key, in bytes; the store takes keys of 200 bytes. */
+const maxQueueNameBytes = 120
+
 /** Returns the key of a job's row in {@link queuedJobsTable}. */
 export function queuedJobKey(queue: string, jobId: string): string {
-  return `${queue}/${jobId}`
+  return `${queuedJobPrefix(queue)}${jobId}`
+}
+
+/** Returns the prefix of the keys of a queue's jobs in {@link queuedJobsTable}. */
+export function queuedJobPrefix(queue: string): string {
+  const isShort = Buffer.byteLength(queue) <= maxQueueNameBytes
+  return `${isShort ? queue : hash('sha256', queue, 'hex')}/`
 }
--- a/packages/scheduler/src/urgency.ts
+++ b/packages/scheduler/src/urgency.ts
@@ -1,5 +1,4 @@
 import type { JobQueue } from './configuration.js'
-import { criticalPathMs } from './job.js'
 import type { JobExecution, StepExecution } from './job-execution.js'
 import type { RunTimeEstimator } from './run-time-estimator.js'
 
@@ -33,17 +32,16 @@
   queue: JobQueue,
   runTimes: RunTimeEstimator,
   wallNow: number,
+  pathsOf: CriticalPaths = createCriticalPaths(runTimes),
 ): Urgency {
   const { job, definition } = execution
   const begunRank = job.status === 'queued' ? 1 : 0
   if (definition.isLasting === true)
     return { tier: 0, priority: queue.priority, begunRank, slackMs: 0 }
-  const remainingMs = remainingCriticalPathMs(execution, runTimes)
-  const slackMs =
-    dueAt(job, execution.occurrence) +
-    latencyObjectiveMs(job, queue, runTimes) -
-    wallNow -
-    remainingMs
+  const [wholeMs = 0, ...laterMs] = pathsOf(job)
+  const remainingMs = execution.number === 0 ? wholeMs : (laterMs[execution.number - 1] ?? 0)
+  const objectiveMs = queue.stretch * wholeMs + queue.targetLatencyMs
+  const slackMs = dueAt(job, execution.occurrence) + objectiveMs - wallNow - remainingMs
   const isLate = slackMs < -lateTolerance * remainingMs
   return { tier: isLate ? 2 : 1, priority: queue.priority, begunRank, slackMs }
 }
@@ -64,8 +62,7 @@
   queue: JobQueue,
   runTimes: RunTimeEstimator,
 ): number {
-  const { steps } = job.definition
-  const pathMs = criticalPathMs(steps, step => runTimes.estimateMs(queue.name, step.estimateMs))
+  const [pathMs = 0] = criticalPathsOf(job, runTimes)
   return queue.stretch * pathMs + queue.targetLatencyMs
 }
 
@@ -76,13 +73,42 @@
 }
 
 /**
- * Estimate of the critical path of the job from this step on, in milliseconds. Steps with a lower
- * number count as done, and all others as still to run, even if they run beside this step.
+ * Returns for each step of a job the estimate of the critical path from this step on, in milliseconds.
+ * Steps with a lower number count as done, and all others as still to run, even if they run beside it.
  */
-function remainingCriticalPathMs(execution: StepExecution, runTimes: RunTimeEstimator): number {
-  const { steps, queue } = execution.job.definition
-  const remainingMs = criticalPathMs(steps, (step, number) =>
-    number < execution.number ? 0 : runTimes.estimateMs(queue, step.estimateMs),
-  )
+export type CriticalPaths = (job: JobExecution) => readonly number[]
+
+/**
+ * Creates the source of critical paths for one placement pass, which computes those of a job once.
+ *
+ * @example
+ * const pathsOf = createCriticalPaths(runTimes)
+ * steps.map(step => urgencyOf(step, queue, runTimes, wallNow, pathsOf))
+ */
+export function createCriticalPaths(runTimes: RunTimeEstimator): CriticalPaths {
+  const paths = new Map<JobExecution, readonly number[]>()
+  return job => {
+    let found = paths.get(job)
+    if (found === undefined) {
+      found = criticalPathsOf(job, runTimes)
+      paths.set(job, found)
+    }
+    return found
+  }
+}
+
+function criticalPathsOf(job: JobExecution, runTimes: RunTimeEstimator): number[] {
+  const { steps, queue } = job.definition
+  /** By step, the longest path through the steps that wait for it. */
+  const afterMs = new Array<number>(steps.length).fill(0)
+  const remainingMs = new Array<number>(steps.length).fill(0)
+  for (let number = steps.length - 1; number >= 0; number--) {
+    const step = steps[number]
+    if (step === undefined) continue
+    const pathMs = runTimes.estimateMs(queue, step.estimateMs) + (afterMs[number] ?? 0)
+    for (const earlier of step.after ?? [])
+      afterMs[earlier] = Math.max(afterMs[earlier] ?? 0, pathMs)
+    remainingMs[number] = Math.max(pathMs, remainingMs[number + 1] ?? 0)
+  }
   return remainingMs
 }
--- a/packages/standins/src/memory-store.ts
+++ b/packages/standins/src/memory-store.ts
@@ -20,7 +20,15 @@
  */
 export type StoreFault = 'none' | 'refuse' | 'lose-before' | 'lose-after' | 'late'
 
-/** The platform's table store in memory, with fault injection. */
+/** Limits of the platform's store: bytes of a value and of a call, and entries of a transaction. */
+const maxRowBytes = 65_536
+const maxCallBytes = 1_000_000
+const maxEntries = 100
+
+/** Most bytes of the table, the part or the key of a row. */
+const maxNameBytes = 200
+
+/** The platform's table store in memory, with its limits and with fault injection. */
 export interface MemoryStore extends FollowableTableService {
   /** Fault that applies to the transactions from now on. */
   fault: StoreFault
@@ -30,6 +38,8 @@
   compact(): void
   /** Number of calls of `commit`, failed ones included. */
   readonly commitCalls: number
+  /** Number of transactions that were refused because they exceed a limit of the store. */
+  readonly rejectedCalls: number
 }
 
 interface StoredRow {
@@ -52,6 +62,7 @@
 class InMemoryStore implements MemoryStore {
   fault: StoreFault = 'none'
   commitCalls = 0
+  rejectedCalls = 0
   readonly #rows = new Map<string, StoredRow>()
   readonly #delayed: { tx: Transaction; part: string }[] = []
   readonly #waiters = new Set<() => void>()
@@ -77,6 +88,15 @@
     return Promise.resolve({ rows: this.#currentRows(table, parts), version: this.#version })
   }
 
+  snapshotPages(
+    table: string,
+    parts: readonly string[],
+    onRows: (rows: ChangedRow[]) => void,
+  ): Promise<number> {
+    for (const part of parts) onRows(this.#currentRows(table, [part]))
+    return Promise.resolve(this.#version)
+  }
+
   async changes(table: string, opts: ChangesOptions): Promise<TableSnapshot | undefined> {
     if (opts.after < this.#oldestVersion) return undefined
     if (this.#rowsChangedAfter(table, opts.after).length === 0) await this.#waitForChange(opts)
@@ -87,6 +107,10 @@
   commit(tx: Transaction, opts: { part?: string } = {}): Promise<CommitResult> {
     const part = opts.part ?? ''
     this.commitCalls += 1
+    if (exceedsLimit(tx)) {
+      this.rejectedCalls += 1
+      return Promise.reject(new StoreError('the store answered 400', { isRejected: true }))
+    }
     return commitByFault[this.fault](
       () => this.#apply(tx, part),
       () => this.#delayed.push({ tx, part }),
@@ -175,6 +199,19 @@
   },
 }
 
+function exceedsLimit({ checks, writes }: Transaction): boolean {
+  // A value that JSON does not know, such as an unreadable one, has no size.
+  const values = writes.map(({ value }) => Buffer.byteLength(JSON.stringify(value ?? null)))
+  const callBytes = values.reduce((sum, bytes) => sum + (4 * bytes) / 3, 0)
+  const names = [...checks, ...writes].flatMap(({ table, part = '', key }) => [table, part, key])
+  return (
+    checks.length + writes.length > maxEntries ||
+    callBytes > maxCallBytes ||
+    values.some(bytes => bytes > maxRowBytes) ||
+    names.some(name => Buffer.byteLength(name) > maxNameBytes)
+  )
+}
+
 function rowId(table: string, part: string, key: string): string {
   return JSON.stringify([table, part, key])
 }
--- a/packages/store/src/follow-table.ts
+++ b/packages/store/src/follow-table.ts
@@ -18,7 +18,9 @@
   /** Parts of the table whose rows are in the snapshot. */
   parts: readonly string[]
   /** Called with all rows at the start and after the service has dropped the history of changes. */
-  onSnapshot: (rows: ChangedRow[]) => void
+  onSnapshot?: (rows: ChangedRow[]) => void
+  /** Called in place of `onSnapshot` with the rows of one page after another, see `snapshotPages`. */
+  onSnapshotPage?: (rows: ChangedRow[]) => void
   /** Called with the rows that have changed since the previous call. */
   onChanges: (rows: ChangedRow[]) => void
   /**
@@ -102,6 +104,13 @@
 
   async #fetchRows(): Promise<void> {
     const { store, table, parts } = this.#opts
+    if (this.#version === undefined && this.#opts.onSnapshotPage !== undefined) {
+      const apply = this.#opts.onSnapshotPage
+      this.#version = await store.snapshotPages(table, parts, rows => {
+        this.#applyAll(rows, apply)
+      })
+      return
+    }
     if (this.#version === undefined) {
       const { rows, version } = await store.snapshot(table, parts)
       this.#applySnapshot(rows)
@@ -114,21 +123,22 @@
       deadline: this.#clock.now() + changeWaitMs + responseSlackMs,
       signal: this.#closing.signal,
     })
-    if (changes !== undefined && changes.rows.length > 0) this.#applyChanges(changes.rows)
+    if (changes !== undefined && changes.rows.length > 0)
+      this.#applyAll(changes.rows, this.#opts.onChanges)
     this.#version = changes?.version
   }
 
   #applySnapshot(rows: ChangedRow[]): void {
     try {
-      this.#opts.onSnapshot(rows)
+      this.#opts.onSnapshot?.(rows)
     } catch {
-      this.#opts.onSnapshot(rows.filter(row => this.#applyRow(row)))
+      this.#opts.onSnapshot?.(rows.filter(row => this.#applyRow(row)))
     }
   }
 
-  #applyChanges(rows: ChangedRow[]): void {
+  #applyAll(rows: ChangedRow[], apply: (rows: ChangedRow[]) => void): void {
     try {
-      this.#opts.onChanges(rows)
+      apply(rows)
     } catch {
       for (const row of rows) this.#applyRow(row)
     }
--- a/packages/store/src/group-committer.ts
+++ b/packages/store/src/group-committer.ts
@@ -3,6 +3,7 @@
 import { defaultCallTimeoutMs } from './http-table-service.js'
 import { StoreError } from './store-error.js'
 import type { CallOptions, Check, CommitResult, Transaction } from './table-service.js'
+import { transactionBytes } from './transaction-size.js'
 import { wait, type WaitingClock } from './wait.js'
 
 /** Commits transactions: a table service, or a group committer in front of one. */
@@ -23,12 +24,15 @@
   windowMs: number
   /** Number of writes at which a group is committed before its window ends. */
   maxRows: number
+  /** Most bytes of a group of several transactions; without it, only their writes are counted. */
+  maxBytes?: number
   clock?: WaitingClock
 }
 
 /** A transaction that waits for its result. */
 interface PendingTransaction {
   tx: Transaction
+  bytes: number
   deadline: number
   resolve: (result: CommitResult) => void
   reject: (err: unknown) => void
@@ -63,8 +67,9 @@
   async commit(tx: Transaction, opts: CallOptions = {}): Promise<CommitResult> {
     if (this.#isClosed) throw new StoreError('the group committer is closed')
     const deadline = opts.deadline ?? this.#clock.now() + defaultCallTimeoutMs
+    const bytes = this.#opts.maxBytes === undefined ? 0 : transactionBytes(tx)
     return new Promise((resolve, reject) => {
-      this.#groupFor(tx).add({ tx, deadline, resolve, reject })
+      this.#groupFor(tx, bytes).add({ tx, bytes, deadline, resolve, reject })
     })
   }
 
@@ -74,9 +79,9 @@
     while (this.#pendingSends.size > 0) await Promise.all(this.#pendingSends)
   }
 
-  #groupFor(tx: Transaction): TransactionGroup {
-    for (const group of this.#openGroups) if (group.canAdd(tx, this.#opts.maxRows)) return group
-    const group = new TransactionGroup(this.#opts.maxRows)
+  #groupFor(tx: Transaction, bytes: number): TransactionGroup {
+    for (const group of this.#openGroups) if (group.canAdd(tx, bytes)) return group
+    const group = new TransactionGroup(this.#opts)
     this.#openGroups.push(group)
     const sending = this.#send(group).finally(() => this.#pendingSends.delete(sending))
     this.#pendingSends.add(sending)
@@ -119,6 +124,11 @@
       }
       return resolveFailed(inTime, result.failed)
     } catch (err) {
+      if (err instanceof StoreError && err.isRejected && inTime.length > 1) {
+        // One transaction that the table refuses for ever must not take the others with it.
+        for (const pending of inTime) await this.#commitTogether([pending])
+        return []
+      }
       for (const pending of inTime) pending.reject(err)
       return []
     } finally {
@@ -141,18 +151,21 @@
   readonly transactions: PendingTransaction[] = []
   /** Aborted to commit the group before its window ends. */
   readonly sendEarly = new AbortController()
-  readonly #maxRows: number
+  readonly #opts: Pick<GroupCommitterOptions, 'maxRows' | 'maxBytes'>
   readonly #writtenRows = new Set<string>()
   readonly #checkedRows = new Set<string>()
   #writeCount = 0
+  #bytes = 0
 
-  constructor(maxRows: number) {
-    this.#maxRows = maxRows
+  constructor(opts: Pick<GroupCommitterOptions, 'maxRows' | 'maxBytes'>) {
+    this.#opts = opts
   }
 
   /** Transactions of a group must not depend on each other, or their results would change. */
-  canAdd(tx: Transaction, maxRows: number): boolean {
+  canAdd(tx: Transaction, bytes: number): boolean {
+    const { maxRows, maxBytes = Number.POSITIVE_INFINITY } = this.#opts
     if (this.sendEarly.signal.aborted || this.#writeCount + tx.writes.length > maxRows) return false
+    if (this.#bytes + bytes > maxBytes) return false
     const isWritten = tx.checks.some(check => this.#writtenRows.has(rowId(check)))
     if (isWritten) return false
     return !tx.writes.some(write => {
@@ -164,9 +177,10 @@
   add(pending: PendingTransaction): void {
     this.transactions.push(pending)
     this.#writeCount += pending.tx.writes.length
+    this.#bytes += pending.bytes
     for (const check of pending.tx.checks) this.#checkedRows.add(rowId(check))
     for (const write of pending.tx.writes) this.#writtenRows.add(rowId(write))
-    if (this.#writeCount >= this.#maxRows) this.sendEarly.abort()
+    if (this.#writeCount >= this.#opts.maxRows) this.sendEarly.abort()
   }
 }
 
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -29,3 +29,10 @@
 } from './table-service.js'
 export { wait, type WaitingClock } from './wait.js'
 export { followTable, type TableFollower, type TableFollowerOptions } from './follow-table.js'
+export {
+  maxRowJsonBytes,
+  maxTransactionBytes,
+  maxTransactionEntries,
+  transactionBytes,
+  writeBytes,
+} from './transaction-size.js'
--- a/packages/store/src/table-service.ts
+++ b/packages/store/src/table-service.ts
@@ -88,6 +88,16 @@
 export interface FollowableTableService extends TableService {
   /** Reads all rows of some parts of a table. */
   snapshot(table: string, parts: readonly string[], opts?: CallOptions): Promise<TableSnapshot>
+  /**
+   * Reads all rows of some parts of a table as `snapshot` does, and passes on the rows of each page as
+   * it arrives, so that a large table takes little memory. Resolves to the version of the snapshot.
+   */
+  snapshotPages(
+    table: string,
+    parts: readonly string[],
+    onRows: (rows: ChangedRow[]) => void,
+    opts?: CallOptions,
+  ): Promise<number>
   /** Reads changes after a version; undefined when the service no longer keeps all of them. */
   changes(table: string, opts: ChangesOptions): Promise<TableSnapshot | undefined>
 }
