fix(dispatcher): count a job as waiting until a start is confirmed

Cause: a job left the table of queued jobs, and showed as running, with the transaction that records its first run, which comes before the start order. A takeover kept that.

Change: a job is queued until a runner confirms a start, lists a run of it or lists its end; this is stored with the next write of the job, or within a second. The number may be 2 s old. Placement goes on to prefer jobs with recorded runs. takeover.test.ts waited for the status as a sign that a run was recorded; it now waits for the recorded run and the held-up order themselves.

--- a/packages/dispatcher/__tests__/takeover.test.ts
+++ b/packages/dispatcher/__tests__/takeover.test.ts
@@ -78,7 +78,9 @@
   await waitUntil(() => first.isHolder)
   runner.fault = 'late'
   await fleet.submit(id, [oneTask])
-  await waitUntil(async () => (await fleet.progress(id))?.status === 'running')
+  // The run is recorded; the job counts as running only once its start is confirmed.
+  await waitUntil(async () => (await fleet.progress(id))?.occurrences?.['0'] !== undefined)
+  await waitUntil(() => runner.delayedCalls > 0)
   kill(fleet)
   await first.close()
   fleet.store.fault = 'none'
--- a/packages/dispatcher/src/job-tracker.ts
+++ b/packages/dispatcher/src/job-tracker.ts
@@ -20,6 +20,9 @@
 /** Time for which ended jobs are remembered, in ms; longer than any answer of the store takes. */
 const endedKeptMs = 30_000
 
+/** Longest time until it is stored that a job has begun, in ms; the number of waiting jobs may be 2 s old. */
+const begunStoreDelayMs = 1_000
+
 /** Options of {@link JobTracker}. */
 export interface JobTrackerOptions {
   ctx: TermContext
@@ -41,6 +44,9 @@
   readonly #onJobForgotten: (jobId: string) => void
   readonly #endContext: EndContext
   readonly #loader: JobLoader
+  /** Jobs that have begun, which may not be stored yet. */
+  readonly #begunJobs = new Set<JobExecution>()
+  #begunTimer: NodeJS.Timeout | undefined
   /** Jobs that were cancelled before they were loaded. */
   readonly #cancelledEarly = new Set<string>()
   /** Jobs that ended recently, with the time at which they were removed from memory. */
@@ -90,6 +96,7 @@
   }
 
   close(): void {
+    clearTimeout(this.#begunTimer)
     this.#loader.close()
   }
 
@@ -142,6 +149,7 @@
         const { log, metrics } = this.#ctx.opts
         const { taskName, runNumber, task, orderedAt } = allocation
         if (task?.step.job.hasEnded === true) void session.stop(allocation)
+        if (task?.step.job.markBegun() === true) this.#storeBegun(task.step.job)
         if (orderedAt === undefined) return
         const startMs = performance.now() - orderedAt
         metrics.observe('bulrush_start_ms', {}, startMs)
@@ -295,6 +303,22 @@
     this.#onJobForgotten(job.definition.id)
   }
 
+  /**
+   * Stores after a while that a job has begun, so that callers do not read it as waiting for long. Most
+   * jobs are stored before that for another reason, and need no write of their own.
+   */
+  #storeBegun(job: JobExecution): void {
+    this.#begunJobs.add(job)
+    this.#begunTimer ??= setTimeout(() => {
+      this.#begunTimer = undefined
+      for (const begun of this.#begunJobs) {
+        const isUnstored = begun.hasQueuedRow || begun.definition.schedule !== undefined
+        if (isUnstored && this.#ctx.jobs.has(begun.definition.id)) void this.#ctx.storeJob(begun)
+      }
+      this.#begunJobs.clear()
+    }, begunStoreDelayMs)
+  }
+
   #logOutcome(job: JobExecution): void {
     const { id, queue, acceptedAt } = job.definition
     const tookMs = Date.now() - acceptedAt
--- a/packages/dispatcher/src/run-ends.ts
+++ b/packages/dispatcher/src/run-ends.ts
@@ -63,6 +63,7 @@
   const isNew = isCurrentRun || end.how === 'done' || task.abandonedRuns.includes(end.run)
   task.abandonedRuns = task.abandonedRuns.filter(run => run !== end.run)
   applied.job = job
+  job.markBegun()
   if (isCurrentRun) {
     if (end.checkpoint !== '' && task.step.definition.savesProgress === true)
       saveCheckpoint(task, end)
--- a/packages/scheduler/src/job-execution.ts
+++ b/packages/scheduler/src/job-execution.ts
@@ -89,6 +89,7 @@
   #firstUnopened = 0
   /** Where the next call of `startableSteps` goes on, if there are very many. */
   #firstOfferedStep = 0
+  #isPlaced = false
   /** The progress of tasks is stored in blocks; it stays so until the job ends. */
   #usesBlocks = false
   /** Keys of blocks that differ from the stored ones. */
@@ -105,6 +106,7 @@
       job.schedule === undefined && (progress === undefined || progress.status === 'queued')
     if (progress !== undefined) this.#restore(progress)
     for (const block of blocks) this.#restoreBlock(block)
+    this.#isPlaced = this.openOccurrences.size > 0
   }
 
   get hasEnded(): boolean {
@@ -168,10 +170,22 @@
     task.run = { number, runnerId, runnerStartedAt }
     task.step.pendingCount -= 1
     this.touch(task)
-    if (this.status === 'queued') this.status = 'running'
+    this.#isPlaced = true
     return task.run
   }
 
+  /** Whether a run has been recorded, which may not have started. */
+  get isPlaced(): boolean {
+    return this.#isPlaced || this.status !== 'queued'
+  }
+
+  /** Notes that a task has certainly started; returns whether it is the first one of the job. */
+  markBegun(): boolean {
+    if (this.status !== 'queued') return false
+    this.status = 'running'
+    return true
+  }
+
   /** Removes the run of a task; the task may run again unless it is then marked as done. */
   clearRun(task: Task): void {
     if (task.run === undefined) return
@@ -214,6 +228,7 @@
    */
   markDone(task: Task, wallNow: number): void {
     const { step } = task
+    this.markBegun()
     const members = step.definition.isGang === true ? step.tasks : [task]
     for (const member of members) this.#markTaskDone(member)
     if (!isStepDone(step)) return
--- a/packages/scheduler/src/job.ts
+++ b/packages/scheduler/src/job.ts
@@ -87,7 +87,10 @@
 /** What a submitter sends; acceptance adds the other fields of a {@link JobDefinition}. */
 export type JobSubmission = Pick<JobDefinition, 'payload' | 'steps' | 'schedule'>
 
-/** Statuses of a job, as sent to callers. */
+/**
+ * Statuses of a job, as sent to callers. A job is `queued` until a runner has confirmed the start of one
+ * of its tasks; a run that is recorded or ordered may never start.
+ */
 export const jobStatuses = ['queued', 'running', 'completed', 'failed', 'cancelled'] as const
 
 /** One of {@link jobStatuses}. */
--- a/packages/scheduler/src/urgency.ts
+++ b/packages/scheduler/src/urgency.ts
@@ -8,7 +8,7 @@
   tier: number
   /** Priority of the queue; queues with a lower number go first. */
   priority: number
-  /** 0 for a job that has begun, 1 for others, so that work already done for a job is not wasted. */
+  /** 0 for a job that has had a run, 1 for others, so that work already done for it is not wasted. */
   begunRank: number
   /**
    * Time until the step must start for its job to be on time, in milliseconds; negative if late.
@@ -35,7 +35,7 @@
   pathsOf: CriticalPaths = createCriticalPaths(runTimes),
 ): Urgency {
   const { job, definition } = execution
-  const begunRank = job.status === 'queued' ? 1 : 0
+  const begunRank = job.isPlaced ? 0 : 1
   if (definition.isLasting === true)
     return { tier: 0, priority: queue.priority, begunRank, slackMs: 0 }
   const [wholeMs = 0, ...laterMs] = pathsOf(job)
