fix(dispatcher): keep a run whose start is unanswered when its machine is gone

Change: such a run stays until its leases have ended or the runner answers; other runs on the machine are given up at once as before.

--- a/packages/dispatcher/__tests__/old-machine-lists.test.ts
+++ b/packages/dispatcher/__tests__/old-machine-lists.test.ts
@@ -1,5 +1,5 @@
 import type { CallResult, Machine, MachineAnswer, MachineApi } from '@bulrushbridge/scheduler'
-import { waitUntil } from '@bulrushbridge/standins'
+import { createMemoryRunner, waitUntil } from '@bulrushbridge/standins'
 import t from 'tap'
 import { createFleet, oneTask } from './fixture.js'
 
@@ -67,3 +67,43 @@
   t.same(runner.startedRuns, [{ task, run: 1 }])
   t.equal(runner.running.size, 1)
 })
+
+// Guards against TWICE: a run whose start order was held up was given up as its machine was shown as
+// down, and the next incarnation of the runner carried the order out beside the task's next run.
+void t.test('a run whose start is unanswered is not given up with its machine', async t => {
+  const machines = createSlowMachines()
+  let isCut = false
+  const fleet = createFleet({
+    machines: machines.api,
+    dispatcherLeaseMs: 5_000,
+    connectRunners: ({ runners }) => ({
+      createRunner: ({ runnerId }) => {
+        const api = (runners.get(runnerId) ?? createMemoryRunner()).api()
+        const noAnswer = { outcome: 'unknown', reason: 'no answer in time' } as const
+        const isAway = () => isCut && runnerId === 'r1'
+        return { ...api, poll: req => (isAway() ? Promise.resolve(noAnswer) : api.poll(req)) }
+      },
+      close: () => Promise.resolve(),
+    }),
+  })
+  const first = await fleet.addRunner('r1')
+  const dispatcher = fleet.start('host-1')
+  t.teardown(async () => {
+    machines.answerLists([])
+    await dispatcher.close()
+  })
+  await waitUntil(() => machines.requested.length > 0)
+  machines.answerLists([machine])
+  first.fault = 'late'
+  await fleet.submit(id, [oneTask])
+  await waitUntil(() => first.delayedCalls > 0)
+  isCut = true
+  const second = await fleet.addRunner('r2')
+  await waitUntil(() => machines.requested.length > 0)
+  first.restart()
+  machines.answerLists([{ ...machine, state: 'down', runnerId: undefined }])
+  await pause(100)
+  first.applyDelayed()
+  const started = [...first.startedRuns, ...second.startedRuns]
+  t.same(started, [{ task, run: 1 }], 'one run of the task')
+})
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -260,14 +260,17 @@
   }
 
   /**
-   * Gives up all runs, because the list of machines that was requested at `listRequestedAt` shows the
-   * machine as down, as moved or with another runner. An answer to a later poll outweighs the list.
+   * Gives up the runs, because the list of machines that was requested at `listRequestedAt` shows the
+   * machine as down, as moved or with another runner. An answer to a later poll outweighs the list. A
+   * run whose start order got no answer stays until its leases have ended: the order may still be
+   * carried out by the next incarnation of the runner, which has seen no fencing token.
    */
   markMachineUnavailable(listRequestedAt: number): void {
     if ((this.answeredPollSentAt ?? 0) > listRequestedAt) return
     this.#isReconciled = false
     this.#needsResync = true
-    this.#loseRuns([...this.allocations.values()], 'machine-gone')
+    const lost = [...this.allocations.values()].filter(allocation => !isStartUnanswered(allocation))
+    this.#loseRuns(lost, 'machine-gone')
   }
 
   async close(): Promise<void> {
@@ -578,6 +581,11 @@
   }
 }
 
+/** Whether this term has ordered the start of a run that no answer and no list has shown since. */
+function isStartUnanswered({ state, orderedAt, confirmedAt }: Allocation): boolean {
+  return state !== 'recorded' && orderedAt !== undefined && confirmedAt === undefined
+}
+
 /** A promise that other code resolves. */
 interface Deferred {
   promise: Promise<void>
