fix(dispatcher): repeat no start once the registry shows a restart

Change: an order is repeated only while the registry entry is of the incarnation that answered the last poll; otherwise it is stopped.

--- a/packages/dispatcher/__tests__/restarted-runners.test.ts
+++ b/packages/dispatcher/__tests__/restarted-runners.test.ts
@@ -186,3 +186,44 @@
   await pause(200)
   t.same(runner.startedRuns, [{ task: taskOf(firstId), run: 1 }])
 })
+
+// Guards against ROUTE: an order without an answer was repeated although the registry showed another
+// incarnation of the runner, which may be of another kind.
+void t.test('a start is not repeated once the registry shows a restart', async t => {
+  let areHanging = false
+  const noAnswer = { outcome: 'unknown', reason: 'no answer in time' } as const
+  const fleet = createFleet({
+    dispatcherLeaseMs: 5_000,
+    connectRunners: ({ runners }) => ({
+      createRunner: ({ runnerId }) => {
+        const api = (runners.get(runnerId) ?? createMemoryRunner()).api()
+        const orHang = async <T>(call: () => Promise<T>, timeoutMs: number) => {
+          if (!areHanging) return call()
+          await pause(timeoutMs)
+          return noAnswer
+        }
+        return {
+          ...api,
+          poll: req => orHang(() => api.poll(req), 1_500),
+          start: req => orHang(() => api.start(req), 500),
+        }
+      },
+      close: () => Promise.resolve(),
+    }),
+  })
+  const runner = await fleet.addRunner('r1')
+  const dispatcher = fleet.start('host-1')
+  t.teardown(() => dispatcher.close())
+  await fleet.submit(firstId, [{ ...oneTask, needs: 'kind' }])
+  await waitUntil(() => runner.running.has(taskOf(firstId)))
+  areHanging = true
+  await pause(60)
+  await fleet.submit(secondId, [{ ...oneTask, needs: 'kind' }])
+  // The order is under way; the runner restarts meanwhile, and its poll still hangs.
+  await pause(200)
+  runner.restart()
+  await fleet.addRunner('r1', { labels: ['other', 'rack-1'] })
+  areHanging = false
+  await pause(500)
+  t.same(runner.startedRuns, [{ task: taskOf(firstId), run: 1 }])
+})
--- a/packages/dispatcher/src/runner-orders.ts
+++ b/packages/dispatcher/src/runner-orders.ts
@@ -25,7 +25,7 @@
   /** Lease deadline for a start order; undefined before the runner's clock is known. */
   leaseDeadline(): number | undefined
   observeClock(clockMs: number): void
-  /** Whether no poll has failed since the last one that was answered. */
+  /** Whether no poll has failed since the last one, and the registry shows no other incarnation. */
   isReachable(): boolean
   /** Whether the session still has the allocation. */
   isAllocated(allocation: Allocation): boolean
@@ -83,7 +83,8 @@
       if (!isOutcomeUnknown || attempt === maxStartAttempts) break
       await this.#pause(startRetryPauseMs)
       if (!this.#opts.isAllocated(allocation) || isStopping(allocation)) return
-      // The runner may have crashed under the run, and would start it again after its restart.
+      // The runner may have crashed under the run, and would start it again after its restart, perhaps
+      // as another kind.
       if (!this.#opts.isReachable()) break
     }
     if (isOutcomeUnknown) {
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -484,7 +484,8 @@
       observeClock: clockMs => {
         this.#clock.observe(clockMs, performance.now())
       },
-      isReachable: () => this.#isReconciled && this.unreachableSince === undefined,
+      isReachable: () =>
+        this.#isReconciled && this.unreachableSince === undefined && this.#isEntryCurrent(),
       isAllocated: allocation =>
         this.allocations.get(allocationKey(allocation.taskName, allocation.runNumber)) ===
         allocation,
