fix(dispatcher): resume all members of a gang from one checkpoint

Found by the review without a case: after a crash of their runner, the members of a gang's next run carried different checkpoints, as runners list those of the members at different times and each task kept its own. PROTOCOL.md asks for the same value.

Change: the checkpoint of a run is fixed when the run is recorded, for a gang that of one member for all.

--- a/packages/dispatcher/__tests__/session-fixture.ts
+++ b/packages/dispatcher/__tests__/session-fixture.ts
@@ -63,6 +63,7 @@
     task: undefined,
     amounts: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
     runnerStartedAt: 1,
+    checkpoint: '',
     crashes: 0,
     isAlone: false,
     mayHaveStarted: true,
--- a/packages/dispatcher/src/allocation.ts
+++ b/packages/dispatcher/src/allocation.ts
@@ -27,6 +27,8 @@
    * if not known.
    */
   runnerStartedAt: number
+  /** Checkpoint from which the run resumes; empty if there is none. All members of a gang have the same. */
+  readonly checkpoint: string
   /** Crashes of runners under the task when the run was recorded. */
   readonly crashes: number
   /** The run must be alone on its runner. */
@@ -73,6 +75,7 @@
     task,
     amounts: task === undefined ? noAmounts : reservedAmounts(task.step),
     runnerStartedAt,
+    checkpoint: checkpointOf(task),
     crashes: task?.crashes ?? 0,
     isAlone: task !== undefined && mustRunAlone(task),
     mayHaveStarted: id !== undefined,
@@ -86,3 +89,10 @@
     pacePercent: 100,
   }
 }
+
+/** Members of a gang list checkpoints at different times; that of any member is valid for all. */
+function checkpointOf(task: Task | undefined): string {
+  if (task?.step.definition.isGang !== true) return task?.checkpoint ?? ''
+  for (const { checkpoint } of task.step.tasks.kept()) if (checkpoint !== '') return checkpoint
+  return ''
+}
--- a/packages/dispatcher/src/runner-orders.ts
+++ b/packages/dispatcher/src/runner-orders.ts
@@ -67,7 +67,7 @@
         task: allocation.taskName,
         run: allocation.runNumber,
         payload,
-        checkpoint: task.checkpoint,
+        checkpoint: allocation.checkpoint,
         ticket,
         fence,
         leaseDeadline,
--- a/packages/standins/src/memory-runner.ts
+++ b/packages/standins/src/memory-runner.ts
@@ -29,6 +29,10 @@
   processStartedAt: number
   /** Runs that were started, in order. */
   readonly startedRuns: readonly RunId[]
+  /** Checkpoints with which runs were started, in the order of `startedRuns`. */
+  readonly startedCheckpoints: readonly string[]
+  /** Checkpoints that the runner lists for running tasks, by task; a test sets them. */
+  readonly checkpoints: Map<string, string>
   /** Number of the current run of each running task. */
   readonly running: ReadonlyMap<string, number>
   /** Highest number up to which ends of runs were acknowledged. */
@@ -63,6 +67,8 @@
   acknowledged = 0
   refusedOrders = 0
   readonly startedRuns: RunId[] = []
+  readonly startedCheckpoints: string[] = []
+  readonly checkpoints = new Map<string, string>()
   readonly running = new Map<string, number>()
   /** Ends that are not acknowledged yet. */
   #pendingEnds: ReportedEnd[] = []
@@ -133,12 +139,13 @@
     return Promise.resolve({ outcome: 'done', value: { refusal, clockMs } })
   }
 
-  #start({ task, run, fence }: StartOrder): RunnerOrderAnswer['refusal'] {
+  #start({ task, run, fence, checkpoint }: StartOrder): RunnerOrderAnswer['refusal'] {
     if (this.#isStaleFence(fence)) return 'fence'
     if (this.running.get(task) === run) return undefined
     if (run <= (this.#highestEndedRuns.get(task) ?? 0)) return 'old'
     this.running.set(task, run)
     this.startedRuns.push({ task, run })
+    this.startedCheckpoints.push(checkpoint)
     return undefined
   }
 
@@ -163,7 +170,7 @@
     const running = [...this.running].map(([task, run]) => ({
       task,
       run,
-      checkpoint: '',
+      checkpoint: this.checkpoints.get(task) ?? '',
       percent: 100,
       usage: undefined,
     }))
