fix(dispatcher): count earlier upkeep orders until they are settled

Change: a recorded upkeep of an earlier dispatcher counts until the machine accepts the repeated order with the new token, or the upkeep has begun. It is repeated before others are ordered.

--- a/packages/dispatcher/__tests__/wave-orders.test.ts
+++ b/packages/dispatcher/__tests__/wave-orders.test.ts
@@ -245,3 +245,45 @@
   const other = await fleet.addRunner('r2')
   await waitUntil(() => other.running.size === 2)
 })
+
+// Guards against LIMIT: an upkeep order of a killed dispatcher was carried out seconds later, when the next
+// one no longer counted it and had begun the upkeep of another machine.
+void t.test('an unanswered upkeep of an earlier dispatcher counts until it is settled', async t => {
+  const spare = { ...machine('m2', 'down'), pool: 'spare' }
+  const machines = [machine('m1', 'up'), spare]
+  const orders: string[] = []
+  const unanswered: CallResult<MachineAnswer> = { outcome: 'unknown', reason: 'no answer' }
+  const accepted: CallResult<MachineAnswer> = { outcome: 'done', value: { refusal: undefined } }
+  let isAnswering = false
+  const fleet = createFleet({
+    machineLeaseMs: 300,
+    cfg: {
+      pools: [
+        { name: 'pool', isSpare: false },
+        { name: 'spare', isSpare: true },
+      ],
+    },
+    waves: [{ id: 1, machines: ['m1', 'm2'], timeMs: 60_000, maxUnavailable: 1 }],
+    machines: {
+      list: () => Promise.resolve({ outcome: 'done', value: structuredClone(machines) }),
+      upkeep: ({ machine: id, holder }) => {
+        orders.push(`${holder} ${id}`)
+        return Promise.resolve(isAnswering ? accepted : unanswered)
+      },
+      move: () => Promise.resolve(accepted),
+      close: () => Promise.resolve(),
+    },
+  })
+  const first = fleet.start('host-1')
+  await waitUntil(() => orders.length > 0)
+  await first.close()
+  // The upkeep of a spare machine affects no tasks, so it would go first.
+  spare.state = 'up'
+  orders.length = 0
+  const second = fleet.start('host-2')
+  t.teardown(() => second.close())
+  await new Promise(resolve => setTimeout(resolve, 1_000))
+  t.same([...new Set(orders)], ['host-2 m1'], 'the order is repeated with the new token')
+  isAnswering = true
+  await waitUntil(() => orders.includes('host-2 m2'))
+})
--- a/packages/dispatcher/src/machine-order-record.ts
+++ b/packages/dispatcher/src/machine-order-record.ts
@@ -27,6 +27,8 @@
   #earlierOrders: Record<string, RecordedOrder> = {}
   /** What the row holds now. */
   #storedOrders: Record<string, RecordedOrder> = {}
+  /** Machines whose upkeep an earlier dispatcher ordered, with an order that may still be carried out. */
+  readonly #openUpkeeps = new Map<string, RecordedOrder>()
   readonly #ownOrders = new Map<string, { kind: MachineOrderKind; orderedAt: number }>()
   #isLoaded = false
 
@@ -44,6 +46,8 @@
     }
     this.#earlierOrders = parsed.success ? parsed.data : {}
     this.#storedOrders = this.#earlierOrders
+    for (const [id, order] of Object.entries(this.#earlierOrders))
+      if (order.kind === 'upkeep') this.#openUpkeeps.set(id, order)
     this.#isLoaded = true
   }
 
@@ -53,12 +57,20 @@
     return this.#isEarlierRecordRecent && order !== undefined && order.holder !== this.#opts.holder
   }
 
-  /** Machines whose upkeep an earlier dispatcher may just have ordered, so it may begin. */
-  recentEarlierUpkeeps(): string[] {
-    if (!this.#isEarlierRecordRecent) return []
-    return Object.entries(this.#earlierOrders).flatMap(([id, { kind }]) =>
-      kind === 'upkeep' ? [id] : [],
-    )
+  /**
+   * Machines whose upkeep an earlier dispatcher ordered and may begin at any time. They stay so until
+   * they are settled: an order without an answer can be carried out long after it was sent.
+   */
+  openEarlierUpkeeps(): string[] {
+    return [...this.#openUpkeeps.keys()]
+  }
+
+  /**
+   * Notes that an earlier order for a machine can begin no upkeep any more: the upkeep has begun, or the
+   * machine has accepted an order with the fencing token of this dispatcher.
+   */
+  settle(machine: string): void {
+    this.#openUpkeeps.delete(machine)
   }
 
   /**
@@ -108,7 +120,9 @@
   #recentOrders(): Record<string, RecordedOrder> {
     const { timing, holder } = this.#opts
     const now = performance.now()
-    const current = this.#isEarlierRecordRecent ? { ...this.#earlierOrders } : {}
+    const current = this.#isEarlierRecordRecent
+      ? { ...this.#earlierOrders }
+      : Object.fromEntries(this.#openUpkeeps)
     for (const [id, { kind, orderedAt }] of this.#ownOrders) {
       if (now - orderedAt <= timing.machineOrderGapMs) current[id] = { kind, holder }
       else this.#ownOrders.delete(id)
--- a/packages/dispatcher/src/wave-orders.ts
+++ b/packages/dispatcher/src/wave-orders.ts
@@ -43,7 +43,7 @@
   readonly #progress = new Map<number, WaveProgress>()
   /** Machines that were ordered into upkeep and have not returned. */
   readonly #ordered = new Map<string, OrderedUpkeep>()
-  /** Runners whose machines an earlier dispatcher may just have ordered into upkeep. */
+  /** Runners whose machines an earlier dispatcher may have ordered into upkeep. */
   readonly #possiblyInUpkeep = new Set<RunnerSession>()
 
   constructor(opts: MachineContext, record: MachineOrderRecord) {
@@ -100,8 +100,9 @@
     const inUpkeep = machines.filter(
       ({ id, state }) => state === 'upkeep' && wave.machines.includes(id),
     )
+    // A machine that is down refuses a late order, and would otherwise hold up the wave.
     const possiblyInUpkeep = this.#machinesPossiblyInUpkeep(byId).filter(
-      id => wave.machines.includes(id) && !progress.begun.has(id),
+      id => notBegun.includes(id) && byId.get(id)?.state !== 'down',
     )
     // How many machines of the wave are in upkeep or may be, because an order has been sent.
     const unavailableCount = new Set([
@@ -116,9 +117,10 @@
       this.#opts.log.info('wave completed', { wave: wave.id, machines: wave.machines.length })
       return
     }
-    const orderable = notBegun.filter(
+    const sendable = notBegun.filter(
       id => !this.#ordered.has(id) && !this.#orderRecord.isRecentlyOrderedElsewhere(id),
     )
+    const orderable = sendable.filter(id => !possiblyInUpkeep.includes(id))
     const plan = planUpkeepWave({
       wave,
       unavailableCount,
@@ -133,9 +135,13 @@
     for (const id of plan.cordon) this.#cordon(byId.get(id), wave)
     for (const id of orderable) this.#stopExcessTask(byId.get(id))
     const unaccepted = ordered.flatMap(([id, { isAccepted }]) => (isAccepted ? [] : [id]))
-    const ids = [...unaccepted, ...plan.upkeep]
+    // These are ordered again, as only an order with the token of this term ends the earlier ones.
+    const earlier = sendable.filter(
+      id => possiblyInUpkeep.includes(id) && this.#canRepeatUpkeep(byId.get(id)),
+    )
+    const ids = [...unaccepted, ...earlier, ...plan.upkeep]
     if (ids.length === 0 || !(await this.#orderRecord.storeOrders('upkeep', ids))) return
-    const orders = unaccepted.map(id => this.#orderUpkeep(id, byId.get(id), wave))
+    const orders = [...unaccepted, ...earlier].map(id => this.#orderUpkeep(id, byId.get(id), wave))
     for (const id of plan.upkeep) {
       const session = sessionOf(this.#opts, byId.get(id))
       // Checked again for each machine, because an order makes its machine's tasks unavailable.
@@ -151,7 +157,9 @@
   async #storeBegun(wave: KnownWave, progress: WaveProgress): Promise<void> {
     const before = progress.begun.size
     for (const [id, { waveId, isAccepted }] of this.#ordered) {
-      if (waveId === wave.id && isAccepted) progress.begun.add(id)
+      if (waveId !== wave.id || !isAccepted) continue
+      progress.begun.add(id)
+      this.#orderRecord.settle(id)
     }
     if (progress.begun.size > before) await this.#storeProgress(wave, 'running')
   }
@@ -164,7 +172,9 @@
     const ordered = new Set([...this.#ordered.values()].map(({ runnerId }) => runnerId))
     for (const session of this.#possiblyInUpkeep) session.isUpkeepExpected = ordered.has(session.id)
     this.#possiblyInUpkeep.clear()
-    const ids = this.#orderRecord.recentEarlierUpkeeps()
+    for (const id of this.#orderRecord.openEarlierUpkeeps())
+      if (!this.isUpkeepDueOrOrdered(id)) this.#orderRecord.settle(id)
+    const ids = this.#orderRecord.openEarlierUpkeeps()
     for (const id of ids) {
       const session = sessionOf(this.#opts, byId.get(id))
       if (session === undefined) continue
@@ -199,6 +209,12 @@
     }
   }
 
+  #canRepeatUpkeep(machine: Machine | undefined): boolean {
+    if (machine?.state !== 'up') return false
+    const session = sessionOf(this.#opts, machine)
+    return session === undefined || this.#canBeginUpkeep(session)
+  }
+
   #toWaveMachine(machine: Machine): WaveMachine {
     const session = sessionOf(this.#opts, machine)
     const allocations = [...(session?.allocations.values() ?? [])]
