--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -191,6 +191,11 @@
     return registered === 0 || registered === (this.#runnerStartedAt ?? registered)
   }
 
+  /** Whether the registry shows a later incarnation than the last poll; it has seen no fencing token. */
+  #hasUnseenRestart(): boolean {
+    return (this.#entry?.startedAt ?? 0) > (this.#runnerStartedAt ?? Infinity)
+  }
+
   /** Applies a changed registry entry of the runner. */
   update(entry: RunnerEntry): void {
     const before = this.#entry
@@ -485,7 +490,7 @@
         this.#clock.observe(clockMs, performance.now())
       },
       isReachable: () =>
-        this.#isReconciled && this.unreachableSince === undefined && this.#isEntryCurrent(),
+        this.#isReconciled && this.unreachableSince === undefined && !this.#hasUnseenRestart(),
       isAllocated: allocation =>
         this.allocations.get(allocationKey(allocation.taskName, allocation.runNumber)) ===
         allocation,
