--- a/packages/dispatcher/src/job-loader.ts
+++ b/packages/dispatcher/src/job-loader.ts
@@ -134,6 +134,12 @@
       return
     }
     const waiting = { id, ...outline, stored }
+    this.#opts.log.info('job waits to be loaded', {
+      job: id,
+      chunks,
+      loadedBytes: this.#loadedBytes,
+      waiting: this.#waiting.size,
+    })
     this.#waiting.set(id, waiting)
     if (hasStarted) this.#urgent.add(id)
     const queue = this.#queues.get(outline.organisation)
--- a/packages/dispatcher/src/job-tracker.ts
+++ b/packages/dispatcher/src/job-tracker.ts
@@ -106,6 +106,10 @@
     job.definitionChunks = chunks
     this.#ctx.jobs.set(id, job)
     for (const task of job.tasksWithRun()) this.#restoreRun(task)
+    const { queue, organisation, acceptedAt } = definition
+    const ageMs = Date.now() - acceptedAt
+    const { status } = job
+    this.#ctx.opts.log.info('job loaded', { job: id, queue, organisation, status, ageMs, chunks })
     this.#ctx.requestPass()
     if (this.#cancelledEarly.delete(id)) this.#cancel(id)
   }
