--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -30,7 +30,6 @@
 export { wait, type WaitingClock } from './wait.js'
 export { followTable, type TableFollower, type TableFollowerOptions } from './follow-table.js'
 export {
-  maxRowJsonBytes,
   maxTransactionBytes,
   maxTransactionEntries,
   transactionBytes,
--- a/packages/store/src/transaction-size.ts
+++ b/packages/store/src/transaction-size.ts
@@ -3,12 +3,6 @@
 /** Bytes of an entry of a transaction beside its value: the names of its table, part and key. */
 const entryOverheadBytes = 250
 
-/**
- * Most bytes of the value of a row as JSON. The store takes 65,536 bytes; in base64 a value takes a
- * third more than as JSON.
- */
-export const maxRowJsonBytes = 48_000
-
 /** Most bytes of a transaction, which are below the 1 MB that the store takes. */
 export const maxTransactionBytes = 900_000
 
