--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,4 +1,4 @@
-// One gang of 2,000 tasks is submitted, which fits into the pool. Each host that places it runs out of
+// One gang of 1,200 tasks is submitted, which fits into the pool. Each host that places it runs out of
 // memory, and so does the next one that takes over.
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
@@ -13,7 +13,7 @@
   watchMs,
 } from '../standins-2/day.mjs'
 
-const gangTasks = 2_000
+const gangTasks = 1_200
 /** Processor time of the whole gang, in thousandths of a core; the pool has 128,000. */
 const gangCpu = 40_000
 const gangId = idOf(1_000)
@@ -22,7 +22,7 @@
   await startDeployment(deployment)
   // Without the trouble, the same work comes as a gang of fewer tasks.
   const count = hasTrouble ? gangTasks : 20
-  const gang = { count, cpu: gangCpu / count, mem_mb: 16, gang: true, estimate_ms: 500 }
+  const gang = { count, cpu: Math.floor(gangCpu / count), mem_mb: 16, gang: true, estimate_ms: 500 }
   let isGangAccepted = false
   const accepted = await sendTraffic(deployment, n => {
     if (n !== soundJobs / 2) return
--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,12 +1,12 @@
-// A client cancels a job of 4,000 tasks that are running. From then on each host that places work is busy
+// A client cancels a job of 3,000 tasks that are running. From then on each host that places work is busy
 // with the ends of these runs for longer than its lease lasts.
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { runCase } from '../standins-2/harness.mjs'
 import { idOf, sendTraffic, soundJobs, startDeployment, watchIdleJobs } from '../standins-2/day.mjs'
 
-const tasks = 4_000
-const cpu = 24
+const tasks = 3_000
+const cpu = 30
 const cancelMs = 3_000
 const stopMs = 200
 const id = idOf(1_000)
--- a/review/standins-2/harness.mjs
+++ b/review/standins-2/harness.mjs
@@ -275,7 +275,7 @@
     const child = spawn(command, args, {
       cwd: root,
       env: { PATH: process.env.PATH, HOME: process.env.HOME, ...env },
-      stdio: ['ignore', 'pipe', process.env.DEBUG ? 'inherit' : 'ignore'],
+      stdio: ['ignore', 'pipe', 'ignore'],
     })
     child.stdout.on('error', () => undefined)
     this.#children.add(child)
