--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,39 +1,44 @@
-// A client cancels a job of 3,000 tasks that are running. From then on each host that places work is busy
-// with the ends of these runs for longer than its lease lasts.
+// Fifty jobs with times are submitted whose first thousand occurrences are due. Each host that places work
+// runs out of memory while it reads them, and so does the next one that takes over.
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { runCase } from '../standins-2/harness.mjs'
+import { CannotRunError, runCase } from '../standins-2/harness.mjs'
 import { idOf, sendTraffic, soundJobs, startDeployment, watchIdleJobs } from '../standins-2/day.mjs'
 
-const tasks = 3_000
-const cpu = 30
-const cancelMs = 3_000
-const stopMs = 200
-const id = idOf(1_000)
+const timedJobs = 50
+const steps = 8
+const repetitions = 1_000
+const intervalMs = 1_000
+const step = { count: 1, cpu: 100, mem_mb: 16, estimate_ms: 500 }
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (deployment, hasTrouble) => {
   await startDeployment(deployment)
-  const job = { spec: 'work 90000', steps: [{ count: tasks, cpu, mem_mb: 8, estimate_ms: 90_000 }] }
-  let cancelledAt
+  // Without the trouble, each job has ten occurrences.
+  const count = hasTrouble ? repetitions : 10
+  const job = {
+    spec: 'work 500',
+    steps: Array.from({ length: steps }, (_, n) => (n === 0 ? step : { ...step, after: [n - 1] })),
+    repetitions: count,
+    first_ms: Date.now() - count * intervalMs,
+    interval_ms: intervalMs,
+  }
+  const timed = []
   const accepted = await sendTraffic(deployment, n => {
-    if (n === soundJobs / 4) void deployment.send('POST', `/checks/${id}`, job)
-    if (n !== (soundJobs * 3) / 4 || !hasTrouble) return
-    const started = deployment.runnerEvents.filter(
-      ({ event, task }) => event === 'started' && task.startsWith(id),
-    )
-    deployment.note('job is cancelled', { running: started.length })
-    void deployment.send('DELETE', `/checks/${id}`).then(({ status }) => {
-      if (status === 200) cancelledAt = Date.now()
-    })
+    const first = timed.length
+    const last = Math.min(timedJobs, Math.max(0, n + 1 - soundJobs / 4) * 2)
+    for (let number = first; number < last; number++) {
+      const id = idOf(1_000 + number)
+      timed.push(id)
+      void deployment
+        .send('POST', `/checks/${id}`, job, deployment.hosts[number % 3])
+        .catch(err => deployment.note('no answer', { id, reason: err.message }))
+    }
   })
+  if (timed.length < timedJobs) throw new CannotRunError('not all jobs were sent')
   const broken = await watchIdleJobs(deployment, accepted)
-  if (cancelledAt === undefined) return broken
-  const late = deployment.runnerEvents.filter(
-    ({ event, task, at }) =>
-      event === 'ended' && task.startsWith(id) && at > cancelledAt + cancelMs + stopMs,
-  )
-  const lastMs = Math.max(0, ...late.map(({ at }) => at - cancelledAt))
-  if (late.length > 0)
-    broken.push(`UNASKED: ${late.length} tasks ran on, for up to ${lastMs} ms after the cancelling`)
+  for (const { name, exits } of deployment.hosts) {
+    if (exits.length > 0)
+      broken.push(`a process crashes: ${name} ended by itself ${exits.length} times`)
+  }
   return broken
 })
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,111 +1,39 @@
-// The host that places work is about to power idle machines down. It freezes for 4 s while the store's
-// answer to the record of these orders is on its way. Meanwhile another host takes over and starts the
-// tasks of a job that lasts, of which one may be missing at a time.
+// A client cancels a job of 3,000 tasks that are running. From then on each host that places work is busy
+// with the ends of these runs for longer than its lease lasts.
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { call, runCase, sleep, until } from '../standins-2/harness.mjs'
+import { runCase } from '../standins-2/harness.mjs'
+import { idOf, sendTraffic, soundJobs, startDeployment, watchIdleJobs } from '../standins-2/day.mjs'
 
-const freezeMs = 4_000
-const tasks = 8
-const mayMiss = 1
-const noticeMs = 4_500
-const id = '5c0e7a21d94b36f8'
-
-const queue = {
-  name: 'sheets',
-  host: 'jobs.example',
-  path_prefix: '/sheets/',
-  service: 'finder',
-  priority: 0,
-  max_attempts: 4,
-  stretch: 2,
-  target_latency_ms: 600,
-  allow_anonymous: true,
-}
+const tasks = 3_000
+const cpu = 30
+const cancelMs = 3_000
+const stopMs = 200
+const id = idOf(1_000)
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (deployment, hasTrouble) => {
-  await deployment.startPlatform()
-  await deployment.configure({
-    version: 1,
-    routes: [queue],
-    services: [{ name: 'finder' }, { name: 'reserve', spare: true }],
-    limits: {},
-    tenants: [],
-  })
-  for (let n = 1; n <= 8; n++)
-    await deployment.startRunner(`m-${n}`, { service: 'finder', rack: `r${Math.ceil(n / 4)}` })
-  await deployment.startHosts(3)
-  const leader = await until(() => deployment.leader(), 10_000, 'a host that places work')
-  const others = deployment.hosts.filter(host => host !== leader)
-  deployment.note('leader', { host: leader.name })
-  const step = { count: tasks, cpu: 2_000, mem_mb: 256, estimate_ms: 900, long_running: true }
-  const submit = () =>
-    deployment.send(
-      'POST',
-      `/sheets/${id}`,
-      { spec: 'last', steps: [{ ...step, may_miss: mayMiss }] },
-      others[0],
-    )
-  if (hasTrouble) {
-    const armed = { pid: leader.child.pid, table: 'machines' }
-    await call(deployment.store, 'POST', '/admin/freeze', armed)
-    const frozen = await until(
-      () => deployment.platformEvents.find(({ event }) => event === 'frozen'),
-      15_000,
-      'an order to a machine',
+  await startDeployment(deployment)
+  const job = { spec: 'work 90000', steps: [{ count: tasks, cpu, mem_mb: 8, estimate_ms: 90_000 }] }
+  let cancelledAt
+  const accepted = await sendTraffic(deployment, n => {
+    if (n === soundJobs / 4) void deployment.send('POST', `/checks/${id}`, job)
+    if (n !== (soundJobs * 3) / 4 || !hasTrouble) return
+    const started = deployment.runnerEvents.filter(
+      ({ event, task }) => event === 'started' && task.startsWith(id),
     )
-    deployment.note('leader frozen', { host: leader.name })
-    await sleep(500)
-    await submit()
-    await sleep(freezeMs - (Date.now() - frozen.at))
-    process.kill(leader.child.pid, 'SIGCONT')
-    deployment.note('leader wakes', { host: leader.name })
-  } else {
-    await until(
-      () => deployment.platformEvents.find(({ event }) => event === 'move'),
-      15_000,
-      'an order to a machine',
-    )
-    await sleep(500)
-    await submit()
-  }
-  await sleep(10_000)
-  return brokenBudgets(deployment)
-})
-
-/** Tasks at work that a move has ended while as many others as may be missing were away. */
-function brokenBudgets({ platformEvents, runnerEvents, runners, note }) {
-  const broken = []
-  const ends = []
-  for (const { at, machine } of platformEvents.filter(({ event }) => event === 'move')) {
-    const lives = [...runners.values()].filter(each => each.machine === machine)
-    const lost = runnerEvents.filter(
-      ({ event, runner, at: startedAt }) =>
-        event === 'started' && lives.some(each => each.id === runner) && startedAt + 200 < at,
-    )
-    for (const { task, runner, run } of lost) {
-      const isOver = runnerEvents.some(
-        each => each.event === 'ended' && each.task === task && each.run === run && each.at < at,
-      )
-      if (isOver || ends.some(each => each.task === task && each.run === run)) continue
-      const away = ends.filter(
-        each =>
-          at - each.at < noticeMs &&
-          !runnerEvents.some(
-            next =>
-              next.event === 'started' &&
-              next.task === each.task &&
-              next.run > each.run &&
-              next.at + 200 < at,
-          ),
-      )
-      ends.push({ at, task, run })
-      note('a move ended a task at work', { machine, runner, task, run, othersAway: away.length })
-      if (away.length >= mayMiss)
-        broken.push(
-          `AVAIL: a move of ${machine} ended ${task} while ${away.length} others were away`,
-        )
-    }
-  }
+    deployment.note('job is cancelled', { running: started.length })
+    void deployment.send('DELETE', `/checks/${id}`).then(({ status }) => {
+      if (status === 200) cancelledAt = Date.now()
+    })
+  })
+  const broken = await watchIdleJobs(deployment, accepted)
+  if (cancelledAt === undefined) return broken
+  const late = deployment.runnerEvents.filter(
+    ({ event, task, at }) =>
+      event === 'ended' && task.startsWith(id) && at > cancelledAt + cancelMs + stopMs,
+  )
+  const lastMs = Math.max(0, ...late.map(({ at }) => at - cancelledAt))
+  if (late.length > 0)
+    broken.push(`UNASKED: ${late.length} tasks ran on, for up to ${lastMs} ms after the cancelling`)
   return broken
-}
+})
--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -1,12 +1,15 @@
-// A job of one task loses its runner four times. None of its runs ends as failed.
+// The host that places work is about to power idle machines down. It freezes for 4 s while the store's
+// answer to the record of these orders is on its way. Meanwhile another host takes over and starts the
+// tasks of a job that lasts, of which one may be missing at a time.
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { runCase, sleep, until } from '../standins-2/harness.mjs'
+import { call, runCase, sleep, until } from '../standins-2/harness.mjs'
 
-const crashes = 4
-const workMs = 8_000
-/** A runner is down for as long, so that one of eight is down at a time. */
-const downMs = 4_500
+const freezeMs = 4_000
+const tasks = 8
+const mayMiss = 1
+const noticeMs = 4_500
+const id = '5c0e7a21d94b36f8'
 
 const queue = {
   name: 'sheets',
@@ -14,54 +17,95 @@
   path_prefix: '/sheets/',
   service: 'finder',
   priority: 0,
-  max_attempts: 3,
+  max_attempts: 4,
   stretch: 2,
   target_latency_ms: 600,
   allow_anonymous: true,
 }
-const id = '5c0e7a21d94b36f8'
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (deployment, hasTrouble) => {
   await deployment.startPlatform()
   await deployment.configure({
     version: 1,
     routes: [queue],
-    services: [{ name: 'finder' }],
+    services: [{ name: 'finder' }, { name: 'reserve', spare: true }],
     limits: {},
     tenants: [],
   })
   for (let n = 1; n <= 8; n++)
     await deployment.startRunner(`m-${n}`, { service: 'finder', rack: `r${Math.ceil(n / 4)}` })
   await deployment.startHosts(3)
-  const job = {
-    spec: `work ${workMs}`,
-    steps: [{ count: 1, cpu: 820, mem_mb: 256, estimate_ms: workMs }],
+  const leader = await until(() => deployment.leader(), 10_000, 'a host that places work')
+  const others = deployment.hosts.filter(host => host !== leader)
+  deployment.note('leader', { host: leader.name })
+  const step = { count: tasks, cpu: 2_000, mem_mb: 256, estimate_ms: 900, long_running: true }
+  const submit = () =>
+    deployment.send(
+      'POST',
+      `/sheets/${id}`,
+      { spec: 'last', steps: [{ ...step, may_miss: mayMiss }] },
+      others[0],
+    )
+  if (hasTrouble) {
+    const armed = { pid: leader.child.pid, table: 'machines' }
+    await call(deployment.store, 'POST', '/admin/freeze', armed)
+    const frozen = await until(
+      () => deployment.platformEvents.find(({ event }) => event === 'frozen'),
+      15_000,
+      'an order to a machine',
+    )
+    deployment.note('leader frozen', { host: leader.name })
+    await sleep(500)
+    await submit()
+    await sleep(freezeMs - (Date.now() - frozen.at))
+    process.kill(leader.child.pid, 'SIGCONT')
+    deployment.note('leader wakes', { host: leader.name })
+  } else {
+    await until(
+      () => deployment.platformEvents.find(({ event }) => event === 'move'),
+      15_000,
+      'an order to a machine',
+    )
+    await sleep(500)
+    await submit()
   }
-  const { status } = await deployment.send('POST', `/sheets/${id}`, job)
-  if (status !== 200) throw new Error(`the job was answered ${status}`)
+  await sleep(10_000)
+  return brokenBudgets(deployment)
+})
 
-  const startsOf = () => deployment.runnerEvents.filter(({ event }) => event === 'started')
-  for (let n = 1; hasTrouble && n <= crashes; n++) {
-    await until(() => startsOf().length >= n, 15_000, `start ${n} of the task`)
-    const { runner } = startsOf().at(-1)
-    await sleep(downMs)
-    const { machine, rack } = deployment.runners.get(runner)
-    await deployment.crashRunner(runner)
-    // The runner of the next life has another id, and runs nothing.
-    void sleep(downMs).then(() => deployment.startRunner(machine, { service: 'finder', rack }))
+/** Tasks at work that a move has ended while as many others as may be missing were away. */
+function brokenBudgets({ platformEvents, runnerEvents, runners, note }) {
+  const broken = []
+  const ends = []
+  for (const { at, machine } of platformEvents.filter(({ event }) => event === 'move')) {
+    const lives = [...runners.values()].filter(each => each.machine === machine)
+    const lost = runnerEvents.filter(
+      ({ event, runner, at: startedAt }) =>
+        event === 'started' && lives.some(each => each.id === runner) && startedAt + 200 < at,
+    )
+    for (const { task, runner, run } of lost) {
+      const isOver = runnerEvents.some(
+        each => each.event === 'ended' && each.task === task && each.run === run && each.at < at,
+      )
+      if (isOver || ends.some(each => each.task === task && each.run === run)) continue
+      const away = ends.filter(
+        each =>
+          at - each.at < noticeMs &&
+          !runnerEvents.some(
+            next =>
+              next.event === 'started' &&
+              next.task === each.task &&
+              next.run > each.run &&
+              next.at + 200 < at,
+          ),
+      )
+      ends.push({ at, task, run })
+      note('a move ended a task at work', { machine, runner, task, run, othersAway: away.length })
+      if (away.length >= mayMiss)
+        broken.push(
+          `AVAIL: a move of ${machine} ended ${task} while ${away.length} others were away`,
+        )
+    }
   }
-  const state = await until(
-    async () => {
-      const { body } = await deployment.send('GET', `/sheets/${id}`, undefined, deployment.hosts[1])
-      const { state } = JSON.parse(body)
-      if (['completed', 'failed', 'cancelled'].includes(state)) return state
-      await sleep(500)
-      return undefined
-    },
-    40_000,
-    'the end of the job',
-  )
-  const failed = deployment.runnerEvents.filter(({ how }) => how === 'failed').length
-  if (state === 'completed') return []
-  return [`LOST: the job is shown as ${state}, and ${failed} of its runs ended as failed`]
-})
+  return broken
+}
