--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -9,7 +9,9 @@
 const tasks = 8
 const mayMiss = 1
 const noticeMs = 4_500
-const id = '5c0e7a21d94b36f8'
+/** After a freeze in which the answer was not read, the next holder of the lease is frozen. */
+const maxFreezes = 4
+const idOf = n => n.toString(16).padStart(16, '0')
 
 const queue = {
   name: 'sheets',
@@ -35,44 +37,53 @@
   for (let n = 1; n <= 8; n++)
     await deployment.startRunner(`m-${n}`, { service: 'finder', rack: `r${Math.ceil(n / 4)}` })
   await deployment.startHosts(3)
-  const leader = await until(() => deployment.leader(), 10_000, 'a host that places work')
-  const others = deployment.hosts.filter(host => host !== leader)
-  deployment.note('leader', { host: leader.name })
   const step = { count: tasks, cpu: 2_000, mem_mb: 256, estimate_ms: 900, long_running: true }
-  const submit = () =>
+  const submit = (id, host) =>
     deployment.send(
       'POST',
       `/sheets/${id}`,
       { spec: 'last', steps: [{ ...step, may_miss: mayMiss }] },
-      others[0],
+      host,
     )
-  if (hasTrouble) {
-    const armed = { pid: leader.child.pid, table: 'machines' }
-    await call(deployment.store, 'POST', '/admin/freeze', armed)
-    const frozen = await until(
-      () => deployment.platformEvents.find(({ event }) => event === 'frozen'),
-      15_000,
-      'an order to a machine',
-    )
-    deployment.note('leader frozen', { host: leader.name })
-    await sleep(500)
-    await submit()
-    await sleep(freezeMs - (Date.now() - frozen.at))
-    process.kill(leader.child.pid, 'SIGCONT')
-    deployment.note('leader wakes', { host: leader.name })
-  } else {
+  if (!hasTrouble) {
     await until(
       () => deployment.platformEvents.find(({ event }) => event === 'move'),
       15_000,
       'an order to a machine',
     )
     await sleep(500)
-    await submit()
+    await submit(idOf(1), deployment.hosts[0])
+    await sleep(10_000)
+    return brokenBudgets(deployment)
   }
-  await sleep(10_000)
-  return brokenBudgets(deployment)
+  for (let attempt = 1; attempt <= maxFreezes; attempt++) {
+    const leader = await until(() => deployment.leader(), 10_000, 'a host that places work')
+    const other = deployment.hosts.find(host => host !== leader)
+    await freeze(deployment, leader, () => submit(idOf(attempt), other))
+    await sleep(2_000)
+    const broken = brokenBudgets(deployment)
+    if (broken.length > 0 || attempt === maxFreezes) return broken
+    // The store's answer was not read in time, so the host sent no order.
+    await deployment.send('DELETE', `/sheets/${idOf(attempt)}`, undefined, other)
+  }
+  return []
 })
 
+/** Freezes the host that places work as the answer to its next record of orders is on its way. */
+async function freeze(deployment, leader, whileFrozen) {
+  const freezes = () => deployment.platformEvents.filter(({ event }) => event === 'frozen')
+  const before = freezes().length
+  const armed = { pid: leader.child.pid, table: 'machines' }
+  await call(deployment.store, 'POST', '/admin/freeze', armed)
+  await until(() => freezes().length > before, 20_000, 'an order to a machine')
+  deployment.note('leader frozen', { host: leader.name })
+  await sleep(500)
+  await whileFrozen()
+  await sleep(freezeMs - (Date.now() - freezes().at(-1).at))
+  process.kill(leader.child.pid, 'SIGCONT')
+  deployment.note('leader wakes', { host: leader.name })
+}
+
 /** Tasks at work that a move has ended while as many others as may be missing were away. */
 function brokenBudgets({ platformEvents, runnerEvents, runners, note }) {
   const broken = []
@@ -91,6 +102,7 @@
       const away = ends.filter(
         each =>
           at - each.at < noticeMs &&
+          each.task.split('.')[0] === task.split('.')[0] &&
           !runnerEvents.some(
             next =>
               next.event === 'started' &&
--- a/review/standins-2/harness.mjs
+++ b/review/standins-2/harness.mjs
@@ -103,8 +103,8 @@
     readLines(child.stdout, line => {
       const event = JSON.parse(line)
       this.runnerEvents.push(event)
-      const { at, event: what, ...fields } = event
-      this.note(`runner ${what}`, fields)
+      const { runner, event: what, task, run, how, address: listens } = event
+      this.note(`runner ${what}`, { runner, task, run, how, address: listens })
     })
     this.runners.set(id, { id, machine, service, zone, rack, child })
     await until(() => isListening(address), 5_000, `runner ${id} to start`)
@@ -382,16 +382,30 @@
   })
 }
 
-const freePort = host => listenOn(host, 0)
+/** Ports that were handed out, as `ip:port`; they are not bound yet. */
+const givenPorts = new Set()
+
+async function freePort(host) {
+  for (let attempt = 0; attempt < 50; attempt++) {
+    const port = await listenOn(host, 0)
+    if (givenPorts.has(`${host}:${port}`)) continue
+    givenPorts.add(`${host}:${port}`)
+    return port
+  }
+  throw new CannotRunError('no free port')
+}
 
 async function freePortPair(host) {
-  for (let attempt = 0; attempt < 20; attempt++) {
+  for (let attempt = 0; attempt < 50; attempt++) {
     const first = await freePort(host)
+    const second = `${host}:${first + 1}`
     const isFree = await listenOn(host, first + 1).then(
-      () => true,
+      () => !givenPorts.has(second),
       () => false,
     )
-    if (isFree) return [first, first + 1]
+    if (!isFree) continue
+    givenPorts.add(second)
+    return [first, first + 1]
   }
   throw new CannotRunError('no two free ports in a row')
 }
