feat(dispatcher): order machines at the rate that the platform states

Cause: 16 moves a round and a fixed pause between rounds delivered most machines of a pool after its burst; machines due for upkeep did not move at all while their wave lasted.

--- a/packages/dispatcher/__tests__/fixture.ts
+++ b/packages/dispatcher/__tests__/fixture.ts
@@ -71,6 +71,8 @@
   decodeRunner?: (value: unknown) => RunnerEntry | undefined
   /** Connects a term to its runners; by default it calls the runners in memory itself. */
   connectRunners?: (fleet: Pick<Fleet, 'store' | 'runners'>) => RunnerConnections
+  /** Orders to machines that the platform accepts a second. */
+  machineOrdersPerSecond?: number
   /** Least time between orders of two dispatchers for one machine, in milliseconds. */
   machineLeaseMs?: number
   /** Lease of the dispatcher, for tests in which it must not expire, in milliseconds. */
@@ -126,6 +128,7 @@
             close: () => Promise.resolve(),
           },
         machines: opts.machines,
+        machineOrdersPerSecond: opts.machineOrdersPerSecond,
         advice: undefined,
         waveStatusRow: (wave, state) => ({
           table: 'status',
--- a/packages/dispatcher/__tests__/pool-moves.test.ts
+++ b/packages/dispatcher/__tests__/pool-moves.test.ts
@@ -49,3 +49,115 @@
   t.ok(movedAt - submittedAt < 500, `a machine was ordered after ${movedAt - submittedAt} ms`)
   await dispatcher.close()
 })
+
+const poolNames = [
+  { name: 'pool', isSpare: false },
+  { name: 'spare', isSpare: true },
+]
+
+function spareMachines(count: number): Machine[] {
+  const capacity = { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 0 }
+  return Array.from({ length: count }, (_, index) => ({
+    id: `m${index}`,
+    pool: 'spare',
+    state: 'up',
+    zone: 'zone-a',
+    labels: [],
+    capacity,
+    runnerId: undefined,
+  }))
+}
+
+// Guards against machines that arrive after a burst is over: with 16 moves in a round and a pause
+// between rounds, a pool that needed 60 machines got the last of them seconds after the first.
+void t.test('all machines that a pool needs are ordered in one round', async t => {
+  const machines = spareMachines(60)
+  let listCalls = 0
+  const listCallsAtMove: number[] = []
+  const fleet = createFleet({
+    cfg: { pools: poolNames },
+    machineOrdersPerSecond: 215,
+    machines: {
+      list: () => {
+        listCalls += 1
+        return Promise.resolve({ outcome: 'done', value: structuredClone(machines) })
+      },
+      move: ({ machine }) => {
+        listCallsAtMove.push(listCalls)
+        Object.assign(machines.find(({ id }) => id === machine) ?? {}, { state: 'moving' })
+        return Promise.resolve(accepted)
+      },
+      upkeep: () => Promise.resolve(accepted),
+      close: () => Promise.resolve(),
+    },
+  })
+  await fleet.addRunner('r1', { capacity: { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 0 } })
+  const dispatcher = fleet.start('host-1')
+  await fleet.submit('job-1', [{ ...oneTask, count: 50 }])
+  await waitUntil(() => listCallsAtMove.length >= 48)
+  t.equal(new Set(listCallsAtMove).size, 1, 'one list of the machines was enough')
+  await dispatcher.close()
+})
+
+// Guards against machines that stand still while a wave lasts: those due for an upkeep did not move at
+// all, which was nearly half of a fleet for 25 s.
+void t.test('machines that are due for an upkeep move while their wave has time', async t => {
+  const machines = spareMachines(4)
+  const moved: string[] = []
+  const fleet = createFleet({
+    cfg: { pools: poolNames },
+    waves: [{ id: 1, machines: ['m0', 'm1', 'm2', 'm3'], timeMs: 60_000, maxUnavailable: 0 }],
+    machines: {
+      list: () => Promise.resolve({ outcome: 'done', value: structuredClone(machines) }),
+      move: ({ machine }) => {
+        moved.push(machine)
+        return Promise.resolve(accepted)
+      },
+      upkeep: () => Promise.resolve(accepted),
+      close: () => Promise.resolve(),
+    },
+  })
+  await fleet.addRunner('r1', { capacity: { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 0 } })
+  const dispatcher = fleet.start('host-1')
+  await fleet.submit('job-1', [{ ...oneTask, count: 4 }])
+  await waitUntil(() => moved.length > 0)
+  t.ok(moved.length > 0)
+  await dispatcher.close()
+})
+
+// Guards against a wave that is late: a machine that moves when its wave has no time left would have its
+// upkeep after the wave's time.
+void t.test(
+  'machines that are due for an upkeep stay when their wave is short of time',
+  async t => {
+    const machines = spareMachines(2)
+    const moved: string[] = []
+    let listCalls = 0
+    const fleet = createFleet({
+      cfg: { pools: poolNames },
+      waves: [{ id: 1, machines: ['m0'], timeMs: 3_000, maxUnavailable: 0 }],
+      machines: {
+        list: () => {
+          listCalls += 1
+          return Promise.resolve({ outcome: 'done', value: structuredClone(machines) })
+        },
+        move: ({ machine }) => {
+          moved.push(machine)
+          return Promise.resolve(accepted)
+        },
+        upkeep: () => Promise.resolve(accepted),
+        close: () => Promise.resolve(),
+      },
+    })
+    await fleet.addRunner('r1', {
+      capacity: { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 0 },
+    })
+    const dispatcher = fleet.start('host-1')
+    await fleet.submit('job-1', [{ ...oneTask, count: 8 }])
+    await waitUntil(() => moved.length > 0)
+    const listed = listCalls
+    await waitUntil(() => listCalls >= listed + 2)
+    t.same([...new Set(moved)], ['m1'])
+    await dispatcher.close()
+  },
+)
--- a/packages/dispatcher/src/dispatcher.ts
+++ b/packages/dispatcher/src/dispatcher.ts
@@ -66,6 +66,10 @@
   /** Opens the connections to runners of one term. */
   connectRunners: () => RunnerConnections
   machines: MachineApi<Machine> | undefined
+  /** Orders to machines that the platform accepts a second from all hosts. */
+  machineOrdersPerSecond?: number | undefined
+  /** Reads of the list of machines that the platform accepts a second. */
+  machineListsPerSecond?: number | undefined
   advice: AdviceApi | undefined
   /** Creates the row that shows operators the state of a maintenance wave. */
   waveStatusRow: (wave: number, state: 'running' | 'completed') => Write
--- a/packages/dispatcher/src/machine-context.ts
+++ b/packages/dispatcher/src/machine-context.ts
@@ -2,11 +2,16 @@
 import type { Check, FollowableTableService, Write } from '@bulrushbridge/store'
 import type { Logger, Metrics } from '@bulrushbridge/telemetry'
 import type { DispatcherTiming } from './dispatcher.js'
+import type { MachineOrderRate } from './machine-order-rate.js'
 import type { RunnerSession } from './runner-session.js'
 
 /** What the machine controller and its components work with. */
 export interface MachineContext {
   machines: MachineApi<Machine>
+  /** Limits moves and upkeeps together. */
+  orderRate: MachineOrderRate
+  /** Reads of the list of machines that the platform accepts a second; undefined if not stated. */
+  machineListsPerSecond?: number | undefined
   store: FollowableTableService
   /** Name of this host, which every order carries. */
   holder: string
--- a/packages/dispatcher/src/machine-controller.ts
+++ b/packages/dispatcher/src/machine-controller.ts
@@ -11,6 +11,9 @@
 /** Pause between two control rounds while there is something to do, in milliseconds. */
 const roundPauseMs = 250
 
+/** Least time between the starts of two rounds that follow a change of demand, in milliseconds. */
+const minRoundIntervalMs = 100
+
 /** Longest pause between two control rounds while there is nothing to do, in milliseconds. */
 const idlePauseMs = 1_000
 
@@ -20,7 +23,10 @@
  * runs another runner.
  */
 export interface MachineController {
-  /** Begins the next round at once if the controller is idle. */
+  /**
+   * Begins the next round at once if the controller is idle, and soon if it is busy and a pool is shorter
+   * of machines than in the last round.
+   */
   wake(): void
   close(): Promise<void>
 }
@@ -45,6 +51,8 @@
   readonly #closing = new AbortController()
   readonly #loopDone: Promise<void>
   readonly #idlePause = new IdlePause()
+  /** The last round left something to do. */
+  #isBusy = false
   readonly #orderRecord: MachineOrderRecord
 
   constructor(ctx: MachineContext, record: MachineOrderRecord) {
@@ -56,25 +64,30 @@
   }
 
   wake(): void {
-    this.#idlePause.wake()
+    if (!this.#isBusy || this.#moves.hasShortageGrown()) this.#idlePause.wake()
   }
 
   async close(): Promise<void> {
     this.#closing.abort()
-    this.wake()
+    this.#idlePause.wake()
     await this.#loopDone
   }
 
   async #roundLoop(): Promise<void> {
+    const { machineListsPerSecond = Infinity } = this.#opts
+    const minIntervalMs = Math.max(minRoundIntervalMs, 1_000 / machineListsPerSecond)
     while (!this.#isClosed()) {
-      let isBusy = false
+      const nextAt = performance.now() + minIntervalMs
+      this.#isBusy = false
       try {
-        if (!this.#opts.isInactive()) isBusy = await this.#runRound()
+        if (!this.#opts.isInactive()) this.#isBusy = await this.#runRound()
       } catch (err) {
         this.#opts.log.warn('machine control round failed', { reason: normalizeError(err).message })
       }
-      if (isBusy) await wait(systemClock, roundPauseMs, this.#closing.signal)
-      else if (!this.#isClosed()) await this.#idlePause.wait(idlePauseMs)
+      if (this.#isClosed()) return
+      await this.#idlePause.wait(this.#isBusy ? roundPauseMs : idlePauseMs)
+      const earlyMs = nextAt - performance.now()
+      if (earlyMs > 0) await wait(systemClock, earlyMs, this.#closing.signal)
     }
   }
 
@@ -98,7 +111,9 @@
     }
     if (this.#opts.isInactive()) return true
     this.#giveUpLostRunners(lostRunners, result.value, listRequestedAt)
-    for (const wave of waves) await this.#waves.advance(wave, result.value, listRequestedAt)
+    for (const wave of waves) {
+      await this.#waves.advance(wave, result.value, listRequestedAt, id => this.#moves.isMoving(id))
+    }
     await this.#moves.advance(result.value, listRequestedAt, this.#waves)
     await this.#orderRecord.removeOutdated()
     return waves.length + lostRunners.length > 0 || this.#moves.isBusy
--- a/packages/dispatcher/src/pool-moves.ts
+++ b/packages/dispatcher/src/pool-moves.ts
@@ -12,8 +12,8 @@
 import { sendMachineOrder } from './send-machine-order.js'
 import type { WaveOrders } from './wave-orders.js'
 
-/** Most machines that are moved to other pools in one round. */
-const maxMovesPerRound = 16
+/** Growth of the work that waits for a pool from which its machines are planned again at once. */
+const growthFactor = 1.2
 
 /** Table and key of the row with the machines that are lent, see `PoolMoves`. */
 const lentTable = 'machines'
@@ -42,6 +42,8 @@
   /** Machines for which a move to a working pool was planned and that have not returned since. */
   readonly #lent = new Set<string>()
   #isLentRead = false
+  /** Processor time that waited for machines of each pool in the last round, in thousandths of a core. */
+  readonly #waitingBefore = new Map<string, number>()
   /** For each idle machine, the time since which nothing runs on it. */
   readonly #idleSince = new Map<string, number>()
 
@@ -50,6 +52,19 @@
     this.#orderRecord = record
   }
 
+  /** Whether a machine was ordered into another pool and is not listed as up there yet. */
+  isMoving(machine: string): boolean {
+    return this.#moving.has(machine)
+  }
+
+  /** Whether more work waits for machines of a pool than in the last round. */
+  hasShortageGrown(): boolean {
+    return this.#poolNames().some(pool => {
+      const before = this.#waitingBefore.get(pool) ?? 0
+      return this.#opts.waitingAmounts(pool).cpuMillis > growthFactor * before
+    })
+  }
+
   /** Whether machines are moving or tasks of a pool find no runner with enough free resources. */
   get isBusy(): boolean {
     if (this.#moving.size > 0) return true
@@ -66,23 +81,24 @@
     waves: WaveOrders,
   ): Promise<void> {
     const now = performance.now()
+    for (const pool of this.#poolNames())
+      this.#waitingBefore.set(pool, this.#opts.waitingAmounts(pool).cpuMillis)
     if (!this.#isLentRead) await this.#readLent()
     this.#finishMoves(machines, listRequestedAt)
     this.#settleEarlierMoves(machines)
     this.#updateIdleTimes(machines, now)
-    // A machine that is due for upkeep does not move before it, as its wave would have to wait.
     const movable = machines.filter(
       ({ id, state }) =>
         state === 'up' &&
         !this.#moving.has(id) &&
-        !waves.isUpkeepDueOrOrdered(id) &&
+        waves.mayMove(id) &&
         !this.#orderRecord.isRecentlyOrderedElsewhere(id),
     )
     const moves = planPoolMoves({
-      machines: movable.map(machine => this.#toMovable(machine)),
+      machines: movable.map(machine => this.#toMovable(machine, waves)),
       pools: this.#poolNames().map(name => this.#poolLoad(name, machines)),
       now,
-      maxMoves: maxMovesPerRound,
+      maxMoves: this.#opts.orderRate.available(now),
     })
     // Stored before orders are sent, so that the next dispatcher knows which machines are lent.
     const toWorkingPools = moves.filter(({ to }) => !isSparePool(this.#opts, to))
@@ -158,10 +174,16 @@
     }
   }
 
-  #toMovable({ id, pool, capacity, zone }: Machine): MovableMachine {
-    const isZoneWithdrawn = this.#opts.view.withdrawnZones().has(zone)
-    const idleSince = this.#idleSince.get(id)
-    return { id, pool, capacity, isLent: this.#lent.has(id), isZoneWithdrawn, idleSince }
+  #toMovable({ id, pool, capacity, zone }: Machine, waves: WaveOrders): MovableMachine {
+    return {
+      id,
+      pool,
+      capacity,
+      isLent: this.#lent.has(id),
+      isZoneWithdrawn: this.#opts.view.withdrawnZones().has(zone),
+      isUpkeepDue: waves.isUpkeepDueOrOrdered(id),
+      idleSince: this.#idleSince.get(id),
+    }
   }
 
   /** Reads which machines earlier dispatchers lent; an undecodable row counts as empty. */
--- a/packages/dispatcher/src/send-machine-order.ts
+++ b/packages/dispatcher/src/send-machine-order.ts
@@ -18,7 +18,7 @@
  * `reason` of the log line show whether the call succeeded and the machine accepted the order.
  */
 export async function sendMachineOrder(
-  { fence, log, metrics, onFenced, isInactive }: MachineContext,
+  { fence, log, metrics, onFenced, isInactive, orderRate }: MachineContext,
   kind: MachineOrderKind,
   order: { fields: Record<string, unknown>; call: () => Promise<CallResult<MachineAnswer>> },
 ): Promise<MachineOrderResult> {
@@ -27,7 +27,9 @@
     log.warn(`machine ${kind} order not sent, the lease is in doubt`, { ...order.fields, fence })
     return 'refused'
   }
+  orderRate.take(1, performance.now())
   const result = await order.call()
+  if (result.outcome === 'not-done') orderRate.noteRejected(performance.now())
   const refusal = result.outcome === 'done' ? result.value.refusal : undefined
   const reason = result.outcome === 'done' ? (refusal ?? 'accepted') : result.reason
   log.info(`machine ${kind} order sent`, {
--- a/packages/dispatcher/src/term.ts
+++ b/packages/dispatcher/src/term.ts
@@ -21,6 +21,7 @@
 import { createLoadLog, type LoadLog } from './load-log.js'
 import type { MachineContext } from './machine-context.js'
 import { createMachineController, type MachineController } from './machine-controller.js'
+import { defaultMachineOrdersPerSecond, MachineOrderRate } from './machine-order-rate.js'
 import { MachineOrderRecord } from './machine-order-record.js'
 import { createMemoryBudget } from './memory-budget.js'
 import { createOrganisationUsage } from './organisation-usage.js'
@@ -232,11 +233,12 @@
 
   #createMachineContext(): MachineContext | undefined {
     const { opts, fence, sessions, onFenced, isActive } = this.#ctx
-    const { machines } = opts
+    const { machines, machineOrdersPerSecond = defaultMachineOrdersPerSecond } = opts
     if (machines === undefined) return undefined
     return {
       ...opts,
       machines,
+      orderRate: new MachineOrderRate(machineOrdersPerSecond, performance.now()),
       fence,
       leaseCheck: this.#held.check,
       sessions,
--- a/packages/dispatcher/src/wave-orders.ts
+++ b/packages/dispatcher/src/wave-orders.ts
@@ -19,6 +19,12 @@
 /** Time after an upkeep for the new runner to register, in milliseconds. */
 const registrationSlackMs = 600
 
+/**
+ * Time that a wave must have to spare for a due machine to move first, in milliseconds: the move, some
+ * work in the new pool, and the end of that work.
+ */
+const minSpareTimeToMoveMs = 5_000
+
 const waveRowSchema = z.object({ begun: z.array(z.string()), isComplete: z.boolean() })
 
 interface WaveProgress {
@@ -69,6 +75,28 @@
       )
   }
 
+  /**
+   * Whether a machine may move to another pool. One that is due for upkeep may as long as its wave has
+   * time to spare; otherwise up to half of the machines could not follow the demand while a wave lasts.
+   */
+  mayMove(machine: string): boolean {
+    if (this.#ordered.has(machine)) return false
+    return this.#opts.view.waves().every(wave => {
+      const begun = this.#progress.get(wave.id)?.begun
+      if (begun === undefined) return false
+      if (begun.has(machine) || !wave.machines.includes(machine)) return true
+      return this.#spareTimeMs(wave, begun.size) >= minSpareTimeToMoveMs
+    })
+  }
+
+  /** Time that a wave has left beyond what its remaining upkeeps take, in milliseconds. */
+  #spareTimeMs(wave: KnownWave, begunCount: number): number {
+    const remainingCount = wave.machines.length - begunCount
+    const rounds = Math.ceil(remainingCount / Math.max(1, wave.maxUnavailable))
+    const upkeepMs = this.#opts.timing.upkeepMs + registrationSlackMs
+    return wave.firstSeenAt + wave.timeMs - performance.now() - rounds * upkeepMs
+  }
+
   /** Loads the progress of a wave; a row that cannot be decoded counts as no progress. */
   async #loadProgress(wave: KnownWave): Promise<void> {
     const key = String(wave.id)
@@ -83,12 +111,14 @@
 
   /**
    * Advances one wave: cordons runners and sends upkeep orders as its plan requires. `machines` is
-   * the platform's list, requested at local time `listRequestedAt`.
+   * the platform's list, requested at local time `listRequestedAt`. Machines for which `isMoving` is true
+   * get no upkeep now.
    */
   async advance(
     wave: KnownWave,
     machines: readonly Machine[],
     listRequestedAt: number,
+    isMoving: (machine: string) => boolean,
   ): Promise<void> {
     const progress = this.#progress.get(wave.id)
     if (progress === undefined) return
@@ -118,7 +148,10 @@
       return
     }
     const sendable = notBegun.filter(
-      id => !this.#ordered.has(id) && !this.#orderRecord.isRecentlyOrderedElsewhere(id),
+      id =>
+        !this.#ordered.has(id) &&
+        !isMoving(id) &&
+        !this.#orderRecord.isRecentlyOrderedElsewhere(id),
     )
     const orderable = sendable.filter(id => !possiblyInUpkeep.includes(id))
     const plan = planUpkeepWave({
@@ -139,11 +172,13 @@
     const earlier = sendable.filter(
       id => possiblyInUpkeep.includes(id) && this.#canRepeatUpkeep(byId.get(id)),
     )
-    const ids = [...unaccepted, ...earlier, ...plan.upkeep]
+    const maxNew = this.#opts.orderRate.available(performance.now())
+    const upkeeps = plan.upkeep.slice(0, maxNew)
+    const ids = [...unaccepted, ...earlier, ...upkeeps]
     const recorded = ids.map(id => toUpkeepOrder(id, byId.get(id)))
     if (ids.length === 0 || !(await this.#orderRecord.storeOrders(recorded))) return
     const orders = [...unaccepted, ...earlier].map(id => this.#orderUpkeep(id, byId.get(id), wave))
-    for (const id of plan.upkeep) {
+    for (const id of upkeeps) {
       const session = sessionOf(this.#opts, byId.get(id))
       // Checked again for each machine, because an order makes its machine's tasks unavailable.
       if (session !== undefined && !this.#canBeginUpkeep(session)) continue
@@ -224,6 +259,7 @@
       id: machine.id,
       pool: machine.pool,
       isSpare: isSparePool(this.#opts, machine.pool),
+      isPoolShort: this.#opts.waitingAmounts(machine.pool).cpuMillis > 0,
       isUp: machine.state === 'up',
       isCordoned: session?.isCordoned === true,
       finiteTasks: allocations.length - lasting.length,
--- a/packages/host-program/src/host-program.ts
+++ b/packages/host-program/src/host-program.ts
@@ -240,6 +240,8 @@
         cfg.machineServiceAddress === ''
           ? undefined
           : createMachineClient(cfg.machineServiceAddress),
+      machineOrdersPerSecond: cfg.machineOrdersPerSecond,
+      machineListsPerSecond: cfg.machineListsPerSecond,
       advice:
         cfg.adviceServiceAddress === '' ? undefined : createAdviceClient(cfg.adviceServiceAddress),
       waveStatusRow,
--- a/packages/scheduler/src/plan-pool-moves.ts
+++ b/packages/scheduler/src/plan-pool-moves.ts
@@ -12,6 +12,8 @@
   isLent: boolean
   /** Operators have withdrawn its availability zone, so nothing new starts on it. */
   isZoneWithdrawn: boolean
+  /** It is due for an upkeep, which would end its work in the new pool soon. */
+  isUpkeepDue?: boolean
   /** Time since which nothing has run on it; undefined while something may be running. */
   idleSince: number | undefined
 }
@@ -138,9 +140,10 @@
   to: PoolLoad,
   movedIds: ReadonlySet<string>,
 ): MovableMachine | undefined {
-  const candidates = machines.filter(
-    ({ id, isZoneWithdrawn }) => !isZoneWithdrawn && !movedIds.has(id),
-  )
+  const candidates = machines
+    .filter(({ id, isZoneWithdrawn }) => !isZoneWithdrawn && !movedIds.has(id))
+    // An upkeep would take the machine away again soon.
+    .sort((x, y) => Number(x.isUpkeepDue === true) - Number(y.isUpkeepDue === true))
   const poolOf = ({ pool }: MovableMachine) => pools.find(({ name }) => name === pool)
   const canDonate = (machine: MovableMachine): boolean => {
     const pool = poolOf(machine)
--- a/packages/scheduler/src/plan-upkeep-wave.ts
+++ b/packages/scheduler/src/plan-upkeep-wave.ts
@@ -5,6 +5,8 @@
   id: string
   pool: string
   isSpare: boolean
+  /** Work waits for a machine of its pool. */
+  isPoolShort?: boolean
   /** It is up, so its upkeep can begin. */
   isUp: boolean
   /** It takes no new tasks, because an earlier plan has cordoned it. */
@@ -87,12 +89,13 @@
 
 /**
  * Sorts spare machines first, because their upkeep affects no tasks, then cordoned machines, then
- * those with least work.
+ * those of pools in which no work waits, then those with least work.
  */
 function compareMachines(a: WaveMachine, b: WaveMachine): number {
   return (
     Number(b.isSpare) - Number(a.isSpare) ||
     Number(b.isCordoned) - Number(a.isCordoned) ||
+    Number(a.isPoolShort === true) - Number(b.isPoolShort === true) ||
     a.lastingTasks - b.lastingTasks ||
     a.finiteTasks - b.finiteTasks
   )
