feat(scheduler): forecast of pool demand from accepted jobs

Machines reach a pool 1.5 to 2 s after they are ordered, while a burst lasts about 4 s, and today's planner orders them only when work already waits.

The forecast learns the rate of arriving work of each pool, detects the start and the end of bursts by a cumulative sum of likelihood ratios, and predicts bursts that follow one another at a regular interval. PoolLoad gets the optional inputs that the planner will use; nothing reads them yet.

--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -29,6 +29,13 @@
   maxDefinitionBytes,
   type DefinitionRow,
 } from './job-definition-rows.js'
+export {
+  createDemandForecast,
+  demandForecastSchema,
+  type AcceptedWork,
+  type DemandForecast,
+  type DemandForecastState,
+} from './demand-forecast.js'
 export { JobLimitError } from './job-limit-error.js'
 export {
   hasEnded,
--- a/packages/scheduler/src/plan-pool-moves.ts
+++ b/packages/scheduler/src/plan-pool-moves.ts
@@ -14,9 +14,14 @@
   isZoneWithdrawn: boolean
   /** Time since which nothing has run on it; undefined while something may be running. */
   idleSince: number | undefined
+  /** Its rack has crashed or its runner does not answer, so it neither works nor moves. */
+  isLost?: boolean
 }
 
-/** Demand and size of a pool, as input of {@link planPoolMoves}. */
+/**
+ * Demand and size of a pool, as input of {@link planPoolMoves}. Without `expected`, the pool is judged
+ * by the work that waits, and the other optional fields are not used.
+ */
 export interface PoolLoad {
   name: string
   isSpare: boolean
@@ -26,6 +31,24 @@
   arrivingCount: number
   /** Number of machines that are up in the pool. */
   upCount: number
+  /**
+   * Number of machines of the pool that can run tasks, without those of a crashed rack; `upCount` if
+   * absent.
+   */
+  usableCount?: number
+  /** Resources that finite work is expected to use when a machine ordered now would arrive. */
+  expected?: Amounts
+  /**
+   * Most resources that finite work is expected to use at any time until a machine that is switched
+   * off now and ordered back at once would have paid off; `expected` if absent.
+   */
+  expectedPeak?: Amounts
+  /** Resources that lasting tasks use on the machines of the pool; none if absent. */
+  lasting?: Amounts
+  /** Resources that finite tasks use on the machines of the pool; none if absent. */
+  running?: Amounts
+  /** The part of `running` that will have ended when a machine ordered now would arrive. */
+  ending?: Amounts
 }
 
 /** Input of {@link planPoolMoves}. */
