feat(scheduler): plan pool moves by the expected demand

Pools with a forecast are judged by what a machine ordered now will find: lasting tasks, and the larger of the expected work and the work that stands and will not have ended, minus usable machines and those in transit. Machines of pools whose burst has ended go to the next pool before spare ones. Pools without a forecast are planned as before, except that one plan no longer takes a pool below its minimum of five machines.

--- a/packages/scheduler/__tests__/demand-bursts.ts
+++ b/packages/scheduler/__tests__/demand-bursts.ts
@@ -2,6 +2,7 @@
 import {
   addAmounts,
   chooseStarts,
+  largestFraction,
   createRunTimeEstimator,
   JobExecution,
   noAmounts,
@@ -11,27 +12,29 @@
   sumWaitingWork,
   type Amounts,
   type AvailableRunner,
+  type DemandForecast,
   type JobQueue,
+  type PoolLoad,
   type Step,
   type Task,
 } from '../src/index.js'
 
-/** Granularity of the simulated time, in milliseconds. */
-const tickMs = 10
 /** Time from the order of a move until the new runner can take tasks, in milliseconds. */
-const moveMs = 1_700
+export const moveMs = 1_700
+/** Span from the arrival of a machine over which its pool's expected work counts, in milliseconds. */
+const expectedSpanMs = 1_000
 /**
  * Time from the choice of a start until the task works, in milliseconds: one store write and one
  * call.
  */
 const startMs = 20
 /** Demand of a queue outside its burst, as a share of its mean demand. */
-const demandOutsideBurst = 0.05
+export const demandOutsideBurst = 0.05
 /** Credit of a job that ends after its latency objective, but within three times the objective. */
 const lateCredit = 0.07
 
 /** Properties of the jobs of a queue; sizes are means. */
-interface JobKind {
+export interface JobKind {
   jobsPerS: number
   steps: number
   width: number
@@ -57,9 +60,113 @@
   workMs: 1_300,
 }
 
+/** Fleet and jobs of a simulated deployment. */
+export interface BurstLoad {
+  /** Granularity of the simulated time, in milliseconds. */
+  tickMs: number
+  lengthMs: number
+  /** Length of a burst, in milliseconds. */
+  burstMs: number
+  /** Demand of a queue in its burst, as a multiple of its mean demand. */
+  demandInBurst: number
+  /** Job kind of each queue; queue and pool have the same name. */
+  kinds: readonly JobKind[]
+  capacity: Amounts
+  poolMachines: number
+  spareMachines: number
+  machinesPerRack: number
+  /** Lasting tasks of each pool. */
+  lasting: { count: number; maxPerRunner: number; amounts: Amounts }
+  /** Most orders to machines in a second. */
+  ordersPerS: number
+  /** Time between two plans of moves while work waits or machines move, in milliseconds. */
+  busyPauseMs: number
+  /** Most moves in one plan. */
+  maxMoves: number
+}
+
+/** Four pools of eight machines each, and eight spare machines. */
+export const smallLoad: BurstLoad = {
+  tickMs: 10,
+  lengthMs: 34_000,
+  burstMs: 8_500,
+  demandInBurst: 4 - 3 * demandOutsideBurst,
+  kinds: [checkJobs, verdictJobs, checkJobs, verdictJobs],
+  capacity: { cpuMillis: 16_000, memoryMb: 64_000, accelerators: 0 },
+  poolMachines: 8,
+  spareMachines: 8,
+  machinesPerRack: 8,
+  lasting: {
+    count: 5,
+    maxPerRunner: 1,
+    amounts: { cpuMillis: 1_300, memoryMb: 4_500, accelerators: 0 },
+  },
+  ordersPerS: Number.POSITIVE_INFINITY,
+  busyPauseMs: 250,
+  maxMoves: 16,
+}
+
+const quickJobs: JobKind = {
+  jobsPerS: 19,
+  steps: 1.6,
+  width: 8,
+  cpuMillis: 6_200,
+  memoryMb: 20_000,
+  workMs: 660,
+}
+const largerJobs: JobKind = {
+  jobsPerS: 4,
+  steps: 2,
+  width: 8,
+  cpuMillis: 13_000,
+  memoryMb: 40_000,
+  workMs: 1_200,
+}
+
+/**
+ * The load of docs/hard-load.md, section 1: 246 machines of 64 cores, bursts of 4 s that need 1.4
+ * times what a pool holds, and at most 170 orders to machines in a second.
+ */
+export const largeLoad: BurstLoad = {
+  tickMs: 20,
+  lengthMs: 48_000,
+  burstMs: 4_000,
+  demandInBurst: 4.5,
+  kinds: [quickJobs, largerJobs, quickJobs, largerJobs],
+  capacity: { cpuMillis: 64_000, memoryMb: 256_000, accelerators: 0 },
+  poolMachines: 50,
+  spareMachines: 46,
+  machinesPerRack: 20,
+  lasting: {
+    count: 24,
+    maxPerRunner: 2,
+    amounts: { cpuMillis: 6_000, memoryMb: 20_000, accelerators: 0 },
+  },
+  ordersPerS: 170,
+  busyPauseMs: 100,
+  maxMoves: 34,
+}
+
+/** The part of a forecast that the simulation asks. */
+export type SimulatedForecast = Pick<DemandForecast, 'noteAccepted' | 'expected' | 'expectedPeak'>
+
+/** A rack that crashes with everything that runs on it, and is up again later. */
+export interface RackCrash {
+  rack: number
+  at: number
+  until: number
+}
+
 /** Options of {@link simulateDemandBursts}. */
 export interface DemandBurstsOptions {
   seed: number
+  /** {@link smallLoad} if absent. */
+  load?: BurstLoad
+  /** Returns the forecast to use at a time; without it, machines are planned by the waiting work. */
+  forecast?: (now: number) => SimulatedForecast
+  /** Returns the number of the pool that has a burst; one after another if absent. */
+  burstAt?: (now: number) => number | undefined
+  crash?: RackCrash
   /** Length of a burst, in milliseconds. */
   burstMs?: number
   /** Time between two plans of moves while no work waits and no machine moves, in milliseconds. */
@@ -91,6 +198,7 @@
 
 interface SimulatedMachine {
   id: string
+  rack: number
   pool: string
   /** Pool that the machine is moving to. */
   to: string | undefined
@@ -102,14 +210,14 @@
   tasks: Map<Task, number>
 }
 
-const capacity: Amounts = { cpuMillis: 16_000, memoryMb: 64_000, accelerators: 0 }
 const spare = 'spare'
-const lengthMs = 34_000
+/** Names of the pools that serve a queue, in the order of their bursts. */
+export const burstPools = ['a', 'b', 'c', 'd']
 
 /**
- * Simulates bursts of demand without a network. Four queues, each with a pool of eight machines,
- * have one burst after another, at about five times their mean demand. The eight machines of a
- * spare pool are switched off until they are moved.
+ * Simulates bursts of demand without a network. Four queues, each with a pool of its own, have one
+ * burst after another, at four to five times their mean demand. The machines of a spare pool are
+ * switched off until they are moved.
  *
  * @example
  * const { served, machineSeconds } = simulateDemandBursts({ seed: 1 })
@@ -121,8 +229,8 @@
 class DemandBursts {
   readonly #random: () => number
   readonly #burstMs: number
-  readonly #kinds = [checkJobs, verdictJobs, checkJobs, verdictJobs]
-  readonly #pools = ['a', 'b', 'c', 'd']
+  readonly #load: BurstLoad
+  readonly #pools = burstPools
   readonly #queues = new Map<string, JobQueue>()
   readonly #machines: SimulatedMachine[] = []
   readonly #jobs = new Map<string, JobExecution>()
@@ -132,10 +240,13 @@
   #nextJob = 0
   #machineMs = 0
   #moves = 0
+  /** Number of orders that the platform accepts now. */
+  #orderAllowance = 0
 
   constructor(private readonly opts: DemandBurstsOptions) {
     this.#random = seededRandom(opts.seed)
-    this.#burstMs = opts.burstMs ?? 8_500
+    this.#load = opts.load ?? smallLoad
+    this.#burstMs = opts.burstMs ?? this.#load.burstMs
     for (const [i, pool] of this.#pools.entries()) {
       this.#queues.set(pool, {
         name: pool,
@@ -151,15 +262,17 @@
       })
     }
     for (const pool of [...this.#pools, spare]) {
-      for (let n = 0; n < 8; n++) {
+      const count = pool === spare ? this.#load.spareMachines : this.#load.poolMachines
+      for (let n = 0; n < count; n++) {
         this.#machines.push({
           id: `${pool}${n}`,
+          rack: Math.floor(this.#machines.length / this.#load.machinesPerRack),
           pool,
           to: undefined,
           readyAt: 0,
           isLent: false,
           idleSince: pool === spare ? undefined : 0,
-          free: { ...capacity },
+          free: { ...this.#load.capacity },
           tasks: new Map(),
         })
       }
@@ -168,14 +281,20 @@
   }
 
   run(): DemandBurstsResult {
+    const { tickMs, lengthMs, busyPauseMs, maxMoves, ordersPerS } = this.#load
     let nextMovesAt = 0
     for (; this.#now < lengthMs + 6_000; this.#now += tickMs) {
       if (this.#now < lengthMs) this.#submitArrivals()
       this.#endTasks()
+      if (this.#now === this.opts.crash?.at) this.#crashRack()
+      this.#orderAllowance = Math.min(
+        maxMoves,
+        this.#orderAllowance + (ordersPerS * tickMs) / 1_000,
+      )
       const waiting = this.#startTasks()
       if (this.#now >= nextMovesAt) {
         const isBusy = this.#moveMachines(waiting)
-        nextMovesAt = this.#now + (isBusy ? 250 : (this.opts.idlePauseMs ?? tickMs))
+        nextMovesAt = this.#now + (isBusy ? busyPauseMs : (this.opts.idlePauseMs ?? tickMs))
       }
       if (this.#now < lengthMs) {
         const paid = this.#machines.filter(({ pool, to }) => pool !== spare || to !== undefined)
@@ -186,12 +305,16 @@
   }
 
   #submitArrivals(): void {
-    const burstIndex = Math.floor(this.#now / this.#burstMs) % this.#pools.length
-    for (const [i, kind] of this.#kinds.entries()) {
-      const perS =
-        kind.jobsPerS * (i === burstIndex ? 4 - 3 * demandOutsideBurst : demandOutsideBurst)
-      if (this.#random() < (perS * tickMs) / 1_000)
-        this.#submitRandomJob(this.#pools[i] ?? '', kind)
+    const { kinds, tickMs, demandInBurst } = this.#load
+    const burstIndex =
+      this.opts.burstAt === undefined
+        ? Math.floor(this.#now / this.#burstMs) % this.#pools.length
+        : this.opts.burstAt(this.#now)
+    for (const [i, kind] of kinds.entries()) {
+      const perS = kind.jobsPerS * (i === burstIndex ? demandInBurst : demandOutsideBurst)
+      let count = (perS * tickMs) / 1_000
+      for (; count >= 1; count--) this.#submitRandomJob(this.#pools[i] ?? '', kind)
+      if (this.#random() < count) this.#submitRandomJob(this.#pools[i] ?? '', kind)
     }
   }
 
@@ -215,10 +338,8 @@
   }
 
   #submitLasting(pool: string): void {
-    const amounts = { cpuMillis: 1_300, memoryMb: 4_500, accelerators: 0 }
-    this.#submitJob(pool, [
-      { count: 5, amounts, estimateMs: 1_000, isLasting: true, maxPerRunner: 1 },
-    ])
+    const { lasting } = this.#load
+    this.#submitJob(pool, [{ ...lasting, estimateMs: 1_000, isLasting: true }])
   }
 
   #submitJob(pool: string, steps: Step[]): void {
@@ -226,6 +347,27 @@
     const job = new JobExecution({ id, queue: pool, payload: '', steps, acceptedAt: this.#now })
     job.openDueOccurrences(this.#now)
     this.#jobs.set(id, job)
+    if (steps[0]?.isLasting === true) return
+    const { capacity } = this.#load
+    let coreMs = 0
+    for (const { count, amounts, estimateMs } of steps)
+      coreMs += (largestFraction(amounts, capacity) * capacity.cpuMillis * count * estimateMs) / 1e3
+    const pathMs = steps.reduce((sum, { estimateMs }) => sum + estimateMs, 0)
+    this.opts.forecast?.(this.#now).noteAccepted({ pool, coreMs, pathMs, at: this.#now })
+  }
+
+  #crashRack(): void {
+    for (const machine of this.#machines) {
+      if (machine.rack !== this.opts.crash?.rack) continue
+      for (const task of machine.tasks.keys()) task.step.job.abandonRun(task)
+      machine.tasks.clear()
+      machine.free = { ...this.#load.capacity }
+    }
+  }
+
+  #isCrashed({ rack }: SimulatedMachine): boolean {
+    const { crash } = this.opts
+    return rack === crash?.rack && this.#now >= crash.at && this.#now < crash.until
   }
 
   #randomFactor(sigma: number): number {
@@ -274,8 +416,12 @@
   #startTasks(): Map<string, Amounts> {
     const steps = [...this.#jobs.values()].flatMap(job => job.startableSteps())
     const byId = new Map(this.#machines.map(machine => [machine.id, machine]))
-    const available = this.#machines.filter(({ pool, to }) => pool !== spare && to === undefined)
-    const state = { steps, queues: this.#queues, runners: available.map(asOpenRunner) }
+    const available = this.#machines.filter(
+      machine => machine.pool !== spare && machine.to === undefined && !this.#isCrashed(machine),
+    )
+    const { capacity } = this.#load
+    const runners = available.map(machine => asOpenRunner(machine, capacity))
+    const state = { steps, queues: this.#queues, runners }
     const allowance = new Map<string, Amounts>()
     const times = this.#runTimes
     const starts = chooseStarts({
@@ -311,27 +457,24 @@
 
   #moveMachines(waiting: ReadonlyMap<string, Amounts>): boolean {
     const moving = this.#machines.filter(({ to }) => to !== undefined)
+    const { capacity } = this.#load
     const moves = (this.opts.planMoves ?? planPoolMoves)({
       machines: this.#machines
         .filter(({ to }) => to === undefined)
-        .map(({ id, pool, isLent, idleSince }) => ({
-          id,
-          pool,
+        .map(machine => ({
+          id: machine.id,
+          pool: machine.pool,
           capacity,
-          isLent,
+          isLent: machine.isLent,
           isZoneWithdrawn: false,
-          idleSince,
+          idleSince: machine.idleSince,
+          isLost: this.#isCrashed(machine),
         })),
-      pools: [...this.#pools, spare].map(name => ({
-        name,
-        isSpare: name === spare,
-        waiting: waiting.get(name) ?? noAmounts,
-        arrivingCount: moving.filter(({ to }) => to === name).length,
-        upCount: this.#machines.filter(({ pool, to }) => pool === name && to === undefined).length,
-      })),
+      pools: [...this.#pools, spare].map(name => this.#poolLoad(name, waiting)),
       now: this.#now,
-      maxMoves: 16,
+      maxMoves: Math.floor(this.#orderAllowance),
     })
+    this.#orderAllowance -= moves.length
     for (const { machine: id, to } of moves) {
       const machine = this.#machines.find(each => each.id === id)
       if (machine === undefined || machine.tasks.size > 0) continue
@@ -343,6 +486,43 @@
     return waiting.size > 0 || moving.length + moves.length > 0
   }
 
+  #poolLoad(name: string, waiting: ReadonlyMap<string, Amounts>): PoolLoad {
+    const inPool = this.#machines.filter(({ pool, to }) => pool === name && to === undefined)
+    const load: PoolLoad = {
+      name,
+      isSpare: name === spare,
+      waiting: waiting.get(name) ?? noAmounts,
+      arrivingCount: this.#machines.filter(({ to }) => to === name).length,
+      upCount: inPool.length,
+    }
+    const now = this.#now
+    const forecast = this.opts.forecast?.(now)
+    if (forecast === undefined || name === spare) return load
+    const arrivesAt = now + moveMs
+    const asAmounts = (cores: number) => ({ ...noAmounts, cpuMillis: 1_000 * cores })
+    const lasting = { ...noAmounts }
+    const running = { ...noAmounts }
+    const ending = { ...noAmounts }
+    for (const { tasks } of inPool) {
+      for (const [task, endsAt] of tasks) {
+        const { definition } = task.step
+        addAmounts(definition.isLasting === true ? lasting : running, definition.amounts)
+        // The end that the declared estimate lets expect, as the true one is not known.
+        const expectedEnd = endsAt - this.#workMs(task) + definition.estimateMs
+        if (expectedEnd <= arrivesAt) addAmounts(ending, definition.amounts)
+      }
+    }
+    return {
+      ...load,
+      usableCount: inPool.filter(machine => !this.#isCrashed(machine)).length,
+      expected: asAmounts(forecast.expected(name, arrivesAt, arrivesAt + expectedSpanMs, now)),
+      expectedPeak: asAmounts(forecast.expectedPeak(name, now, arrivesAt + 2_600, now)),
+      lasting,
+      running,
+      ending,
+    }
+  }
+
   #result(): DemandBurstsResult {
     // Jobs that have not ended when the simulation ends earn no credit.
     for (const job of this.#jobs.values()) {
@@ -350,7 +530,7 @@
       this.#ended.push({ at: job.definition.acceptedAt, credit: 0, work: workOf(job) })
     }
     const windows: number[] = []
-    for (let at = 0; at < lengthMs; at += 2_000) {
+    for (let at = 0; at < this.#load.lengthMs; at += 2_000) {
       const inside = this.#ended.filter(job => job.at >= at && job.at < at + 2_000)
       if (inside.length > 3) windows.push(creditFractionOf(inside))
     }
@@ -387,7 +567,10 @@
   return work + 8
 }
 
-function asOpenRunner({ id, pool, free, tasks, isLent }: SimulatedMachine): AvailableRunner {
+function asOpenRunner(
+  { id, pool, free, tasks, isLent }: SimulatedMachine,
+  capacity: Amounts,
+): AvailableRunner {
   const tasksByStep = new Map<string, number>()
   for (const task of tasks.keys()) {
     const name = task.step.name
--- a/packages/scheduler/src/plan-pool-moves.ts
+++ b/packages/scheduler/src/plan-pool-moves.ts
@@ -1,4 +1,4 @@
-import { largestFraction, type Amounts } from './amounts.js'
+import { addAmounts, largestFraction, noAmounts, type Amounts } from './amounts.js'
 
 /** A machine that may move to another pool, as input of {@link planPoolMoves}. */
 export interface MovableMachine {
@@ -80,6 +80,12 @@
  */
 const donateAfterMs = 300
 
+/**
+ * The same time for a machine that its pool does not need by its forecast, in milliseconds. The gap
+ * between two steps of a job matters less there, as other machines have room for the next step.
+ */
+const donateSurplusAfterMs = 50
+
 /**
  * Number of machines that a pool keeps. Lasting steps are taken to have about five tasks; on fewer
  * machines two of them would share one, whose upkeep would then stop more tasks than may be
@@ -88,97 +94,168 @@
 const minPoolMachines = 5
 
 /**
- * Number of machines ordered for the waiting work of a pool, as a multiple of those that the work
- * would fill, because demand still rises while they are on their way. In the simulation
- * `__tests__/demand-bursts.ts`, the jobs earn 0.948 of the possible credit with 1.6, and 0.920 with
- * 1.0; late jobs earn little or none.
+ * Number of machines ordered for the waiting work of a pool without a forecast, as a multiple of
+ * those that the work would fill, because demand still rises while they are on their way. In the
+ * simulation `__tests__/demand-bursts.ts`, the jobs earn 0.948 of the possible credit with 1.6, and
+ * 0.920 with 1.0; late jobs earn little or none.
  */
 const overprovisionFactor = 1.6
 
+/**
+ * Number of machines for the expected work of a pool, as a multiple of those that it would fill.
+ * Tasks do not fill machines completely, and jobs arrive unevenly within a burst.
+ */
+const headroomFactor = 1.2
+
 /**
  * Plans which machines change their pool when bursts of demand reach one pool after another. A pool
- * with waiting work gets idle lent machines of other pools first, then spare ones, then idle
- * machines of other pools that are not lent. Machines that stay idle, lent or not, go to the spare
- * pool, where they are off and cost nothing; each pool keeps {@link minPoolMachines}.
+ * that will be short when a machine ordered now arrives gets idle machines that their own pool does
+ * not need: first lent ones, then those of pools whose burst has ended by the forecast, then spare
+ * ones, then other idle machines. Machines that stay idle, lent or not, go to the spare pool, where
+ * they are off and cost nothing; each pool keeps {@link minPoolMachines}.
  *
  * @example
  * for (const { machine, to } of planPoolMoves(input)) await order(machine, to)
  */
 export function planPoolMoves(input: PoolMoveInput): PoolMove[] {
-  const { machines, pools, maxMoves } = input
-  const moves: PoolMove[] = []
-  const movedIds = new Set<string>()
-  /** Number of machines that are up in each pool and are not planned to move. */
-  const remaining = new Map(pools.map(({ name, upCount }) => [name, upCount]))
-  const addMove = ({ id, pool }: MovableMachine, to: string): void => {
-    movedIds.add(id)
-    remaining.set(pool, (remaining.get(pool) ?? 0) - 1)
-    moves.push({ machine: id, to })
+  return new MovePlan(input).plan()
+}
+
+class MovePlan {
+  readonly #input: PoolMoveInput
+  readonly #pools: ReadonlyMap<string, PoolLoad>
+  readonly #moves: PoolMove[] = []
+  readonly #movedIds = new Set<string>()
+  /** Number of machines that each pool may still give away. */
+  readonly #givable = new Map<string, number>()
+  readonly #machineSize: Amounts | undefined
+
+  constructor(input: PoolMoveInput) {
+    this.#input = input
+    this.#pools = new Map(input.pools.map(pool => [pool.name, pool]))
+    // All machines are taken to be as large as the first one.
+    this.#machineSize = input.machines[0]?.capacity
+    for (const pool of input.pools) this.#givable.set(pool.name, this.#givableCount(pool))
   }
-  const spare = pools.find(({ isSpare }) => isSpare)
-  const shortPools = pools
-    .map(pool => ({ pool, shortage: machineShortage(pool, machines) }))
-    .filter(({ shortage }) => shortage > 0)
-    .sort((a, b) => b.shortage - a.shortage)
-  for (const { pool, shortage } of shortPools) {
-    for (let count = 0; count < shortage && moves.length < maxMoves; count++) {
-      const donor = chooseDonor(input, pool, movedIds)
-      if (donor === undefined) break
-      addMove(donor, pool.name)
+
+  plan(): PoolMove[] {
+    const { pools, machines, maxMoves } = this.#input
+    const shortPools = pools
+      .map(pool => ({ pool, shortage: this.#shortageOf(pool) }))
+      .filter(({ shortage }) => shortage > 0)
+      .sort((a, b) => b.shortage - a.shortage)
+    for (const { pool } of shortPools) this.#givable.set(pool.name, 0)
+    for (const { pool, shortage } of shortPools) {
+      for (let count = 0; count < shortage && this.#moves.length < maxMoves; count++) {
+        const donor = this.#chooseDonor(pool)
+        if (donor === undefined) break
+        this.#addMove(donor, pool.name)
+      }
     }
+    const spare = pools.find(({ isSpare }) => isSpare)
+    if (spare === undefined) return this.#moves
+    const shortNames = new Set(shortPools.map(({ pool }) => pool.name))
+    for (const machine of machines) {
+      if (this.#moves.length >= maxMoves) break
+      const isCandidate = machine.pool !== spare.name && !shortNames.has(machine.pool)
+      if (isCandidate && this.#canLeave(machine) && this.#isIdleFor(machine, switchOffAfterMs))
+        this.#addMove(machine, spare.name)
+    }
+    return this.#moves
   }
-  if (spare === undefined) return moves
-  const shortNames = new Set(shortPools.map(({ pool }) => pool.name))
-  for (const machine of machines) {
-    const { id, pool } = machine
-    if (moves.length >= maxMoves) break
-    if (movedIds.has(id) || pool === spare.name || shortNames.has(pool)) continue
-    if ((remaining.get(pool) ?? 0) <= minPoolMachines) continue
-    if (isIdleFor(machine, input.now, switchOffAfterMs)) addMove(machine, spare.name)
+
+  #addMove({ id, pool }: MovableMachine, to: string): void {
+    this.#movedIds.add(id)
+    this.#givable.set(pool, (this.#givable.get(pool) ?? 0) - 1)
+    this.#moves.push({ machine: id, to })
   }
-  return moves
-}
 
-/**
- * Number of machines that the waiting work of a pool needs beyond those on their way. All machines
- * are taken to be as large as the first one.
- */
-function machineShortage(pool: PoolLoad, machines: readonly MovableMachine[]): number {
-  if (pool.isSpare) return 0
-  const [sample] = machines
-  if (sample === undefined) return 0
-  const waiting = largestFraction(pool.waiting, sample.capacity)
-  return Math.ceil(overprovisionFactor * waiting) - pool.arrivingCount
-}
+  /** Number of machines that fill a pool, in fractions of a machine. */
+  #machinesFor(...amounts: (Amounts | undefined)[]): number {
+    const sum = { ...noAmounts }
+    for (const each of amounts) if (each !== undefined) addAmounts(sum, each)
+    return this.#machineSize === undefined ? 0 : largestFraction(sum, this.#machineSize)
+  }
 
-/**
- * Chooses the machine that a pool gets next. An idle lent machine of another pool comes first;
- * otherwise it would be switched off while a spare one is switched on. A machine of another pool
- * that is not lent comes last, because that pool will need it in its next burst.
- */
-function chooseDonor(
-  { machines, pools, now }: PoolMoveInput,
-  to: PoolLoad,
-  movedIds: ReadonlySet<string>,
-): MovableMachine | undefined {
-  const candidates = machines.filter(
-    ({ id, isZoneWithdrawn }) => !isZoneWithdrawn && !movedIds.has(id),
-  )
-  const poolOf = ({ pool }: MovableMachine) => pools.find(({ name }) => name === pool)
-  const canDonate = (machine: MovableMachine): boolean => {
-    const pool = poolOf(machine)
-    if (pool === undefined || pool.isSpare || pool.name === to.name) return false
-    if (pool.upCount <= minPoolMachines || largestFraction(pool.waiting, machine.capacity) > 0)
-      return false
-    return isIdleFor(machine, now, donateAfterMs)
+  /** Number of machines that a pool needs beyond those that it has and those on their way. */
+  #shortageOf(pool: PoolLoad): number {
+    const { waiting, arrivingCount, expected } = pool
+    if (pool.isSpare) return 0
+    const waitingMachines = this.#machinesFor(waiting)
+    if (expected === undefined)
+      return Math.ceil(overprovisionFactor * waitingMachines) - arrivingCount
+    const usable = usableCountOf(pool)
+    const needed = this.#neededMachines(pool, expected)
+    // A task may need a machine of its own, for example a lasting one, however empty the pool is.
+    const least = waitingMachines > 0 ? 1 - arrivingCount : 0
+    return Math.max(Math.ceil(needed) - usable - arrivingCount, least)
+  }
+
+  /**
+   * Number of machines that a pool needs for its lasting tasks and for the larger of two amounts of
+   * finite work: what is expected by the forecast, or what stands already and will not have ended.
+   */
+  #neededMachines({ waiting, lasting, running, ending }: PoolLoad, expected: Amounts): number {
+    const standing = this.#machinesFor(running, waiting) - this.#machinesFor(ending)
+    const finite = Math.max(this.#machinesFor(expected), standing)
+    return this.#machinesFor(lasting) + headroomFactor * finite
+  }
+
+  #givableCount(pool: PoolLoad): number {
+    if (pool.isSpare) return Number.POSITIVE_INFINITY
+    const kept = Math.max(minPoolMachines, this.#keptCount(pool))
+    return usableCountOf(pool) - kept
+  }
+
+  /** Number of machines that the forecast of a pool needs until a machine switched off pays off. */
+  #keptCount(pool: PoolLoad): number {
+    const peak = pool.expectedPeak ?? pool.expected
+    return peak === undefined ? 0 : Math.ceil(this.#neededMachines(pool, peak))
+  }
+
+  /**
+   * Chooses the machine that a pool gets next. An idle lent machine of another pool comes first;
+   * otherwise it would be switched off while a spare one is switched on. So would an idle machine of
+   * a pool whose burst has ended. An idle machine of a pool without a forecast that is not lent comes
+   * last, because that pool will need it in its next burst.
+   */
+  #chooseDonor(to: PoolLoad): MovableMachine | undefined {
+    const isSpare = ({ pool }: MovableMachine) => this.#pools.get(pool)?.isSpare === true
+    const canGive = (machine: MovableMachine) =>
+      machine.pool !== to.name && this.#canDonate(machine)
+    const candidates = this.#input.machines.filter(
+      machine => !machine.isZoneWithdrawn && this.#canLeave(machine),
+    )
+    return (
+      candidates.find(machine => machine.isLent && canGive(machine)) ??
+      candidates.find(machine => this.#hasForecast(machine.pool) && canGive(machine)) ??
+      candidates.find(isSpare) ??
+      candidates.find(canGive)
+    )
+  }
+
+  #canDonate(machine: MovableMachine): boolean {
+    const pool = this.#pools.get(machine.pool)
+    if (pool === undefined || pool.isSpare) return false
+    if (this.#hasForecast(pool.name)) return this.#isIdleFor(machine, donateSurplusAfterMs)
+    return this.#machinesFor(pool.waiting) === 0 && this.#isIdleFor(machine, donateAfterMs)
+  }
+
+  /** Whether a machine can move at all and its pool keeps enough others. */
+  #canLeave({ id, pool, isLost }: MovableMachine): boolean {
+    if (isLost === true || this.#movedIds.has(id)) return false
+    return (this.#givable.get(pool) ?? 0) > 0
+  }
+
+  #hasForecast(pool: string): boolean {
+    return this.#pools.get(pool)?.expected !== undefined
+  }
+
+  #isIdleFor({ idleSince }: MovableMachine, ms: number): boolean {
+    return idleSince !== undefined && this.#input.now - idleSince >= ms
   }
-  return (
-    candidates.find(machine => machine.isLent && canDonate(machine)) ??
-    candidates.find(machine => poolOf(machine)?.isSpare === true) ??
-    candidates.find(canDonate)
-  )
 }
 
-function isIdleFor({ idleSince }: MovableMachine, now: number, ms: number): boolean {
-  return idleSince !== undefined && now - idleSince >= ms
+function usableCountOf({ usableCount, upCount }: PoolLoad): number {
+  return usableCount ?? upCount
 }
