feat(dispatcher): plan the moves of machines by the forecast of demand

Cause: a pool got machines for the work that waited, after its burst had begun and 1.5 to 2 s late. Change: jobs that are loaded feed the forecast; the planner gets what is expected when a machine ordered now arrives, what runs and what will have ended, and which machines are lost. The forecast is kept in the store and read at a takeover. Review: bounded balance of the order rate, moves that failed are forgotten, reads of the list stay under the stated rate.

--- a/bench/job-size.ts
+++ b/bench/job-size.ts
@@ -48,6 +48,7 @@
   pollWaitMs: 1_000,
   suspendedMs: 2_000,
   machineOrderGapMs: 0,
+  moveMs: 1_500,
   upkeepMs: 2_000,
   statusKeptMs: 120_000,
 }
--- a/packages/dispatcher/__tests__/fixture.ts
+++ b/packages/dispatcher/__tests__/fixture.ts
@@ -34,6 +34,7 @@
   pollWaitMs: 40,
   suspendedMs: 200,
   machineOrderGapMs: 0,
+  moveMs: 20,
   upkeepMs: 20,
   statusKeptMs: 1_000,
 }
--- a/packages/dispatcher/src/dispatcher.ts
+++ b/packages/dispatcher/src/dispatcher.ts
@@ -38,6 +38,8 @@
   suspendedMs: number
   /** Least time between the orders that two dispatchers send for the same machine; not a lease. */
   machineOrderGapMs: number
+  /** Duration of a machine's move to another pool. */
+  moveMs: number
   /** Duration of a machine's upkeep. */
   upkeepMs: number
   /** How long the status of an ended job can be queried. */
--- a/packages/dispatcher/src/job-tracker.ts
+++ b/packages/dispatcher/src/job-tracker.ts
@@ -6,6 +6,7 @@
   maxCrashes,
   partOf,
   trustedRunMs,
+  type JobDefinition,
   type ReportedEnd,
   type Task,
 } from '@bulrushbridge/scheduler'
@@ -29,6 +30,8 @@
   ctx: TermContext
   /** Opens the session of a runner that is not registered. */
   openSession: (runnerId: string) => RunnerSession
+  /** Called for each job that was loaded. */
+  onJobLoaded: (job: JobDefinition) => void
   /** Called for each job that ended and was removed from memory. */
   onJobForgotten: (jobId: string) => void
 }
@@ -42,6 +45,7 @@
   readonly earlierProgress: EarlierProgress = new Map()
   readonly #ctx: TermContext
   readonly #openSession: (runnerId: string) => RunnerSession
+  readonly #onJobLoaded: (job: JobDefinition) => void
   readonly #onJobForgotten: (jobId: string) => void
   readonly #endContext: EndContext
   readonly #loader: JobLoader
@@ -53,9 +57,10 @@
   /** Jobs that ended recently, with the time at which they were removed from memory. */
   readonly #recentlyEnded = new Map<string, number>()
 
-  constructor({ ctx, openSession, onJobForgotten }: JobTrackerOptions) {
+  constructor({ ctx, openSession, onJobLoaded, onJobForgotten }: JobTrackerOptions) {
     this.#ctx = ctx
     this.#openSession = openSession
+    this.#onJobLoaded = onJobLoaded
     this.#onJobForgotten = onJobForgotten
     this.#loader = createJobLoader({
       ...ctx.opts,
@@ -120,6 +125,7 @@
     const ageMs = Date.now() - acceptedAt
     const { status } = job
     this.#ctx.opts.log.info('job loaded', { job: id, queue, organisation, status, ageMs, chunks })
+    this.#onJobLoaded(definition)
     this.#ctx.requestPass()
     if (this.#cancelledEarly.delete(id)) this.#cancel(id)
   }
--- a/packages/dispatcher/src/machine-context.ts
+++ b/packages/dispatcher/src/machine-context.ts
@@ -3,6 +3,7 @@
 import type { Logger, Metrics } from '@bulrushbridge/telemetry'
 import type { DispatcherTiming } from './dispatcher.js'
 import type { MachineOrderRate } from './machine-order-rate.js'
+import type { PoolDemand } from './pool-demand.js'
 import type { RunnerSession } from './runner-session.js'
 
 /** What the machine controller and its components work with. */
@@ -22,6 +23,8 @@
   view: OperatorView
   sessions: ReadonlyMap<string, RunnerSession>
   waveStatusRow: (wave: number, state: 'running' | 'completed') => Write
+  /** What the pools are expected to need. */
+  demand: Pick<PoolDemand, 'loadOf' | 'storeIfDue'>
   /** Sum of the amounts of a pool's startable tasks for which the last pass found no runner. */
   waitingAmounts: (pool: string) => Amounts
   /**
--- a/packages/dispatcher/src/machine-controller.ts
+++ b/packages/dispatcher/src/machine-controller.ts
@@ -14,6 +14,15 @@
 /** Least time between the starts of two rounds that follow a change of demand, in milliseconds. */
 const minRoundIntervalMs = 100
 
+/** Pause after a list of the machines that failed, in milliseconds. */
+const failedListPauseMs = 400
+
+/** Reads of the list that are made a second if the platform states no rate. */
+const defaultMachineListsPerSecond = 8
+
+/** Machines that the platform puts on one page of the list. */
+const machinesPerPage = 200
+
 /** Longest pause between two control rounds while there is nothing to do, in milliseconds. */
 const idlePauseMs = 1_000
 
@@ -51,6 +60,8 @@
   readonly #closing = new AbortController()
   readonly #loopDone: Promise<void>
   readonly #idlePause = new IdlePause()
+  /** Least time between the starts of two rounds, in milliseconds. */
+  #minIntervalMs = minRoundIntervalMs
   /** The last round left something to do. */
   #isBusy = false
   readonly #orderRecord: MachineOrderRecord
@@ -74,10 +85,8 @@
   }
 
   async #roundLoop(): Promise<void> {
-    const { machineListsPerSecond = Infinity } = this.#opts
-    const minIntervalMs = Math.max(minRoundIntervalMs, 1_000 / machineListsPerSecond)
     while (!this.#isClosed()) {
-      const nextAt = performance.now() + minIntervalMs
+      const startedAt = performance.now()
       this.#isBusy = false
       try {
         if (!this.#opts.isInactive()) this.#isBusy = await this.#runRound()
@@ -86,7 +95,7 @@
       }
       if (this.#isClosed()) return
       await this.#idlePause.wait(this.#isBusy ? roundPauseMs : idlePauseMs)
-      const earlyMs = nextAt - performance.now()
+      const earlyMs = startedAt + this.#minIntervalMs - performance.now()
       if (earlyMs > 0) await wait(systemClock, earlyMs, this.#closing.signal)
     }
   }
@@ -95,6 +104,13 @@
     return this.#closing.signal.aborted
   }
 
+  /** Each page of a list counts against the rate that the platform states; half of it is used. */
+  #intervalFor(machineCount: number): number {
+    const { machineListsPerSecond = defaultMachineListsPerSecond } = this.#opts
+    const pages = Math.max(1, Math.ceil(machineCount / machinesPerPage))
+    return Math.max(minRoundIntervalMs, (pages * 2_000) / machineListsPerSecond)
+  }
+
   /** Runs one round; returns whether the next one should follow soon. */
   async #runRound(): Promise<boolean> {
     const waves = await this.#waves.incompleteWaves()
@@ -107,8 +123,10 @@
     const result = await this.#opts.machines.list()
     if (result.outcome !== 'done') {
       this.#opts.log.warn('listing the machines failed', { reason: result.reason })
+      this.#minIntervalMs = failedListPauseMs
       return true
     }
+    this.#minIntervalMs = this.#intervalFor(result.value.length)
     if (this.#opts.isInactive()) return true
     this.#giveUpLostRunners(lostRunners, result.value, listRequestedAt)
     for (const wave of waves) {
@@ -116,6 +134,7 @@
     }
     await this.#moves.advance(result.value, listRequestedAt, this.#waves)
     await this.#orderRecord.removeOutdated()
+    await this.#opts.demand.storeIfDue()
     return waves.length + lostRunners.length > 0 || this.#moves.isBusy
   }
 
--- a/packages/dispatcher/src/machine-order-rate.ts
+++ b/packages/dispatcher/src/machine-order-rate.ts
@@ -7,8 +7,11 @@
  */
 const usedShare = 0.8
 
-/** Orders that were not sent are saved up for this long, in milliseconds. */
-const maxSavedMs = 1_000
+/**
+ * Unused capacity accumulates for at most this long, in milliseconds. With a fifth of the rate unused,
+ * the orders of any second stay within the stated rate.
+ */
+const maxSavedMs = 250
 
 /** Rejections within this time count as one, because orders are sent in groups; in milliseconds. */
 const rejectionWindowMs = 250
@@ -50,19 +53,23 @@
     return Math.max(0, Math.floor(this.#saved))
   }
 
-  /** Counts orders that are sent. Repeated orders are sent in any case, so the account may go negative. */
+  /**
+   * Counts orders that are sent. Repeated orders are sent in any case, so the balance may become negative,
+   * by at most the orders of a second; otherwise no new order would follow for a long time.
+   */
   take(count: number, now: number): void {
     this.#update(now)
-    this.#saved -= count
+    this.#saved = Math.max(-this.#perMs * 1_000, this.#saved - count)
   }
 
-  /** Halves the rate after the platform has rejected orders, for example with 429. */
-  noteRejected(now: number): void {
+  /** Halves the rate after the platform has rejected orders, for example with 429; returns whether it did. */
+  noteRejected(now: number): boolean {
     this.#update(now)
-    if (now - this.#rejectedAt < rejectionWindowMs) return
+    if (now - this.#rejectedAt < rejectionWindowMs) return false
     this.#rejectedAt = now
     this.#factor = Math.max(minFactor, this.#factor / 2)
     this.#saved = Math.min(this.#saved, 0)
+    return true
   }
 
   get #capacity(): number {
--- /dev/null
+++ b/packages/dispatcher/src/pool-demand.ts
@@ -0,0 +1,189 @@
+import {
+  addAmounts,
+  createDemandForecast,
+  criticalPathMs,
+  demandForecastSchema,
+  largestFraction,
+  noAmounts,
+  type Amounts,
+  type DemandForecast,
+  type JobDefinition,
+  type PoolLoad,
+} from '@bulrushbridge/scheduler'
+import type { Check } from '@bulrushbridge/store'
+import type { Allocation } from './allocation.js'
+import { queuesOf, type TermContext } from './term-context.js'
+
+/** Table and key of the row with what the forecast has learned. */
+const forecastTable = 'machines'
+const forecastKey = 'forecast'
+
+/** Least time between two writes of the row, in milliseconds. */
+const storeIntervalMs = 2_000
+
+/**
+ * Time from the end of a move until the new runner is registered, listed and has answered a poll, in
+ * milliseconds.
+ */
+const registrationMs = 400
+
+/** Span after the arrival of a machine in which it should have work, in milliseconds. */
+const neededForMs = 1_000
+
+/**
+ * Time for which a machine must stay idle for a move to the spare pool and back to pay off, in
+ * milliseconds; two moves cost as much.
+ */
+const switchOffPayoffMs = 2_600
+
+/**
+ * Difference between the time of a job's acceptance and this host's clock above which the latter is
+ * used, in milliseconds. The clocks of hosts differ, and may jump.
+ */
+const maxClockDifferenceMs = 2_000
+
+/** What a pool is expected to need, and what runs there, as {@link PoolLoad} has it. */
+export type PoolDemandLoad = Pick<
+  PoolLoad,
+  'expected' | 'expectedPeak' | 'lasting' | 'running' | 'ending'
+>
+
+/**
+ * The demand of pools in one term, for bursts that are shorter than a few moves of machines. Feeds the
+ * forecast with the jobs that are loaded, and keeps what it learns in the store.
+ */
+export class PoolDemand {
+  readonly #ctx: TermContext
+  readonly #leaseCheck: Check
+  #forecast: DemandForecast = createDemandForecast()
+  #isTakeoverComplete = false
+  #storedAt = performance.now()
+  #hasChanged = false
+  #hasNewJobs = false
+  /** Beginnings of the bursts that are known to be under way, in Unix milliseconds, by pool. */
+  readonly #burstsSince = new Map<string, number>()
+
+  constructor(ctx: TermContext, leaseCheck: Check) {
+    this.#ctx = ctx
+    this.#leaseCheck = leaseCheck
+  }
+
+  /** Reads what earlier dispatchers learned; a row that cannot be decoded counts as absent. */
+  async load(): Promise<void> {
+    const { store, log } = this.#ctx.opts
+    const row = await store.read(forecastTable, forecastKey)
+    if (row === undefined) return
+    const parsed = demandForecastSchema.safeParse(row.value)
+    if (parsed.success) this.#forecast = createDemandForecast(parsed.data)
+    else log.warn('stored demand forecast has an invalid format', { key: forecastKey })
+  }
+
+  /** From now on jobs are loaded as they are accepted. */
+  completeTakeover(): void {
+    this.#isTakeoverComplete = true
+  }
+
+  /** Adds the finite work of a job that was loaded. */
+  noteLoaded({ queue, steps, schedule, acceptedAt }: JobDefinition): void {
+    const pool = queuesOf(this.#ctx).get(queue)?.pool
+    // The occurrences of a job with a schedule are spread over time.
+    if (pool === undefined || schedule !== undefined) return
+    const machineSize = this.#machineSize(pool)
+    if (machineSize === undefined) return
+    const { runTimes } = this.#ctx
+    let coreMs = 0
+    for (const { isLasting, amounts, count, estimateMs } of steps) {
+      if (isLasting === true) continue
+      const cores = (largestFraction(amounts, machineSize) * machineSize.cpuMillis) / 1_000
+      coreMs += cores * count * runTimes.estimateMs(queue, estimateMs)
+    }
+    if (coreMs === 0) return
+    const now = Date.now()
+    const isClockOff = Math.abs(now - acceptedAt) > maxClockDifferenceMs
+    const at = this.#isTakeoverComplete && isClockOff ? now : acceptedAt
+    const pathMs = criticalPathMs(steps, step => runTimes.estimateMs(queue, step.estimateMs))
+    this.#forecast.noteAccepted({ pool, coreMs, at, pathMs })
+    this.#hasChanged = true
+    this.#hasNewJobs = true
+  }
+
+  /** Whether a burst of demand has begun since the last call. */
+  hasRisen(): boolean {
+    if (!this.#hasNewJobs) return false
+    this.#hasNewJobs = false
+    const wallNow = Date.now()
+    let hasRisen = false
+    for (const pool of this.#ctx.opts.view.configuration()?.pools ?? []) {
+      const since = this.#forecast.burstSince(pool.name, wallNow)
+      const isKnown = since === undefined || this.#burstsSince.has(pool.name)
+      if (!isKnown) hasRisen = true
+      if (since === undefined) this.#burstsSince.delete(pool.name)
+      else this.#burstsSince.set(pool.name, since)
+    }
+    return hasRisen
+  }
+
+  /** What the pools need when a machine that is ordered now arrives. */
+  loadOf(pool: string): PoolDemandLoad {
+    const wallNow = Date.now()
+    const moveMs = this.#ctx.opts.timing.moveMs + registrationMs
+    const arrivesAt = wallNow + moveMs
+    const forecast = this.#forecast
+    const expected = forecast.expected(pool, arrivesAt, arrivesAt + neededForMs, wallNow)
+    const payoffAt = arrivesAt + switchOffPayoffMs
+    const peak = forecast.expectedPeak(pool, wallNow, payoffAt, wallNow)
+    return {
+      expected: toAmounts(expected),
+      expectedPeak: toAmounts(Math.max(expected, peak)),
+      ...this.#runningWork(pool, performance.now() + moveMs),
+    }
+  }
+
+  /** Stores what was learned, at a low rate; a failed check means that the term is over. */
+  async storeIfDue(): Promise<void> {
+    const now = performance.now()
+    if (!this.#hasChanged || now - this.#storedAt < storeIntervalMs) return
+    this.#storedAt = now
+    this.#hasChanged = false
+    const row = { table: forecastTable, key: forecastKey, value: this.#forecast.encode() }
+    await this.#ctx.opts.store.commit({ checks: [this.#leaseCheck], writes: [row] })
+  }
+
+  #runningWork(pool: string, arrivesAt: number): Pick<PoolLoad, 'lasting' | 'running' | 'ending'> {
+    const lasting = { ...noAmounts }
+    const running = { ...noAmounts }
+    const ending = { ...noAmounts }
+    for (const session of this.#ctx.sessions.values()) {
+      if (session.entry?.pool !== pool) continue
+      for (const allocation of session.allocations.values()) {
+        const { task, amounts } = allocation
+        if (task?.step.definition.isLasting === true) addAmounts(lasting, amounts)
+        else {
+          addAmounts(running, amounts)
+          if (this.#expectedEnd(allocation) < arrivesAt) addAmounts(ending, amounts)
+        }
+      }
+    }
+    return { lasting, running, ending }
+  }
+
+  #expectedEnd({ task, confirmedAt }: Allocation): number {
+    if (task === undefined) return 0
+    const { definition, job } = task.step
+    const startedAt = confirmedAt ?? performance.now()
+    return startedAt + this.#ctx.runTimes.estimateMs(job.definition.queue, definition.estimateMs)
+  }
+
+  #machineSize(pool: string): Amounts | undefined {
+    let other: Amounts | undefined
+    for (const { entry } of this.#ctx.sessions.values()) {
+      if (entry?.pool === pool) return entry.capacity
+      other ??= entry?.capacity
+    }
+    return other
+  }
+}
+
+function toAmounts(cores: number): Amounts {
+  return { ...noAmounts, cpuMillis: Math.round(cores * 1_000) }
+}
--- a/packages/dispatcher/src/pool-moves.ts
+++ b/packages/dispatcher/src/pool-moves.ts
@@ -12,6 +12,12 @@
 import { sendMachineOrder } from './send-machine-order.js'
 import type { WaveOrders } from './wave-orders.js'
 
+/**
+ * Time after which an accepted move counts as failed if its machine is up in another pool, in
+ * milliseconds beyond the duration of a move; the machine crashed meanwhile.
+ */
+const failedMoveSlackMs = 3_000
+
 /** Growth of the work that waits for a pool from which its machines are planned again at once. */
 const growthFactor = 1.2
 
@@ -25,8 +31,8 @@
   to: string
   /** Runner on the machine when the order was first sent. */
   runnerId: string | undefined
-  /** Whether the order is known to have been accepted. */
-  isAccepted: boolean
+  /** When the order was accepted; undefined while this is not known. */
+  acceptedAt: number | undefined
 }
 
 /**
@@ -94,18 +100,21 @@
         waves.mayMove(id) &&
         !this.#orderRecord.isRecentlyOrderedElsewhere(id),
     )
+    const maxMoves = this.#opts.orderRate.available(now)
     const moves = planPoolMoves({
       machines: movable.map(machine => this.#toMovable(machine, waves)),
       pools: this.#poolNames().map(name => this.#poolLoad(name, machines)),
       now,
-      maxMoves: this.#opts.orderRate.available(now),
+      maxMoves,
     })
+    if (moves.length > 0 && moves.length >= maxMoves)
+      this.#opts.metrics.count('bulrush_machine_orders_delayed_total', { kind: 'move' })
     // Stored before orders are sent, so that the next dispatcher knows which machines are lent.
     const toWorkingPools = moves.filter(({ to }) => !isSparePool(this.#opts, to))
     for (const { machine } of toWorkingPools) this.#lent.add(machine)
     const byId = new Map(machines.map(machine => [machine.id, machine]))
-    const unaccepted = [...this.#moving].flatMap(([machine, { to, isAccepted }]) =>
-      isAccepted ? [] : [{ machine, to }],
+    const unaccepted = [...this.#moving].flatMap(([machine, { to, acceptedAt }]) =>
+      acceptedAt === undefined ? [{ machine, to }] : [],
     )
     const planned = new Set(moves.map(({ machine }) => machine))
     const earlier = this.#repeatableMoves(movable).filter(({ machine }) => !planned.has(machine))
@@ -156,11 +165,15 @@
       }
       const hasArrived =
         machine === undefined || (machine.state === 'up' && machine.pool === move.to)
-      if (!hasArrived || !move.isAccepted) continue
+      if (move.acceptedAt === undefined) continue
+      const overAt = move.acceptedAt + this.#opts.timing.moveMs + failedMoveSlackMs
+      const hasFailed = machine?.state === 'up' && listRequestedAt > overAt
+      if (!hasArrived && !hasFailed) continue
       this.#moving.delete(id)
       this.#idleSince.delete(id)
-      if (isSparePool(this.#opts, move.to)) this.#lent.delete(id)
-      this.#opts.log.info('machine moved', { machine: id, pool: move.to })
+      if (hasArrived && isSparePool(this.#opts, move.to)) this.#lent.delete(id)
+      const outcome = hasArrived ? 'machine moved' : 'machine move failed'
+      this.#opts.log.info(outcome, { machine: id, pool: move.to })
     }
   }
 
@@ -174,13 +187,15 @@
     }
   }
 
-  #toMovable({ id, pool, capacity, zone }: Machine, waves: WaveOrders): MovableMachine {
+  #toMovable(listed: Machine, waves: WaveOrders): MovableMachine {
+    const { id, pool, capacity, zone } = listed
     return {
       id,
       pool,
       capacity,
       isLent: this.#lent.has(id),
       isZoneWithdrawn: this.#opts.view.withdrawnZones().has(zone),
+      isLost: sessionOf(this.#opts, listed)?.unreachableSince !== undefined,
       isUpkeepDue: waves.isUpkeepDueOrOrdered(id),
       idleSince: this.#idleSince.get(id),
     }
@@ -195,11 +210,19 @@
   }
 
   #poolLoad(name: string, machines: readonly Machine[]): PoolLoad {
+    const up = machines.filter(({ pool, state }) => pool === name && state === 'up')
+    const usableCount = up.filter(machine => this.#isUsable(machine)).length
     const arrivingCount = [...this.#moving.values()].filter(({ to }) => to === name).length
-    const upCount = machines.filter(({ pool, state }) => pool === name && state === 'up').length
     const isSpare = isSparePool(this.#opts, name)
     const waiting = isSpare ? noAmounts : this.#opts.waitingAmounts(name)
-    return { name, isSpare, waiting, arrivingCount, upCount }
+    const load = { name, isSpare, waiting, arrivingCount, upCount: up.length, usableCount }
+    return isSpare ? load : { ...load, ...this.#opts.demand.loadOf(name) }
+  }
+
+  /** Whether runs can start on a machine that is up; its runner may not have registered yet. */
+  #isUsable(machine: Machine): boolean {
+    const session = sessionOf(this.#opts, machine)
+    return session === undefined || (session.unreachableSince === undefined && !session.isCordoned)
   }
 
   #poolNames(): string[] {
@@ -216,14 +239,14 @@
       session.isCordoned = true
       session.hasOpenMachineOrder = true
     }
-    const move = existing ?? { to, runnerId: listed?.runnerId, isAccepted: false }
+    const move = existing ?? { to, runnerId: listed?.runnerId, acceptedAt: undefined }
     this.#moving.set(machine, move)
     const result = await sendMachineOrder(this.#opts, 'move', {
       fields: { machine, pool: to },
       call: () => machines.move({ machine, pool: to, holder, fence }),
     })
     if (result === 'accepted') {
-      move.isAccepted = true
+      move.acceptedAt = performance.now()
       this.#orderRecord.settle(machine)
       const ordered = this.#opts.sessions.get(move.runnerId ?? '')
       if (ordered !== undefined) ordered.hasOpenMachineOrder = false
--- a/packages/dispatcher/src/send-machine-order.ts
+++ b/packages/dispatcher/src/send-machine-order.ts
@@ -29,7 +29,8 @@
   }
   orderRate.take(1, performance.now())
   const result = await order.call()
-  if (result.outcome === 'not-done') orderRate.noteRejected(performance.now())
+  if (result.outcome === 'not-done' && orderRate.noteRejected(performance.now()))
+    log.warn('rate of machine orders halved', { kind, reason: result.reason })
   const refusal = result.outcome === 'done' ? result.value.refusal : undefined
   const reason = result.outcome === 'done' ? (refusal ?? 'accepted') : result.reason
   log.info(`machine ${kind} order sent`, {
--- a/packages/dispatcher/src/term.ts
+++ b/packages/dispatcher/src/term.ts
@@ -27,6 +27,7 @@
 import { createOrganisationUsage } from './organisation-usage.js'
 import { createPartWriter, FencedError, type PartWriter } from './part-writer.js'
 import { PlacementPass } from './placement-pass.js'
+import { PoolDemand } from './pool-demand.js'
 import { createProgressRetention, type ProgressRetention } from './progress-retention.js'
 import { readProgress } from './read-progress.js'
 import { createRunMonitor, type RunMonitor } from './run-monitor.js'
@@ -76,6 +77,7 @@
   readonly #jobTracker: JobTracker
   readonly #runnerSessions: RunnerSessions
   readonly #placement: PlacementPass
+  readonly #poolDemand: PoolDemand
   readonly #monitor: RunMonitor
   readonly #advice: AdviceCache | undefined
   readonly #loadLog: LoadLog
@@ -100,9 +102,13 @@
       ctx.requestPass()
     }
     this.#advice = advice === undefined ? undefined : createAdviceCache({ advice, log, onChange })
+    this.#poolDemand = new PoolDemand(ctx, held.check)
     this.#jobTracker = new JobTracker({
       ctx,
       openSession: id => this.#runnerSessions.openSession(id, undefined),
+      onJobLoaded: job => {
+        this.#poolDemand.noteLoaded(job)
+      },
       onJobForgotten: id => this.#advice?.forgetJob(id),
     })
     this.#runnerSessions = new RunnerSessions(ctx, this.#jobTracker.events())
@@ -138,6 +144,7 @@
     this.#createWriters()
     await this.#retry('claim', () => Promise.all([...this.#writers.values()].map(w => w.claim())))
     await this.#retry('read progress', () => readProgress(opts, this.#jobTracker.earlierProgress))
+    await this.#retry('read demand forecast', () => this.#poolDemand.load())
     if (this.#isClosed()) return
     // Jobs are read before runners, as an end of an unknown job would be acknowledged and lost.
     await this.#followJobs().ready
@@ -154,6 +161,7 @@
       this.#requestPass()
     })
     this.#isTakeoverComplete = true
+    this.#poolDemand.completeTakeover()
     if (machineContext !== undefined && record !== undefined)
       this.#machineController = createMachineController(machineContext, record)
     this.#retention = createProgressRetention({ ...opts, statusKeptMs: opts.timing.statusKeptMs })
@@ -242,6 +250,7 @@
       fence,
       leaseCheck: this.#held.check,
       sessions,
+      demand: this.#poolDemand,
       waitingAmounts: pool => this.#placement.waitingAmounts(pool),
       isInactive: () => !isActive(),
       onFenced,
@@ -331,7 +340,8 @@
     if (!this.#ctx.isActive()) return
     if (this.#placement.place(maxStarts, this.#laggingParts())) this.#requestPass()
     this.#loadLog.addPass(performance.now() - startedAt)
-    if (this.#placement.hasWaitingTasks) this.#machineController?.wake()
+    if (this.#placement.hasWaitingTasks || this.#poolDemand.hasRisen())
+      this.#machineController?.wake()
   }
 
   #laggingParts(): ReadonlySet<string> {
--- a/packages/dispatcher/src/wave-orders.ts
+++ b/packages/dispatcher/src/wave-orders.ts
@@ -20,10 +20,10 @@
 const registrationSlackMs = 600
 
 /**
- * Time that a wave must have to spare for a due machine to move first, in milliseconds: the move, some
- * work in the new pool, and the end of that work.
+ * Time that a wave must have to spare for a due machine to move first, in milliseconds: 2 s for the move,
+ * and 6 s until the work that begins on it has ended.
  */
-const minSpareTimeToMoveMs = 5_000
+const minSpareTimeToMoveMs = 8_000
 
 const waveRowSchema = z.object({ begun: z.array(z.string()), isComplete: z.boolean() })
 
@@ -82,9 +82,10 @@
   mayMove(machine: string): boolean {
     if (this.#ordered.has(machine)) return false
     return this.#opts.view.waves().every(wave => {
+      if (!wave.machines.includes(machine)) return true
       const begun = this.#progress.get(wave.id)?.begun
       if (begun === undefined) return false
-      if (begun.has(machine) || !wave.machines.includes(machine)) return true
+      if (begun.has(machine)) return true
       return this.#spareTimeMs(wave, begun.size) >= minSpareTimeToMoveMs
     })
   }
--- a/packages/host-program/src/timing.ts
+++ b/packages/host-program/src/timing.ts
@@ -28,6 +28,7 @@
     pollWaitMs: holdWaitMs,
     suspendedMs: maxRenewalWithoutLeaseMs,
     machineOrderGapMs: cfg.machineLeaseMs,
+    moveMs: cfg.moveMs,
     upkeepMs: cfg.upkeepMs,
     statusKeptMs: cfg.statusRetentionMs,
   }
