--- a/packages/dispatcher/src/pool-demand.ts
+++ b/packages/dispatcher/src/pool-demand.ts
@@ -88,13 +88,13 @@
     const pool = queuesOf(this.#ctx).get(queue)?.pool
     // The occurrences of a job with a schedule are spread over time.
     if (pool === undefined || schedule !== undefined) return
+    // At a takeover, jobs are read before runners.
     const machineSize = this.#machineSize(pool)
-    if (machineSize === undefined) return
     const { runTimes } = this.#ctx
     let coreMs = 0
     for (const { isLasting, amounts, count, estimateMs } of steps) {
       if (isLasting === true) continue
-      const cores = (largestFraction(amounts, machineSize) * machineSize.cpuMillis) / 1_000
+      const cores = coresOf(amounts, machineSize)
       coreMs += cores * count * runTimes.estimateMs(queue, estimateMs)
     }
     if (coreMs === 0) return
@@ -184,6 +184,15 @@
   }
 }
 
+/**
+ * Cores that a task needs, and with a machine size the cores that go with it, if it needs more of another
+ * resource.
+ */
+function coresOf(amounts: Amounts, machineSize: Amounts | undefined): number {
+  if (machineSize === undefined) return amounts.cpuMillis / 1_000
+  return (largestFraction(amounts, machineSize) * machineSize.cpuMillis) / 1_000
+}
+
 function toAmounts(cores: number): Amounts {
   return { ...noAmounts, cpuMillis: Math.round(cores * 1_000) }
 }
