feat(scheduler): use learned run times and the speed of runners

Change: steps carry the image that is on the wire. The order of steps uses the estimate of the run-time model; callers with only a queue keep estimateMs. A start on a runner that is slower than its peers costs more than any fit and less than interference.

--- a/packages/scheduler/__tests__/runner-failure-tracker.test.ts
+++ b/packages/scheduler/__tests__/runner-failure-tracker.test.ts
@@ -25,3 +25,16 @@
   for (let i = 0; i < 4; i++) t.notOk(tracker.recordFailure('r1', `bad-${i}`, 20 + i))
   t.end()
 })
+
+// Guards against new runs for a runner that answers polls while nothing progresses there, and against
+// a quarantine that is renewed with each check.
+void t.test('a stuck runner is quarantined, and longer each time', t => {
+  const tracker = createRunnerFailureTracker()
+  t.ok(tracker.recordStuck('r1', 0))
+  t.notOk(tracker.recordStuck('r1', 200))
+  t.ok(tracker.isQuarantined('r1', 2_900))
+  t.notOk(tracker.isQuarantined('r1', 3_000))
+  t.ok(tracker.recordStuck('r1', 3_100))
+  t.ok(tracker.isQuarantined('r1', 9_000))
+  t.end()
+})
--- a/packages/scheduler/src/choose-starts.ts
+++ b/packages/scheduler/src/choose-starts.ts
@@ -5,7 +5,7 @@
 import { hasNeededLabel } from './runner-constraints.js'
 import type { Task } from './task.js'
 import { compareUrgency, createCriticalPaths, urgencyOf } from './urgency.js'
-import type { RunTimeEstimator } from './run-time-estimator.js'
+import type { RunTimeSource } from './run-time-estimator.js'
 
 /**
  * A runner that may take new tasks, as input of {@link chooseStarts}. The dispatcher leaves out
@@ -42,6 +42,8 @@
   isLent: boolean
   /** Runs that it has not confirmed yet; above {@link maxUnconfirmedRuns} it gets no new ones. */
   unconfirmedRuns: number
+  /** How much slower the runner is than its peers, see `slownessOf`; 0 by default. */
+  slowness?: number
 }
 
 /**
@@ -55,7 +57,7 @@
   steps: readonly StepExecution[]
   queues: ReadonlyMap<string, JobQueue>
   runners: readonly AvailableRunner[]
-  runTimes: RunTimeEstimator
+  runTimes: RunTimeSource
   /**
    * Resources that each organisation may still reserve; organisations without a limit are absent.
    * {@link chooseStarts} subtracts what its starts reserve.
@@ -328,6 +330,7 @@
       failedHere * 1_000 +
       otherRack * 100 +
       interference * 10 +
+      (runner.slowness ?? 0) +
       fit
     )
   }
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -78,7 +78,13 @@
   suspicionOf,
   trustedRunMs,
 } from './crash-suspects.js'
-export { createRunTimeEstimator, type RunTimeEstimator } from './run-time-estimator.js'
+export {
+  createRunTimeEstimator,
+  expectedMsOf,
+  taskKindOf,
+  type RunTimeEstimator,
+  type RunTimeSource,
+} from './run-time-estimator.js'
 export {
   orderRefusals,
   type AdviceApi,
@@ -106,6 +112,7 @@
   type UpkeepWave,
 } from './runner.js'
 export { isAllowedOn } from './runner-constraints.js'
+export { slownessOf } from './runner-slowness.js'
 export { fencesPerTerm, isOfEarlierTerm, runnerFence } from './runner-fence.js'
 export { createRunnerFailureTracker, type RunnerFailureTracker } from './runner-failure-tracker.js'
 export { isSocketAddress } from './socket-address.js'
--- a/packages/scheduler/src/job.ts
+++ b/packages/scheduler/src/job.ts
@@ -21,6 +21,8 @@
   amounts: amountsSchema,
   /** The submitter's estimate of the run time of one task, in milliseconds. */
   estimateMs: z.number(),
+  /** Name of what the tasks execute; tasks of the same image behave alike. */
+  image: z.string().optional(),
   /** Numbers of earlier steps whose tasks must all be done first. */
   after: z.array(z.int()).optional(),
   /** The checkpoints of runs are kept, and the next run of a task resumes from the last one. */
--- a/packages/scheduler/src/run-time-estimator.ts
+++ b/packages/scheduler/src/run-time-estimator.ts
@@ -1,13 +1,7 @@
-/** Lowest weight of the newest observation in the mean of a queue. */
-const minNewestWeight = 0.05
+import { createRunTimeModel, type RunTimeModel, type TaskKind } from '@bulrushbridge/run-times'
+import type { Step } from './job.js'
 
-/** Number of observations of a queue from which its mean has its full weight. */
-const observationsForFullWeight = 10
-
-/** Weight of the logarithm of the declared estimate; the full weight of the mean is the rest, 0.7. */
-const declaredWeight = 0.3
-
-/** Estimates run times from the ended runs of each queue. */
+/** Estimates run times from the ended runs of each queue, whatever their steps are. */
 export interface RunTimeEstimator {
   /** Adds the duration of a run that ended as done, in milliseconds. */
   observe(queue: string, ms: number): void
@@ -15,34 +9,33 @@
   estimateMs(queue: string, declaredMs: number): number
 }
 
+/** Source of expected run times; for a {@link RunTimeEstimator} all tasks of a queue are alike. */
+export type RunTimeSource = RunTimeEstimator | Pick<RunTimeModel, 'estimate' | 'estimateMs'>
+
 /**
- * Creates an estimator of run times. Submitters declare estimates that are off by up to 90%, while
- * tasks of a queue are alike, so an estimate is shifted towards the mean of its queue. The mean is
- * geometric, so that single long runs do not dominate it.
+ * Creates an estimator for callers that have no step: a run-time model of which only the level of the
+ * queue is used.
  *
  * @example
  * const ms = runTimes.estimateMs('finder', step.estimateMs)
  */
 export function createRunTimeEstimator(): RunTimeEstimator {
-  const queues = new Map<string, { count: number; meanLog: number }>()
+  const model = createRunTimeModel()
   return {
     observe: (queue, ms) => {
-      const log = Math.log(Math.max(1, ms))
-      const stats = queues.get(queue)
-      if (stats === undefined) {
-        queues.set(queue, { count: 1, meanLog: log })
-        return
-      }
-      stats.count += 1
-      const weight = Math.max(minNewestWeight, 1 / stats.count)
-      stats.meanLog += weight * (log - stats.meanLog)
-    },
-    estimateMs: (queue, declaredMs) => {
-      const stats = queues.get(queue)
-      const declaredLog = Math.log(Math.max(1, declaredMs))
-      if (stats === undefined) return Math.exp(declaredLog)
-      const meanWeight = Math.min(1, stats.count / observationsForFullWeight) * (1 - declaredWeight)
-      return Math.exp(meanWeight * stats.meanLog + (1 - meanWeight) * declaredLog)
+      model.observe({ queue, cpuMillis: 0, declaredMs: ms, ms })
     },
+    estimateMs: (queue, declaredMs) => model.estimateMs(queue, declaredMs),
   }
 }
+
+/** Returns what the run-time model knows the tasks of a step by. */
+export function taskKindOf(queue: string, { image, amounts, estimateMs }: Step): TaskKind {
+  return { queue, image, cpuMillis: amounts.cpuMillis, declaredMs: estimateMs }
+}
+
+/** Returns the expected run time of a task of a step, in milliseconds. */
+export function expectedMsOf(runTimes: RunTimeSource, queue: string, step: Step): number {
+  if (!('estimate' in runTimes)) return runTimes.estimateMs(queue, step.estimateMs)
+  return runTimes.estimate(taskKindOf(queue, step)).meanMs
+}
--- a/packages/scheduler/src/runner-failure-tracker.ts
+++ b/packages/scheduler/src/runner-failure-tracker.ts
@@ -22,10 +22,21 @@
   nextQuarantineMs: number
 }
 
+/** Quarantines a runner; returns false, and changes nothing, if it is quarantined already. */
+function quarantine(runs: RunnerRuns, now: number): boolean {
+  if (now < runs.quarantinedUntil) return false
+  runs.quarantinedUntil = now + runs.nextQuarantineMs
+  runs.nextQuarantineMs = Math.min(maxQuarantineMs, 2 * runs.nextQuarantineMs)
+  runs.ends = []
+  return true
+}
+
 /** Tracks failed runs by runner, to tell broken runners from jobs that fail everywhere. */
 export interface RunnerFailureTracker {
   /** Records a failed run; returns whether the runner is quarantined because of it. */
   recordFailure(runnerId: string, jobId: string, now: number): boolean
+  /** Records that nothing progresses on a runner; returns whether it is quarantined because of it. */
+  recordStuck(runnerId: string, now: number): boolean
   /** Records a successful run. */
   recordSuccess(runnerId: string, jobId: string, now: number): void
   /** Whether the runner is quarantined now: it gets no new tasks. */
@@ -62,13 +73,9 @@
       const failures = runs.ends.filter(({ isFailed }) => isFailed)
       const jobs = new Set(failures.map(({ job }) => job)).size
       const share = failures.length / runs.ends.length
-      if (jobs < quarantineJobCount || share < minFailedShare || now < runs.quarantinedUntil)
-        return false
-      runs.quarantinedUntil = now + runs.nextQuarantineMs
-      runs.nextQuarantineMs = Math.min(maxQuarantineMs, 2 * runs.nextQuarantineMs)
-      runs.ends = []
-      return true
+      return jobs >= quarantineJobCount && share >= minFailedShare && quarantine(runs, now)
     },
+    recordStuck: (runnerId, now) => quarantine(runsOf(runnerId), now),
     recordSuccess: (runnerId, jobId, now) => {
       addEnd(runnerId, jobId, now, false)
     },
--- a/packages/scheduler/src/urgency.ts
+++ b/packages/scheduler/src/urgency.ts
@@ -1,6 +1,6 @@
 import type { JobQueue } from './configuration.js'
 import type { JobExecution, StepExecution } from './job-execution.js'
-import type { RunTimeEstimator } from './run-time-estimator.js'
+import { expectedMsOf, type RunTimeSource } from './run-time-estimator.js'
 
 /** Urgency of a step. Lower values go first; fields are compared in the order given here. */
 export interface Urgency {
@@ -30,7 +30,7 @@
 export function urgencyOf(
   execution: StepExecution,
   queue: JobQueue,
-  runTimes: RunTimeEstimator,
+  runTimes: RunTimeSource,
   wallNow: number,
   pathsOf: CriticalPaths = createCriticalPaths(runTimes),
 ): Urgency {
@@ -60,7 +60,7 @@
 export function latencyObjectiveMs(
   job: JobExecution,
   queue: JobQueue,
-  runTimes: RunTimeEstimator,
+  runTimes: RunTimeSource,
 ): number {
   const [pathMs = 0] = criticalPathsOf(job, runTimes)
   return queue.stretch * pathMs + queue.targetLatencyMs
@@ -85,7 +85,7 @@
  * const pathsOf = createCriticalPaths(runTimes)
  * steps.map(step => urgencyOf(step, queue, runTimes, wallNow, pathsOf))
  */
-export function createCriticalPaths(runTimes: RunTimeEstimator): CriticalPaths {
+export function createCriticalPaths(runTimes: RunTimeSource): CriticalPaths {
   const paths = new Map<JobExecution, readonly number[]>()
   return job => {
     let found = paths.get(job)
@@ -97,7 +97,7 @@
   }
 }
 
-function criticalPathsOf(job: JobExecution, runTimes: RunTimeEstimator): number[] {
+function criticalPathsOf(job: JobExecution, runTimes: RunTimeSource): number[] {
   const { steps, queue } = job.definition
   /** By step, the longest path through the steps that wait for it. */
   const afterMs = new Array<number>(steps.length).fill(0)
@@ -105,7 +105,7 @@
   for (let number = steps.length - 1; number >= 0; number--) {
     const step = steps[number]
     if (step === undefined) continue
-    const pathMs = runTimes.estimateMs(queue, step.estimateMs) + (afterMs[number] ?? 0)
+    const pathMs = expectedMsOf(runTimes, queue, step) + (afterMs[number] ?? 0)
     for (const earlier of step.after ?? [])
       afterMs[earlier] = Math.max(afterMs[earlier] ?? 0, pathMs)
     remainingMs[number] = Math.max(pathMs, remainingMs[number + 1] ?? 0)
