feat(dispatcher): learn from finished runs, and keep it over a takeover

Cause: what was learned of run times was lost with each term, and a runner that answers polls while nothing progresses got work until runs of three jobs had been stopped there.

Change: finished runs go to the run-time model and the speeds of runners; fillers and tasks on another rack than their data count for their queue only. The model is stored in the table learned with the lease check, at most every 5 s and only if it has changed, and read at a takeover, which it does not hold up. A runner on which at least two runs are overdue and none progresses is quarantined until it restarts, for 3 s and longer each time, and its runs are stopped; beside runs that progress, an overdue run may take as long as 99% of its kind. Runs beyond their time count as right-censored only while they progress: hanging ones raised the estimate until no run was overdue.

Ruled out: to count a stuck runner as very slow, as its runs then had more time before they were stopped.

--- a/packages/dispatcher/src/job-tracker.ts
+++ b/packages/dispatcher/src/job-tracker.ts
@@ -14,6 +14,7 @@
 import { createJobLoader, type JobLoader, type LoadedJob } from './job-loader.js'
 import { bytesPerOccurrence, runBytes } from './memory-budget.js'
 import { applyEnd, findTask, type EndContext, type RunToStop } from './run-ends.js'
+import { createRunObserver } from './run-observer.js'
 import type { GiveUpCause, RunnerSession, SessionEvents } from './runner-session.js'
 import type { EarlierProgress } from './read-progress.js'
 import { queuesOf, type TermContext } from './term-context.js'
@@ -64,11 +65,14 @@
         this.#addJob(job)
       },
     })
+    const observer = createRunObserver({ ...ctx, ...ctx.opts })
     this.#endContext = {
       jobs: ctx.jobs,
       queueOf: job => queuesOf(ctx).get(job.definition.queue),
       runnerFailures: ctx.runnerFailures,
-      runTimes: ctx.runTimes,
+      onRunDone: (runnerId, task, ms, now) => {
+        observer.observe(runnerId, task, ms, now)
+      },
       wallNow: Date.now,
     }
   }
@@ -207,6 +211,7 @@
   ): Promise<void> {
     const { log, metrics } = this.#ctx.opts
     const hadJobEnded = findTask(this.#ctx.jobs, end.task)?.step.job.hasEnded === true
+    if (end.how === 'done') session.lastDoneAt = performance.now()
     const applied = applyEnd(this.#endContext, session.id, end, allocation)
     const { task, run, how } = end
     const jobStatus = applied.job?.status
--- a/packages/dispatcher/src/placement-pass.ts
+++ b/packages/dispatcher/src/placement-pass.ts
@@ -2,6 +2,7 @@
   chooseStarts,
   maxUnconfirmedRuns,
   noAmounts,
+  slownessOf,
   sumWaitingWork,
   type Amounts,
   type AvailableRunner,
@@ -137,6 +138,7 @@
 
   #availableRunners(): AvailableRunner[] {
     const now = performance.now()
+    const { speeds } = this.#ctx
     const threatened = this.machineOrders?.threatenedRunners()
     const found: AvailableRunner[] = []
     for (const session of this.#ctx.sessions.values()) {
@@ -144,7 +146,8 @@
       if (entry === undefined || !this.#starter.canStartOn(session)) continue
       if (this.#ctx.runnerFailures.isQuarantined(session.id, now)) continue
       const isThreatened = threatened?.has(session.id) === true
-      found.push({ ...toAvailableRunner(session, entry), isThreatened })
+      const slowness = slownessOf(speeds.factor(session.id, session.runnerStartedAt, now))
+      found.push({ ...toAvailableRunner(session, entry), isThreatened, slowness })
     }
     return found
   }
--- a/packages/dispatcher/src/run-ends.ts
+++ b/packages/dispatcher/src/run-ends.ts
@@ -5,7 +5,6 @@
   type JobQueue,
   type RunEnd,
   type RunnerFailureTracker,
-  type RunTimeEstimator,
   type Task,
   type TaskRun,
 } from '@bulrushbridge/scheduler'
@@ -16,7 +15,8 @@
   jobs: ReadonlyMap<string, JobExecution>
   queueOf(job: JobExecution): JobQueue | undefined
   runnerFailures: RunnerFailureTracker
-  runTimes: RunTimeEstimator
+  /** Called with the time that the run of a finite task took from its start, in milliseconds. */
+  onRunDone(runnerId: string, task: Task, ms: number, now: number): void
   wallNow(): number
 }
 
@@ -103,7 +103,8 @@
   if (task.step.definition.isLasting === true || task.isDone) return
   // The time of a run that resumed from a checkpoint does not show how long the whole task takes.
   if (allocation?.confirmedAt !== undefined && task.checkpoint === '') {
-    ctx.runTimes.observe(job.definition.queue, performance.now() - allocation.confirmedAt)
+    const now = performance.now()
+    ctx.onRunDone(runnerId, task, now - allocation.confirmedAt, now)
   }
   if (task.run !== undefined) applied.runToStop = { task: task.name, run: task.run }
   job.markDone(task, end.run, ctx.wallNow())
--- a/packages/dispatcher/src/run-monitor.ts
+++ b/packages/dispatcher/src/run-monitor.ts
@@ -1,19 +1,20 @@
+import type { RunnerSpeeds, RunTimeModel } from '@bulrushbridge/run-times'
 import {
   chooseFillerPace,
-  isStalled,
   type FillerPace,
   type RunnerFailureTracker,
-  type RunTimeEstimator,
   type ServingLatency,
 } from '@bulrushbridge/scheduler'
 import type { Logger } from '@bulrushbridge/telemetry'
 import type { Allocation } from './allocation.js'
 import type { RunnerSession } from './runner-session.js'
+import { createStallDetector } from './stall-detector.js'
 
 /** Options of {@link createRunMonitor}. */
 export interface RunMonitorOptions {
   sessions: ReadonlyMap<string, RunnerSession>
-  runTimes: RunTimeEstimator
+  runTimes: RunTimeModel
+  speeds: RunnerSpeeds
   runnerFailures: RunnerFailureTracker
   log: Logger
 }
@@ -24,8 +25,8 @@
  * tasks.
  */
 export interface RunMonitor {
-  /** Checks all runs once. */
-  check(): void
+  /** Checks all runs once; `now` is a reading of `performance.now()`. */
+  check(now: number): void
 }
 
 /**
@@ -33,55 +34,26 @@
  *
  * @example
  * const monitor = createRunMonitor({ sessions, runTimes, runnerFailures, log })
- * monitor.check()
+ * monitor.check(performance.now())
  */
 export function createRunMonitor(opts: RunMonitorOptions): RunMonitor {
   const paces = new Map<string, FillerPace>()
+  const stalls = createStallDetector(opts)
   return {
-    check: () => {
-      const now = performance.now()
+    check: now => {
       for (const session of opts.sessions.values()) {
         if (session.allocations.size === 0 || session.unreachableSince !== undefined) continue
-        for (const allocation of session.allocations.values()) {
-          stopIfStalled(opts, session, allocation, now)
+        stalls.check(session, now)
+        for (const allocation of session.allocations.values())
           stopIfDraining(opts, session, allocation)
-        }
         paceFillers(opts, session, paces, now)
       }
+      stalls.finishCheck()
       for (const id of paces.keys()) if (!opts.sessions.has(id)) paces.delete(id)
     },
   }
 }
 
-function stopIfStalled(
-  { runTimes, runnerFailures, log }: RunMonitorOptions,
-  session: RunnerSession,
-  allocation: Allocation,
-  now: number,
-): void {
-  const { task, state, confirmedAt, percentAt, percent, taskName, runNumber } = allocation
-  if (task === undefined || state !== 'present' || confirmedAt === undefined) return
-  const { definition, job } = task.step
-  if (definition.isLasting === true || definition.isGang === true) return
-  const estimateMs = runTimes.estimateMs(job.definition.queue, definition.estimateMs)
-  if (!isStalled({ startedAt: confirmedAt, progressAt: percentAt, estimateMs }, now)) return
-  const ranMs = Math.round(now - confirmedAt)
-  log.info('stalled run stopped', {
-    task: taskName,
-    run: runNumber,
-    runner: session.id,
-    ranMs,
-    percent,
-  })
-  // The stall counts against the runner. The run ends as `stopped`, so it does not count against
-  // the attempts of the task.
-  task.lastFailedRunnerId = session.id
-  if (runnerFailures.recordFailure(session.id, job.definition.id, now)) {
-    log.warn('runner quarantined after failures', { runner: session.id })
-  }
-  void session.stop(allocation)
-}
-
 /** Stops a lasting task on a draining runner while the runner can still confirm its end. */
 function stopIfDraining(
   { log }: RunMonitorOptions,
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -112,6 +112,8 @@
   isUpkeepExpected = false
   /** Since when polls have failed; undefined while they succeed. */
   unreachableSince: number | undefined
+  /** When the runner last listed a run that ended as done; undefined before the first. */
+  lastDoneAt: number | undefined
   /** When the last poll of this term that the runner answered was sent; undefined before the first. */
   answeredPollSentAt: number | undefined
   readonly #opts: RunnerSessionOptions
--- a/packages/dispatcher/src/term-context.ts
+++ b/packages/dispatcher/src/term-context.ts
@@ -1,8 +1,8 @@
+import type { RunnerSpeeds, RunTimeModel } from '@bulrushbridge/run-times'
 import type {
   JobExecution,
   JobQueue,
   RunnerFailureTracker,
-  RunTimeEstimator,
   SchedulerConfiguration,
 } from '@bulrushbridge/scheduler'
 import type { DispatcherOptions, RunnerConnections } from './dispatcher.js'
@@ -26,7 +26,8 @@
   /** For work on all runs of a job or a gang. */
   readonly turns: TurnSlicer
   readonly runnerFailures: RunnerFailureTracker
-  readonly runTimes: RunTimeEstimator
+  readonly runTimes: RunTimeModel
+  readonly speeds: RunnerSpeeds
   /**
    * Stores a job; resolves when its current state or a later one is stored. Never settles if the
    * term ends or another dispatcher takes over before that.
--- a/packages/dispatcher/src/term.ts
+++ b/packages/dispatcher/src/term.ts
@@ -1,9 +1,9 @@
 import { randomUUID } from 'node:crypto'
 import { setMaxListeners } from 'node:events'
 import { normalizeError, systemClock } from '@bulrushbridge/errors'
+import { createRunnerSpeeds, createRunTimeModel } from '@bulrushbridge/run-times'
 import {
   createRunnerFailureTracker,
-  createRunTimeEstimator,
   acceptedJobsTable,
   partNames,
   type JobExecution,
@@ -29,6 +29,7 @@
 import { createProgressRetention, type ProgressRetention } from './progress-retention.js'
 import { readProgress } from './read-progress.js'
 import { createRunMonitor, type RunMonitor } from './run-monitor.js'
+import { createRunTimeStore, type RunTimeStore } from './run-time-store.js'
 import { RunnerSessions } from './runner-sessions.js'
 import { createStartLimit } from './start-limit.js'
 import type { TermContext } from './term-context.js'
@@ -76,6 +77,7 @@
   readonly #runnerSessions: RunnerSessions
   readonly #placement: PlacementPass
   readonly #monitor: RunMonitor
+  readonly #runTimeStore: RunTimeStore
   readonly #advice: AdviceCache | undefined
   readonly #loadLog: LoadLog
   readonly #startLimit = createStartLimit()
@@ -107,6 +109,8 @@
     this.#runnerSessions = new RunnerSessions(ctx, this.#jobTracker.events())
     this.#placement = new PlacementPass(ctx, this.#jobTracker, this.#advice)
     this.#monitor = createRunMonitor({ ...ctx, log })
+    const leaseCheck = held.check
+    this.#runTimeStore = createRunTimeStore({ ...opts, ...ctx, leaseCheck })
     this.#loadLog = createLoadLog({
       fence: held.token,
       log,
@@ -135,6 +139,7 @@
   async open(): Promise<void> {
     const { opts, jobs, sessions, startedAt } = this.#ctx
     this.#createWriters()
+    const runTimesLoaded = this.#runTimeStore.load()
     await this.#retry('claim', () => Promise.all([...this.#writers.values()].map(w => w.claim())))
     await this.#retry('read progress', () => readProgress(opts, this.#jobTracker.earlierProgress))
     if (this.#isClosed()) return
@@ -142,6 +147,7 @@
     await this.#followJobs().ready
     this.#jobTracker.earlierProgress.clear()
     await this.#jobTracker.whenStartedJobsLoaded()
+    await runTimesLoaded
     await this.#followRunners().ready
     const machineContext = this.#createMachineContext()
     const record = machineContext === undefined ? undefined : new MachineOrderRecord(machineContext)
@@ -180,6 +186,7 @@
     await Promise.all([
       this.#machineController?.close(),
       this.#retention?.close(),
+      this.#runTimeStore.close(),
       ...this.#followers.map(follower => follower.close()),
       ...[...this.#ctx.sessions.values()].map(session => session.close()),
       ...[...this.#writers.values()].map(writer => writer.close()),
@@ -199,7 +206,8 @@
       memory: createMemoryBudget(),
       turns: createTurnSlicer(),
       runnerFailures: createRunnerFailureTracker(),
-      runTimes: createRunTimeEstimator(),
+      runTimes: createRunTimeModel(),
+      speeds: createRunnerSpeeds(),
       storeJob: job => this.#storeJob(job),
       requestPass: () => {
         this.#requestPass()
@@ -314,7 +322,7 @@
 
   #passLoop(): void {
     if (this.#isClosed()) return
-    if (this.#ctx.isActive()) this.#monitor.check()
+    if (this.#ctx.isActive()) this.#monitor.check(performance.now())
     this.#jobTracker.removeOldEndedIds()
     this.#jobTracker.loadWaiting()
     this.#requestPass()
--- a/packages/run-times/src/runner-progress.ts
+++ b/packages/run-times/src/runner-progress.ts
@@ -34,7 +34,7 @@
  * Judges a runner by the progress of its runs.
  *
  * @example
- * if (runnerStateOf(runs, lastDoneAt, performance.now()) === 'stuck') speeds.observeStuck(runner)
+ * if (runnerStateOf(runs, lastDoneAt, performance.now()) === 'stuck') stopRuns()
  */
 export function runnerStateOf(
   runs: readonly RunProgress[],
@@ -42,16 +42,13 @@
   now: number,
 ): RunnerState {
   if (lastDoneAt !== undefined && now - lastDoneAt <= minQuietMs) return 'working'
-  // A run that has just begun and has reported nothing yet shows nothing.
-  const isProgressing = runs.some(
-    ({ startedAt, progressAt, expectedMs }) =>
-      progressAt > startedAt &&
-      now - progressAt <= Math.max(minQuietMs, minProgressPart * expectedMs),
-  )
-  if (isProgressing) return 'working'
-  const overdue = runs.filter(({ startedAt, expectedMs }) => {
-    const limitMs = Math.max(overdueFactor * expectedMs, expectedMs + minOverdueMs)
-    return now - startedAt > limitMs
-  })
-  return overdue.length >= minOverdueRuns ? 'stuck' : 'unknown'
+  let overdueRuns = 0
+  for (const { startedAt, progressAt, expectedMs } of runs) {
+    const quietMs = Math.max(minQuietMs, minProgressPart * expectedMs)
+    // A run that has just begun and has reported nothing yet shows nothing.
+    if (progressAt > startedAt && now - progressAt <= quietMs) return 'working'
+    const overdueMs = Math.max(overdueFactor * expectedMs, expectedMs + minOverdueMs, quietMs)
+    if (now - startedAt > overdueMs) overdueRuns += 1
+  }
+  return overdueRuns >= minOverdueRuns ? 'stuck' : 'unknown'
 }
--- a/packages/run-times/src/runner-speeds.ts
+++ b/packages/run-times/src/runner-speeds.ts
@@ -13,10 +13,6 @@
  */
 const maxRunFactor = 3
 
-/** Factor of a runner on which nothing progresses, and the number of runs that it counts as. */
-const stuckFactor = 8
-const stuckWeight = 40
-
 /** Most runners that are kept; those without runs for the longest time are dropped. */
 const maxRunners = 1_024
 
@@ -42,8 +38,6 @@
 export interface RunnerSpeeds {
   /** Adds a run that ended as done. */
   observe(observation: RunnerObservation): void
-  /** Notes that a runner answers polls while none of its runs progresses. */
-  observeStuck(runner: Omit<RunnerObservation, 'ratio'>): void
   /**
    * Returns how many times as long as elsewhere runs take on a runner. 1 for a runner without evidence
    * and for one that has restarted since.
@@ -89,12 +83,6 @@
       current.weight = Math.min(maxWeight, current.weight + 1)
       current.meanLog += (log - current.meanLog) / current.weight
     },
-    observeStuck: runner => {
-      const current = currentOf(runner)
-      if (current === undefined) return
-      current.weight = stuckWeight
-      current.meanLog = Math.log(stuckFactor)
-    },
     factor: (runnerId, startedAt, now) => {
       const known = runners.get(runnerId)
       if (known?.startedAt !== startedAt) return 1
