feat(scheduler): order of work by weighted shares

Organisation.weight was decoded and read by nothing: a burst of one organisation kept others far below what they are guaranteed, and late jobs with nothing running waited behind all late steps of jobs that had begun.

guaranteed-work.ts judges each job by a token bucket over acceptance times; weighted-shares.ts divides each pool by weighted max-min fairness (allocate of team-share) and follows the starts of a pass; start-turns.ts gives steps their turns by class, share, first runs and slack. The progress row of an ended job has the time of its acceptance, so that a new dispatcher judges the same. A configuration without any weight is decoded with weights of 0, which leaves shares off.

--- a/packages/dispatcher/src/job-tracker.ts
+++ b/packages/dispatcher/src/job-tracker.ts
@@ -114,6 +114,7 @@
     const job = new JobExecution(definition, progress, blocks)
     job.definitionChunks = chunks
     this.#ctx.jobs.set(id, job)
+    this.#ctx.guaranteed.noteAccepted(definition)
     this.#countOccurrences(job)
     for (const task of job.tasksWithRun()) this.#restoreRun(task)
     const { queue, organisation, acceptedAt } = definition
--- a/packages/dispatcher/src/organisation-usage.ts
+++ b/packages/dispatcher/src/organisation-usage.ts
@@ -1,4 +1,11 @@
-import { addAmounts, noAmounts, type Amounts, type Organisation } from '@bulrushbridge/scheduler'
+import {
+  addAmounts,
+  noAmounts,
+  type Amounts,
+  type Organisation,
+  type QueueUsage,
+  type Task,
+} from '@bulrushbridge/scheduler'
 import type { Allocation } from './allocation.js'
 
 /** Sums the amounts that the runs of each organisation take, or may take. */
@@ -10,15 +17,36 @@
    * organisation; an amount without a limit is infinite.
    */
   allowance(organisations: readonly Organisation[]): Map<string, Amounts>
+  /** What the runs of each organisation reserve, by queue; organisations without runs are absent. */
+  byQueue(): Iterable<QueueUsage>
 }
 
 /** Creates an empty record of the usage of all organisations. */
 export function createOrganisationUsage(): OrganisationUsage {
   const usage = new Map<string, Amounts>()
+  const queueUsage = new Map<string, QueueUsage & { runs: number }>()
+  const addToQueue = ({ step }: Task, amounts: Amounts, sign: 1 | -1) => {
+    const { organisation = '', queue } = step.job.definition
+    const key = JSON.stringify([organisation, queue])
+    const sum = queueUsage.get(key) ?? {
+      organisation,
+      queue,
+      amounts: { ...noAmounts },
+      lasting: { ...noAmounts },
+      runs: 0,
+    }
+    addAmounts(sum.amounts, amounts, sign)
+    if (step.definition.isLasting === true) addAmounts(sum.lasting, amounts, sign)
+    sum.runs += sign
+    if (sum.runs === 0) queueUsage.delete(key)
+    else queueUsage.set(key, sum)
+  }
   return {
-    add: ({ task }, sign) => {
-      const organisation = task?.step.job.definition.organisation
-      if (task === undefined || organisation === undefined) return
+    add: ({ task, amounts }, sign) => {
+      if (task === undefined) return
+      addToQueue(task, amounts, sign)
+      const { organisation } = task.step.job.definition
+      if (organisation === undefined) return
       const sum = usage.get(organisation) ?? { ...noAmounts }
       addAmounts(sum, task.step.definition.amounts, sign)
       usage.set(organisation, sum)
@@ -35,6 +63,7 @@
           return [name, remaining]
         }),
       ),
+    byQueue: () => queueUsage.values(),
   }
 }
 
--- a/packages/dispatcher/src/placement-pass.ts
+++ b/packages/dispatcher/src/placement-pass.ts
@@ -1,5 +1,6 @@
 import {
   chooseStarts,
+  createWeightedShares,
   maxUnconfirmedRuns,
   noAmounts,
   sumWaitingWork,
@@ -15,6 +16,7 @@
 import { bytesPerOccurrence, runBytes } from './memory-budget.js'
 import type { MachineOrderRecord } from './machine-order-record.js'
 import { RunStarter } from './run-starter.js'
+import { createShareReport, type ShareReport } from './share-report.js'
 import { queuesOf, type TermContext } from './term-context.js'
 
 /** Most further occurrences of a job that a pass opens, so that the jobs of an organisation take turns. */
@@ -25,6 +27,7 @@
   readonly #ctx: TermContext
   readonly #starter: RunStarter
   readonly #advice: AdviceCache | undefined
+  readonly #shareReport: ShareReport
   /** Sum of the amounts, by pool, of startable tasks for which the last pass found no runner. */
   #waiting = new Map<string, Amounts>()
   #waitingTaskCount = 0
@@ -36,6 +39,11 @@
     this.#ctx = ctx
     this.#starter = new RunStarter(ctx, jobTracker, advice)
     this.#advice = advice
+    this.#shareReport = createShareReport(ctx.opts)
+  }
+
+  close(): void {
+    this.#shareReport.close()
   }
 
   /** Sum of the amounts of a pool's startable tasks for which the last pass found no runner. */
@@ -68,13 +76,23 @@
     this.#awaitsConfirmations = false
     if (steps.length === 0) {
       this.#waiting = new Map()
+      this.#shareReport.notePass({ wallNow: Date.now() })
       return false
     }
-    const allowance = this.#ctx.usage.allowance(
-      this.#ctx.opts.view.configuration()?.organisations ?? [],
-    )
+    const organisations = this.#ctx.opts.view.configuration()?.organisations ?? []
+    const allowance = this.#ctx.usage.allowance(organisations)
     const queues = queuesOf(this.#ctx)
     const runners = this.#availableRunners()
+    const wallNow = Date.now()
+    const shares = createWeightedShares({
+      organisations,
+      usage: this.#ctx.usage.byQueue(),
+      steps,
+      queues,
+      runners,
+      allowance,
+      isGuaranteed: (job, weight) => this.#ctx.guaranteed.isGuaranteed(job, weight, wallNow),
+    })
     const starts = chooseStarts({
       steps,
       queues,
@@ -82,8 +100,9 @@
       runTimes: this.#ctx.runTimes,
       allowance,
       advisedRunners: step => this.#advisedRunners(step, queues, runners),
-      wallNow: Date.now(),
+      wallNow,
       maxStarts,
+      shares,
       hasRoomForRuns: (organisation, count) =>
         this.#ctx.memory.hasRoom(organisation, count * runBytes, 'run'),
     })
@@ -91,6 +110,7 @@
       ({ unconfirmedRuns }) => unconfirmedRuns >= maxUnconfirmedRuns,
     )
     this.#starter.begin(starts)
+    this.#shareReport.notePass({ shares, steps, queues, wallNow })
     this.#waitingTaskCount = steps.reduce((sum, { pendingCount }) => sum + pendingCount, 0)
     // What a full pass left out has not been offered to a runner, so it does not lack capacity.
     if (starts.length >= maxStarts) return true
--- a/packages/dispatcher/src/read-progress.ts
+++ b/packages/dispatcher/src/read-progress.ts
@@ -4,6 +4,7 @@
   progressSchema,
   progressTable,
   taskBlocksTable,
+  type GuaranteedWork,
   type Progress,
   type StoredBlock,
 } from '@bulrushbridge/scheduler'
@@ -19,22 +20,28 @@
 
 /**
  * Reads the progress of all jobs that have not ended for good, row by row, so that the rows of ended
- * jobs take no memory.
+ * jobs take no memory. Of ended jobs, only their acceptance is noted.
  *
  * @example
- * await readProgress({ store, log }, earlierProgress)
+ * await readProgress({ store, log }, earlierProgress, guaranteed)
  */
 export async function readProgress(
   { store, log }: { store: FollowableTableService; log: Logger },
   found: EarlierProgress,
+  guaranteed: GuaranteedWork,
 ): Promise<void> {
   found.clear()
   const invalid: string[] = []
   await store.snapshotPages(progressTable, partNames, rows => {
     for (const { key, value } of rows) {
-      const parsed = progressSchema.safeParse(value)
-      if (!parsed.success) invalid.push(key)
-      else if (isNeeded(parsed.data)) found.set(key, { progress: parsed.data, blocks: [] })
+      const { data: progress } = progressSchema.safeParse(value)
+      if (progress === undefined) {
+        invalid.push(key)
+        continue
+      }
+      const { organisation, acceptedAt } = progress
+      if (acceptedAt !== undefined) guaranteed.noteAccepted({ id: key, organisation, acceptedAt })
+      if (isNeeded(progress)) found.set(key, { progress, blocks: [] })
     }
   })
   await store.snapshotPages(taskBlocksTable, partNames, rows => {
--- a/packages/dispatcher/src/term-context.ts
+++ b/packages/dispatcher/src/term-context.ts
@@ -1,4 +1,5 @@
 import type {
+  GuaranteedWork,
   JobExecution,
   JobQueue,
   RunnerFailureTracker,
@@ -22,6 +23,7 @@
   readonly sessions: Map<string, RunnerSession>
   readonly connections: RunnerConnections
   readonly usage: OrganisationUsage
+  readonly guaranteed: GuaranteedWork
   readonly memory: MemoryBudget
   /** For work on all runs of a job or a gang. */
   readonly turns: TurnSlicer
--- a/packages/dispatcher/src/term.ts
+++ b/packages/dispatcher/src/term.ts
@@ -2,6 +2,7 @@
 import { setMaxListeners } from 'node:events'
 import { normalizeError, systemClock } from '@bulrushbridge/errors'
 import {
+  createGuaranteedWork,
   createRunnerFailureTracker,
   createRunTimeEstimator,
   acceptedJobsTable,
@@ -136,7 +137,9 @@
     const { opts, jobs, sessions, startedAt } = this.#ctx
     this.#createWriters()
     await this.#retry('claim', () => Promise.all([...this.#writers.values()].map(w => w.claim())))
-    await this.#retry('read progress', () => readProgress(opts, this.#jobTracker.earlierProgress))
+    await this.#retry('read progress', () =>
+      readProgress(opts, this.#jobTracker.earlierProgress, this.#ctx.guaranteed),
+    )
     if (this.#isClosed()) return
     // Jobs are read before runners, as an end of an unknown job would be acknowledged and lost.
     await this.#followJobs().ready
@@ -175,6 +178,7 @@
     this.#stopWatchingView?.()
     clearTimeout(this.#passTimer)
     this.#loadLog.close()
+    this.#placement.close()
     this.#jobTracker.close()
     this.#ctx.turns.close()
     await Promise.all([
@@ -196,6 +200,7 @@
       sessions: new Map(),
       connections: opts.connectRunners(),
       usage: createOrganisationUsage(),
+      guaranteed: createGuaranteedWork(),
       memory: createMemoryBudget(),
       turns: createTurnSlicer(),
       runnerFailures: createRunnerFailureTracker(),
@@ -316,6 +321,7 @@
     if (this.#isClosed()) return
     if (this.#ctx.isActive()) this.#monitor.check()
     this.#jobTracker.removeOldEndedIds()
+    this.#ctx.guaranteed.prune(Date.now())
     this.#jobTracker.loadWaiting()
     this.#requestPass()
     this.#passTimer = setTimeout(() => {
--- a/packages/scheduler/src/choose-starts.ts
+++ b/packages/scheduler/src/choose-starts.ts
@@ -1,11 +1,13 @@
-import { addAmounts, countFitting, type Amounts } from './amounts.js'
+import { addAmounts, countFitting, largestFraction, noAmounts, type Amounts } from './amounts.js'
 import type { JobQueue } from './configuration.js'
 import { maxSuspicion, mustRunAlone, suspicionOf } from './crash-suspects.js'
-import type { StepExecution } from './job-execution.js'
+import type { JobExecution, StepExecution } from './job-execution.js'
 import { hasNeededLabel } from './runner-constraints.js'
 import type { Task } from './task.js'
 import { compareUrgency, createCriticalPaths, urgencyOf } from './urgency.js'
 import type { RunTimeEstimator } from './run-time-estimator.js'
+import { startTurns, type StartTurn } from './start-turns.js'
+import type { WeightedShares } from './weighted-shares.js'
 
 /**
  * A runner that may take new tasks, as input of {@link chooseStarts}. The dispatcher leaves out
@@ -50,7 +52,7 @@
  */
 export const maxUnconfirmedRuns = 48
 
-/** Input of {@link chooseStarts}, which changes the objects in `runners` and `allowance`. */
+/** Input of {@link chooseStarts}, which changes `shares` and the objects in `runners` and `allowance`. */
 export interface StartChoiceInput {
   steps: readonly StepExecution[]
   queues: ReadonlyMap<string, JobQueue>
@@ -72,6 +74,8 @@
   maxStarts: number
   /** Whether the memory of the dispatcher allows that many more runs, some of an organisation. */
   hasRoomForRuns?: (organisation: string, count: number) => boolean
+  /** Absent where no organisation has a weight. */
+  shares?: WeightedShares | undefined
 }
 
 /** A task and the runner on which it is to start. */
@@ -81,7 +85,8 @@
 }
 
 /**
- * Chooses which tasks start now and on which runners. The most urgent step goes first. Among
+ * Chooses which tasks start now and on which runners. The most urgent step goes first, in the order of
+ * `startTurns`, which follows the shares of organisations. Among
  * runners that suit a task equally, it goes to the one with the least free capacity (best fit), so
  * that large tasks fit elsewhere and idle machines can be switched off. Free capacity and
  * allowances are never exceeded, because runners start every task that they are ordered to start.
@@ -90,7 +95,7 @@
  * fewest tasks gets no others, so that it becomes idle.
  *
  * Changes its input in place: the free resources, the numbers of tasks and the suspicion of the
- * runners, and the allowances. `tasksByStep` and the steps stay as they are.
+ * runners, the allowances and the shares. `tasksByStep` and the steps stay as they are.
  *
  * @example
  * for (const { task, runnerId } of chooseStarts(input)) record(task, runnerId)
@@ -100,15 +105,24 @@
   const ranked = input.steps.flatMap(step => {
     const queue = input.queues.get(step.job.definition.queue)
     if (queue === undefined) return []
-    const urgency = urgencyOf(step, queue, input.runTimes, input.wallNow, pathsOf)
+    const isExcess = input.shares?.isExcess(step.job.definition)
+    const urgency = urgencyOf(step, queue, input.runTimes, input.wallNow, pathsOf, isExcess)
     return [{ step, queue, urgency }]
   })
   ranked.sort((a, b) => compareUrgency(a.urgency, b.urgency))
   const chooser = new StartChooser(input)
   for (const { step, queue } of ranked) chooser.startLoneTasks(step, queue)
-  for (const { step, queue } of ranked) {
+  const turns = startTurns({
+    ranked,
+    shares: input.shares,
+    mayFit: (step, queue) => chooser.mayFit(step, queue),
+    isIdle: ({ job }) => chooser.isIdle(job),
+    isHalfFree: pool => chooser.isHalfFree(pool),
+    wallNow: input.wallNow,
+  })
+  for (const turn of turns) {
     if (chooser.starts.length >= input.maxStarts) break
-    chooser.startStep(step, queue)
+    chooser.takeTurn(turn)
   }
   return chooser.starts
 }
@@ -126,6 +140,11 @@
   readonly #poolsWithKeptRunner = new Set<string>()
   /** Number of tasks started so far, by `<runner id> <step name>`. */
   readonly #startedTasks = new Map<string, number>()
+  readonly #startedJobs = new Set<JobExecution>()
+  /** Capacity and free resources of the runners, by pool. */
+  readonly #pools = new Map<string, { capacity: Amounts; free: Amounts }>()
+  /** Tasks of each step that have not been offered to the runners; undefined if none can start. */
+  readonly #offers = new Map<StepExecution, Iterator<Task, undefined> | undefined>()
 
   constructor(input: StartChoiceInput) {
     this.#input = input
@@ -133,9 +152,32 @@
       const poolRunners = this.#runnersByPool.get(runner.pool)
       if (poolRunners === undefined) this.#runnersByPool.set(runner.pool, [runner])
       else poolRunners.push(runner)
+      const sums = this.#pools.get(runner.pool) ?? {
+        capacity: { ...noAmounts },
+        free: { ...noAmounts },
+      }
+      addAmounts(sums.capacity, runner.capacity)
+      addAmounts(sums.free, runner.free)
+      this.#pools.set(runner.pool, sums)
     }
   }
 
+  mayFit(step: StepExecution, { pool }: JobQueue): boolean {
+    return !this.#isKnownUnfit(pool, reservedAmounts(step))
+  }
+
+  isIdle(job: JobExecution): boolean {
+    return !job.hasRuns && !this.#startedJobs.has(job)
+  }
+
+  isHalfFree(pool: string): boolean {
+    const sums = this.#pools.get(pool)
+    if (sums === undefined) return false
+    const used = { ...sums.capacity }
+    addAmounts(used, sums.free, -1)
+    return largestFraction(used, sums.capacity) <= 0.5
+  }
+
   /** Starts the tasks of a step that must run alone. */
   startLoneTasks(step: StepExecution, queue: JobQueue): void {
     for (const task of step.tasks.released()) {
@@ -170,19 +212,31 @@
     this.#poolsWithKeptRunner.add(queue.pool)
   }
 
-  startStep(step: StepExecution, queue: JobQueue): void {
+  /** Starts tasks of a step, or goes on where its last turn stopped. */
+  takeTurn({ step, queue, isFirstOnly, isWithinShare }: StartTurn): void {
+    if (this.#offers.has(step) && this.#offers.get(step) === undefined) return
     if (step.definition.isGang === true) {
       // A gang starts only as a whole, and only when no task of its last run may still be running.
       if (step.pendingCount + step.doneCount === step.tasks.length) this.#startGang(step, queue)
+      this.#offers.set(step, undefined)
       return
     }
-    for (const task of step.tasks.pending()) {
+    const { organisation = '' } = step.job.definition
+    const tasks = this.#offers.get(step) ?? step.tasks.pending()
+    this.#offers.set(step, tasks)
+    while (this.starts.length < this.#input.maxStarts) {
+      if (isWithinShare && this.#input.shares?.isUnderShare(queue.pool, organisation) === false)
+        return
+      const { value: task } = tasks.next()
+      if (task === undefined) break
       if (mustRunAlone(task)) continue
-      if (this.starts.length >= this.#input.maxStarts) return
       const runner = this.#bestRunner(step, queue, task)
-      if (runner !== undefined) this.#reserve(task, runner)
-      else if (task.crashes === 0) return
+      if (runner !== undefined) {
+        this.#reserve(task, runner)
+        if (isFirstOnly) return
+      } else if (task.crashes === 0) break
     }
+    this.#offers.set(step, undefined)
   }
 
   /**
@@ -360,6 +414,10 @@
     const remaining =
       organisation === undefined ? undefined : this.#input.allowance.get(organisation)
     if (remaining !== undefined) addAmounts(remaining, step.definition.amounts, -1)
+    this.#startedJobs.add(step.job)
+    const sums = this.#pools.get(runner.pool)
+    if (sums !== undefined) addAmounts(sums.free, reservedAmounts(step), -1)
+    this.#input.shares?.addStart(runner.pool, organisation ?? '', reservedAmounts(step))
     this.starts.push({ task, runnerId: runner.id })
   }
 }
--- a/packages/scheduler/src/configuration.ts
+++ b/packages/scheduler/src/configuration.ts
@@ -46,7 +46,9 @@
 export interface Organisation {
   name: string
   keys: string[]
-  /** Relative share of the fleet when it is full. */
+  /**
+   * Jobs a second that are guaranteed, and relative share of a pool when it is full; 0 means neither.
+   */
   weight: number
   /** Upper limit over all runners; 0 of a resource means no limit. */
   limit: Amounts
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -78,6 +78,12 @@
   suspicionOf,
   trustedRunMs,
 } from './crash-suspects.js'
+export {
+  createGuaranteedWork,
+  maxExcessMs,
+  type AcceptedJob,
+  type GuaranteedWork,
+} from './guaranteed-work.js'
 export { createRunTimeEstimator, type RunTimeEstimator } from './run-time-estimator.js'
 export {
   orderRefusals,
@@ -127,4 +133,11 @@
 export { type StepTasks } from './step-tasks.js'
 export { parseTaskName, type Task, type TaskName, type TaskRun } from './task.js'
 export { compareUrgency, latencyObjectiveMs, urgencyOf, type Urgency } from './urgency.js'
+export {
+  createWeightedShares,
+  type PoolShare,
+  type QueueUsage,
+  type WeightedShares,
+  type WeightedSharesInput,
+} from './weighted-shares.js'
 export { sumWaitingWork, type WaitingWorkInput } from './waiting-work.js'
--- a/packages/scheduler/src/job-execution.ts
+++ b/packages/scheduler/src/job-execution.ts
@@ -368,12 +368,12 @@
   }
 
   #encodeSummary(): Progress {
-    const { queue, organisation } = this.definition
+    const { queue, organisation, acceptedAt } = this.definition
     return {
       status: this.status,
       queue,
       ...(organisation === undefined ? {} : { organisation }),
-      ...(this.endedAt === undefined ? {} : { endedAt: this.endedAt }),
+      ...(this.endedAt === undefined ? {} : { endedAt: this.endedAt, acceptedAt }),
     }
   }
 
--- a/packages/scheduler/src/progress.ts
+++ b/packages/scheduler/src/progress.ts
@@ -47,6 +47,10 @@
    * When the job ended, in Unix milliseconds; the row is kept for the retention time after that.
    */
   endedAt: z.number().optional(),
+  /**
+   * When the job was accepted, in Unix milliseconds; only of an ended job, whose definition is deleted.
+   */
+  acceptedAt: z.number().optional(),
   /**
    * Occurrences that have begun, by number: the progress of tasks by step. 1 stands for a complete
    * one; earlier builds wrote it.
--- a/packages/scheduler/src/urgency.ts
+++ b/packages/scheduler/src/urgency.ts
@@ -4,6 +4,10 @@
 
 /** Urgency of a step. Lower values go first; fields are compared in the order given here. */
 export interface Urgency {
+  /**
+   * 1 for a finite step of a job beyond the rate that its organisation is guaranteed, 0 for others.
+   */
+  excessRank: number
   /** 0 for a lasting step, 1 for a step that can still be on time, 2 for one that is late. */
   tier: number
   /** Priority of the queue; queues with a lower number go first. */
@@ -16,6 +20,9 @@
   slackMs: number
 }
 
+/** Tier of a step that is late. */
+export const lateTier = 2
+
 /** Fraction of the remaining critical path by which a job may be late before it counts as late. */
 const lateTolerance = 0.15
 
@@ -33,24 +40,34 @@
   runTimes: RunTimeEstimator,
   wallNow: number,
   pathsOf: CriticalPaths = createCriticalPaths(runTimes),
+  isExcess = false,
 ): Urgency {
   const { job, definition } = execution
   const begunRank = job.isPlaced ? 0 : 1
   if (definition.isLasting === true)
-    return { tier: 0, priority: queue.priority, begunRank, slackMs: 0 }
+    return { excessRank: 0, tier: 0, priority: queue.priority, begunRank, slackMs: 0 }
   const [wholeMs = 0, ...laterMs] = pathsOf(job)
   const remainingMs = execution.number === 0 ? wholeMs : (laterMs[execution.number - 1] ?? 0)
   const objectiveMs = queue.stretch * wholeMs + queue.targetLatencyMs
   const slackMs = dueAt(job, execution.occurrence) + objectiveMs - wallNow - remainingMs
   const isLate = slackMs < -lateTolerance * remainingMs
-  return { tier: isLate ? 2 : 1, priority: queue.priority, begunRank, slackMs }
+  const excessRank = isExcess ? 1 : 0
+  return { excessRank, tier: isLate ? lateTier : 1, priority: queue.priority, begunRank, slackMs }
 }
 
 /** Compares two urgencies for sorting, most urgent first. */
 export function compareUrgency(a: Urgency, b: Urgency): number {
-  return (
-    a.tier - b.tier || a.priority - b.priority || a.begunRank - b.begunRank || a.slackMs - b.slackMs
-  )
+  return compareClass(a, b) || a.begunRank - b.begunRank || a.slackMs - b.slackMs
+}
+
+/** Compares what goes before the shares of organisations; 0 if these decide. */
+export function compareClass(a: Urgency, b: Urgency): number {
+  return a.excessRank - b.excessRank || a.tier - b.tier || a.priority - b.priority
+}
+
+/** When the time of a step's latency objective started, in Unix milliseconds. */
+export function stepDueAt({ job, occurrence }: StepExecution): number {
+  return dueAt(job, occurrence)
 }
 
 /**
