--- a/packages/dispatcher/src/term.ts
+++ b/packages/dispatcher/src/term.ts
@@ -3,6 +3,7 @@
 import { normalizeError, systemClock } from '@bulrushbridge/errors'
 import { createRunnerSpeeds, createRunTimeModel } from '@bulrushbridge/run-times'
 import {
+  createGuaranteedWork,
   createRunnerFailureTracker,
   acceptedJobsTable,
   partNames,
@@ -148,7 +149,9 @@
     this.#createWriters()
     const runTimesLoaded = this.#runTimeStore.load()
     await this.#retry('claim', () => Promise.all([...this.#writers.values()].map(w => w.claim())))
-    await this.#retry('read progress', () => readProgress(opts, this.#jobTracker.earlierProgress))
+    await this.#retry('read progress', () =>
+      readProgress(opts, this.#jobTracker.earlierProgress, this.#ctx.guaranteed),
+    )
     await this.#retry('read demand forecast', () => this.#poolDemand.load())
     if (this.#isClosed()) return
     // Jobs are read before runners, as an end of an unknown job would be acknowledged and lost.
@@ -190,6 +193,7 @@
     this.#stopWatchingView?.()
     clearTimeout(this.#passTimer)
     this.#loadLog.close()
+    this.#placement.close()
     this.#jobTracker.close()
     this.#ctx.turns.close()
     await Promise.all([
@@ -212,6 +216,7 @@
       sessions: new Map(),
       connections: opts.connectRunners(),
       usage: createOrganisationUsage(),
+      guaranteed: createGuaranteedWork(),
       memory: createMemoryBudget(),
       turns: createTurnSlicer(),
       runnerFailures: createRunnerFailureTracker(),
@@ -335,6 +340,7 @@
     if (this.#isClosed()) return
     if (this.#ctx.isActive()) this.#monitor.check(performance.now())
     this.#jobTracker.removeOldEndedIds()
+    this.#ctx.guaranteed.prune(Date.now())
     this.#jobTracker.loadWaiting()
     this.#requestPass()
     this.#passTimer = setTimeout(() => {
