feat(job-front): reject jobs that cannot be done in time

Change: the dispatcher stores the load of all queues in the table load, and entry hosts reject a job with 429 (job-not-in-time) when the work of its own organisation fills what the pool can get until the job could not end within three times its latency objective. Work of other organisations counts up to their shares. A rejection reads the job's progress first and writes nothing.

Ruled out: a row in the store for each rejection, so that an earlier transaction of the same id fails; it would be a write for each rejected call under overload and would keep the id from being submitted again.

--- a/packages/dispatcher/src/dispatcher.ts
+++ b/packages/dispatcher/src/dispatcher.ts
@@ -47,6 +47,8 @@
 /** Creates the clients of runners, and closes what these share. */
 export interface RunnerConnections {
   createRunner(opts: { address: string; runnerId: string; zone: string }): RunnerApi
+  /** Number of entry hosts, if it is known. */
+  hostCount?(): number
   close(): Promise<void>
 }
 
--- a/packages/dispatcher/src/placement-pass.ts
+++ b/packages/dispatcher/src/placement-pass.ts
@@ -13,6 +13,7 @@
 import type { JobTracker } from './job-tracker.js'
 import { toAvailableRunner } from './available-runner.js'
 import { bytesPerOccurrence, runBytes } from './memory-budget.js'
+import type { LoadPublisher } from './load-publisher.js'
 import type { MachineOrderRecord } from './machine-order-record.js'
 import { RunStarter } from './run-starter.js'
 import { queuesOf, type TermContext } from './term-context.js'
@@ -31,9 +32,16 @@
   #awaitsConfirmations = false
   /** Orders of earlier dispatchers to machines; set when they have been read. */
   machineOrders: MachineOrderRecord | undefined
+  readonly #loadPublisher: LoadPublisher
 
-  constructor(ctx: TermContext, jobTracker: JobTracker, advice: AdviceCache | undefined) {
+  constructor(
+    ctx: TermContext,
+    jobTracker: JobTracker,
+    advice: AdviceCache | undefined,
+    loadPublisher: LoadPublisher,
+  ) {
     this.#ctx = ctx
+    this.#loadPublisher = loadPublisher
     this.#starter = new RunStarter(ctx, jobTracker, advice)
     this.#advice = advice
   }
@@ -68,6 +76,7 @@
     this.#awaitsConfirmations = false
     if (steps.length === 0) {
       this.#waiting = new Map()
+      this.#loadPublisher.notePass({ steps, starts: [], queues: queuesOf(this.#ctx), runners: [] })
       return false
     }
     const allowance = this.#ctx.usage.allowance(
@@ -91,6 +100,7 @@
       ({ unconfirmedRuns }) => unconfirmedRuns >= maxUnconfirmedRuns,
     )
     this.#starter.begin(starts)
+    this.#loadPublisher.notePass({ steps, starts, queues, runners })
     this.#waitingTaskCount = steps.reduce((sum, { pendingCount }) => sum + pendingCount, 0)
     // What a full pass left out has not been offered to a runner, so it does not lack capacity.
     if (starts.length >= maxStarts) return true
--- a/packages/dispatcher/src/term.ts
+++ b/packages/dispatcher/src/term.ts
@@ -19,6 +19,7 @@
 import type { DispatcherOptions } from './dispatcher.js'
 import { JobTracker } from './job-tracker.js'
 import { createLoadLog, type LoadLog } from './load-log.js'
+import { createLoadPublisher, withListObserver, type LoadPublisher } from './load-publisher.js'
 import type { MachineContext } from './machine-context.js'
 import { createMachineController, type MachineController } from './machine-controller.js'
 import { MachineOrderRecord } from './machine-order-record.js'
@@ -78,6 +79,7 @@
   readonly #monitor: RunMonitor
   readonly #advice: AdviceCache | undefined
   readonly #loadLog: LoadLog
+  readonly #loadPublisher: LoadPublisher
   readonly #startLimit = createStartLimit()
   #followers: TableFollower[] = []
   #machineController: MachineController | undefined
@@ -105,7 +107,14 @@
       onJobForgotten: id => this.#advice?.forgetJob(id),
     })
     this.#runnerSessions = new RunnerSessions(ctx, this.#jobTracker.events())
-    this.#placement = new PlacementPass(ctx, this.#jobTracker, this.#advice)
+    this.#loadPublisher = createLoadPublisher({
+      ...opts,
+      ...ctx,
+      leaseCheck: held.check,
+      hasMachines: opts.machines !== undefined,
+      hostCount: () => ctx.connections.hostCount?.() ?? 1,
+    })
+    this.#placement = new PlacementPass(ctx, this.#jobTracker, this.#advice, this.#loadPublisher)
     this.#monitor = createRunMonitor({ ...ctx, log })
     this.#loadLog = createLoadLog({
       fence: held.token,
@@ -180,6 +189,7 @@
     await Promise.all([
       this.#machineController?.close(),
       this.#retention?.close(),
+      this.#loadPublisher.close(),
       ...this.#followers.map(follower => follower.close()),
       ...[...this.#ctx.sessions.values()].map(session => session.close()),
       ...[...this.#writers.values()].map(writer => writer.close()),
@@ -236,7 +246,9 @@
     if (machines === undefined) return undefined
     return {
       ...opts,
-      machines,
+      machines: withListObserver(machines, list => {
+        this.#loadPublisher.noteMachines(list)
+      }),
       fence,
       leaseCheck: this.#held.check,
       sessions,
--- a/packages/errors/src/error-kinds.ts
+++ b/packages/errors/src/error-kinds.ts
@@ -44,6 +44,12 @@
     message: 'The queue has more work than it can finish in time.',
     retryable: true,
   },
+  'job-not-in-time': {
+    status: 429,
+    message:
+      'The organisation has more waiting work than can be done in time; the job was not stored and does not run.',
+    retryable: true,
+  },
   'job-too-large': {
     status: 422,
     message: 'No worker of the pool is large enough for the job.',
--- a/packages/host-program/src/host-program.ts
+++ b/packages/host-program/src/host-program.ts
@@ -2,7 +2,13 @@
 import { createCallerServer, listen, type CallerServer } from '@bulrushbridge/caller-server'
 import { createDispatcher, type Dispatcher } from '@bulrushbridge/dispatcher'
 import { normalizeError, type RequestError, systemClock } from '@bulrushbridge/errors'
-import { createJobAcceptor, createJobHandler, type JobAcceptor } from '@bulrushbridge/job-front'
+import {
+  createAdmission,
+  createJobAcceptor,
+  createJobHandler,
+  type Admission,
+  type JobAcceptor,
+} from '@bulrushbridge/job-front'
 import {
   configurationKey,
   createAdviceClient,
@@ -33,12 +39,13 @@
   type RelayAnnouncer,
   type RelayServer,
 } from '@bulrushbridge/runner-relay'
-import { createOperatorView, type OperatorView } from '@bulrushbridge/scheduler'
+import { createOperatorView, loadTable, type OperatorView } from '@bulrushbridge/scheduler'
 import {
   followTable,
   wait,
   type FollowableTableService,
   type TableFollower,
+  type TableFollowerOptions,
 } from '@bulrushbridge/store'
 import { createMetrics, type Logger, type Metrics } from '@bulrushbridge/telemetry'
 import { dispatchCapacity } from './dispatch-capacity.js'
@@ -47,6 +54,14 @@
 /** Pause between two calls that wait for changes of the operators' table, in milliseconds. */
 const operatorPollPauseMs = 30
 
+/**
+ * Pauses between two calls that wait for changes of the load of queues, in milliseconds, while work waits and
+ * while none does. With a pause of 350 and a change every 250, each host makes two calls a second, and 300
+ * hosts a tenth of the reads that the store takes. A call waits up to 1 s, so with the other pause 300 hosts
+ * make 75 calls a second.
+ */
+const loadPollPauseMs = { waiting: 350, idle: 3_000 }
+
 /**
  * Age of the view, in milliseconds, above which the host reports that it is not ready, so that
  * callers use other hosts. The operators' limits for their changes are 2 s.
@@ -115,6 +130,8 @@
   readonly #store: FollowableTableService
   readonly #view: OperatorView
   readonly #operatorFollower: TableFollower
+  readonly #admission: Admission
+  readonly #loadFollower: TableFollower
   readonly #acceptor: JobAcceptor
   readonly #dispatcher: Dispatcher
   #internalServers: Server[] = []
@@ -131,6 +148,8 @@
     this.#store = createStoreClient(cfg.storeAddress)
     this.#view = createLoggedView(this.#log)
     this.#operatorFollower = this.#followOperatorTable()
+    this.#admission = createAdmission({ log: this.#log, metrics: this.#metrics })
+    this.#loadFollower = this.#followLoadTable()
     this.#acceptor = createJobAcceptor(this.#store)
     this.#dispatcher = this.#createDispatcher()
     this.#addGauges()
@@ -191,6 +210,7 @@
     await this.#callerServer?.close()
     await this.#acceptor.close()
     await this.#operatorFollower.close()
+    await this.#loadFollower.close()
     await this.#store.close()
     await this.#relayServer?.close()
     for (const server of this.#internalServers) server.close()
@@ -218,6 +238,27 @@
     })
   }
 
+  #followLoadTable(): TableFollower {
+    const applyRows: TableFollowerOptions['onChanges'] = rows => {
+      this.#admission.applyRows(rows)
+    }
+    return followTable({
+      store: this.#store,
+      table: loadTable,
+      parts: [''],
+      pauseMs: () =>
+        this.#admission.hasWaitedRecently() ? loadPollPauseMs.waiting : loadPollPauseMs.idle,
+      onSnapshot: applyRows,
+      onChanges: applyRows,
+      onRejected: ({ key }, reason) => {
+        this.#log.error('row could not be applied', { table: loadTable, key, reason })
+      },
+      onState: (state, detail) => {
+        this.#log.warn(`change feed ${state}`, { table: loadTable, detail })
+      },
+    })
+  }
+
   #createDispatcher(): Dispatcher {
     const cfg = this.#cfg
     const dispatcherLeaseMs = this.#opts.dispatcherLeaseMs ?? 2_000
@@ -253,6 +294,7 @@
       view: this.#view,
       store: this.#store,
       acceptor: this.#acceptor,
+      admission: this.#admission,
       codec: { deadlineHeader, isJobId, decodeKey, decodeJob, encodeStatus, encodeWaitingCount },
       refreshView: () => this.#refreshView(),
       log: this.#log,
--- a/packages/job-front/src/index.ts
+++ b/packages/job-front/src/index.ts
@@ -1,2 +1,3 @@
+export { createAdmission, type Admission } from './admission.js'
 export { createJobAcceptor, type JobAcceptor } from './job-acceptor.js'
 export { createJobHandler, type CallerCodec, type JobHandlerOptions } from './job-handler.js'
--- a/packages/job-front/src/job-handler.ts
+++ b/packages/job-front/src/job-handler.ts
@@ -15,6 +15,7 @@
   queuedJobsTable,
   JobLimitError,
   type SchedulerConfiguration,
+  type JobDefinition,
   type JobSubmission,
   type JobStatus,
   type OperatorView,
@@ -23,7 +24,9 @@
 } from '@bulrushbridge/scheduler'
 import { StoreError, type TableService, type Transaction } from '@bulrushbridge/store'
 import type { Logger, Metrics } from '@bulrushbridge/telemetry'
+import type { Admission } from './admission.js'
 import type { JobAcceptor } from './job-acceptor.js'
+import { createUnsettledAcceptances } from './unsettled-acceptances.js'
 import { retryAfterMs, retryWrite } from './write-retries.js'
 
 /**
@@ -63,6 +66,8 @@
   view: OperatorView
   store: TableService
   acceptor: JobAcceptor
+  /** Decides which submissions are rejected early; without it none is. */
+  admission?: Admission
   codec: CallerCodec
   /**
    * Brings the view up to date before a request is refused, as a newer configuration may allow it.
@@ -103,6 +108,7 @@
   /** Settles when the refresh of the view that is in progress is over. */
   #refreshing: Promise<void> | undefined
   #submittingBytes = 0
+  readonly #unsettled = createUnsettledAcceptances()
 
   constructor(opts: JobHandlerOptions) {
     this.#opts = opts
@@ -190,13 +196,14 @@
 
   async #accept(ctx: RequestContext): Promise<void> {
     const { req, res, cfg, queue, organisation, subpath: id, deadline, requestId } = ctx
-    const { acceptor, codec, log, metrics } = this.#opts
+    const { codec, log, metrics } = this.#opts
     const receivedAt = Date.now()
     const jobRequest = decode(
       codec,
       await readJson(req, Math.min(cfg.maxBodyBytes, maxStorableBodyBytes)),
     )
     if (jobRequest === undefined || id === '') throw new RequestError('bad-request')
+    await this.#rejectIfTooLate(ctx, jobRequest)
     const job = {
       id,
       queue: queue.name,
@@ -204,7 +211,7 @@
       ...jobRequest,
       acceptedAt: receivedAt,
     }
-    const outcome = await acceptor.accept(job, deadline)
+    const outcome = await this.#store(job, deadline)
     sendJson(res, 200, {})
     const storedMs = Date.now() - receivedAt
     const configuration = cfg.version
@@ -219,6 +226,50 @@
     metrics.count('bulrush_jobs_accepted_total', { queue: queue.name, outcome })
   }
 
+  async #store(job: JobDefinition, deadline: number): Promise<'accepted' | 'known'> {
+    const end = this.#unsettled.begin(job.id)
+    let isResultKnown = false
+    try {
+      const outcome = await this.#opts.acceptor.accept(job, deadline)
+      isResultKnown = true
+      return outcome
+    } catch (err) {
+      isResultKnown = err instanceof RequestError && err.outcome === 'not-run'
+      throw err
+    } finally {
+      end(isResultKnown, performance.now())
+    }
+  }
+
+  /**
+   * Rejects a job that cannot be done in time, unless it may have been accepted before: a job that is stored,
+   * or may still be stored, runs. Writes nothing.
+   */
+  async #rejectIfTooLate(ctx: RequestContext, job: JobSubmission): Promise<void> {
+    const { admission } = this.#opts
+    const rejection = admission?.check({ ...ctx, id: ctx.subpath, job })
+    if (admission === undefined || rejection === undefined) return
+    if (await this.#mayBeAccepted(ctx)) return
+    const retryMs = admission.reject(rejection)
+    throw new RequestError('job-not-in-time', { outcome: 'not-run', retryAfterMs: retryMs })
+  }
+
+  /** Whether a job with the same id is stored or may be; also if the store cannot be read. */
+  async #mayBeAccepted({ subpath: id, deadline }: RequestContext): Promise<boolean> {
+    if (this.#unsettled.has(id, performance.now())) return true
+    const readDeadline = Math.min(deadline, performance.now() + readTimeoutMs)
+    try {
+      const opts = { part: partOf(id), deadline: readDeadline }
+      if ((await this.#opts.store.read(progressTable, id, opts)) !== undefined) return true
+    } catch (cause) {
+      if (!(cause instanceof StoreError)) throw cause
+      this.#opts.metrics.count('bulrush_admissions_total', { reason: 'store-unreadable' })
+      return true
+    }
+    // Another submission of the job may have arrived during the read.
+    return this.#unsettled.has(id, performance.now())
+  }
+
   async #sendStatus(ctx: RequestContext): Promise<void> {
     const progress = await this.#readProgress(ctx)
     if (progress === undefined) throw new RequestError('job-absent')
--- a/packages/runner-relay/src/relayed-runners.ts
+++ b/packages/runner-relay/src/relayed-runners.ts
@@ -54,6 +54,8 @@
 /** Calls the runners of a fleet that is large for this host through hosts in the runners' zones. */
 export interface RelayedRunners {
   createRunner(target: RunnerTarget): RunnerApi
+  /** Number of hosts that have announced a relay, as every entry host does. */
+  hostCount(): number
   close(): Promise<void>
 }
 
@@ -110,6 +112,10 @@
     return runner
   }
 
+  hostCount(): number {
+    return this.#directory.relays.size
+  }
+
   forget(runner: RelayedRunner): void {
     if (!this.#runners.delete(runner)) return
     this.#countRunner(runner.target.zone, -1)
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -70,6 +70,21 @@
   type UpkeepWavePlan,
   type UpkeepWaveInput,
 } from './plan-upkeep-wave.js'
+export {
+  boundLoadView,
+  decodeLoadView,
+  loadKey,
+  loadTable,
+  maxLoadBytes,
+  objectiveLimitFactor,
+  publishedEstimateMs,
+  sumQueueLoads,
+  type LoadView,
+  type PoolCores,
+  type QueueLoad,
+  type QueueLoadInput,
+  type QueueLoads,
+} from './queue-load.js'
 export { noQueue, progressSchema, type Progress, type TaskProgress } from './progress.js'
 export {
   canBeSuspect,
--- a/packages/store/__tests__/follow-table.test.ts
+++ b/packages/store/__tests__/follow-table.test.ts
@@ -83,3 +83,27 @@
   await waitUntil(() => applied.has('other'))
   t.strictSame(states, [])
 })
+
+// Guards against a load on the store by followers of a table that is of no interest at the moment.
+void t.test('the pause between two calls is asked for before each of them', async t => {
+  const store = createMemoryStore()
+  const pauses: number[] = []
+  const changes: unknown[] = []
+  const follower = followTable({
+    store,
+    table: 'load',
+    parts: [''],
+    pauseMs: () => {
+      pauses.push(changes.length)
+      return 1
+    },
+    onChanges: rows => changes.push(...rows),
+    onRejected: () => undefined,
+    onState: () => undefined,
+  })
+  t.teardown(() => follower.close())
+  await follower.ready
+  await store.commit({ checks: [], writes: [{ table: 'load', key: 'queues', value: 1 }] })
+  await waitUntil(() => pauses.length >= 2)
+  t.strictSame(pauses.slice(0, 2), [0, 1])
+})
--- a/packages/store/src/follow-table.ts
+++ b/packages/store/src/follow-table.ts
@@ -30,8 +30,11 @@
   onRejected: (row: ChangedRow, reason: string) => void
   /** Called when calls begin to fail, with the error as `detail`, and when they succeed again. */
   onState: (state: 'lost' | 'regained', detail: string) => void
-  /** Pause between two calls, in milliseconds, so that one response contains several changes. */
-  pauseMs: number
+  /**
+   * Pause between two calls, in milliseconds, so that one response contains several changes. A function is
+   * called before each pause.
+   */
+  pauseMs: number | (() => number)
   clock?: WaitingClock
 }
 
@@ -93,7 +96,9 @@
         this.#confirmedAt = sentAt
         this.#markReady()
         this.#notifyState(false, '')
-        await wait(this.#clock, this.#opts.pauseMs, this.#closing.signal)
+        const { pauseMs } = this.#opts
+        const nextPauseMs = typeof pauseMs === 'function' ? pauseMs() : pauseMs
+        await wait(this.#clock, nextPauseMs, this.#closing.signal)
       } catch (err) {
         if (this.#isClosed()) return
         this.#notifyState(true, normalizeError(err).message)
