--- a/packages/dispatcher/src/load-publisher.ts
+++ b/packages/dispatcher/src/load-publisher.ts
@@ -24,9 +24,9 @@
 
 /**
  * Least time between two publications, as a multiple of the time that the last view took to compute, so that
- * a large backlog takes at most a twentieth of the dispatcher's event loop.
+ * a large backlog takes at most a tenth of the dispatcher's event loop.
  */
-const computeTimeFactor = 20
+const computeTimeFactor = 10
 
 /** Timeout of a publication, in milliseconds; hosts ignore a view that is older than 1 s. */
 const commitTimeoutMs = 800
--- a/packages/host-program/src/host-program.ts
+++ b/packages/host-program/src/host-program.ts
@@ -39,29 +39,21 @@
   type RelayAnnouncer,
   type RelayServer,
 } from '@bulrushbridge/runner-relay'
-import { createOperatorView, loadTable, type OperatorView } from '@bulrushbridge/scheduler'
+import { createOperatorView, type OperatorView } from '@bulrushbridge/scheduler'
 import {
   followTable,
   wait,
   type FollowableTableService,
   type TableFollower,
-  type TableFollowerOptions,
 } from '@bulrushbridge/store'
 import { createMetrics, type Logger, type Metrics } from '@bulrushbridge/telemetry'
 import { dispatchCapacity } from './dispatch-capacity.js'
+import { followLoad } from './follow-load.js'
 import { dispatcherTiming } from './timing.js'
 
 /** Pause between two calls that wait for changes of the operators' table, in milliseconds. */
 const operatorPollPauseMs = 30
 
-/**
- * Pauses between two calls that wait for changes of the load of queues, in milliseconds, while work waits and
- * while none does. With a pause of 350 and a change every 250, each host makes two calls a second, and 300
- * hosts a tenth of the reads that the store takes. A call waits up to 1 s, so with the other pause 300 hosts
- * make 75 calls a second.
- */
-const loadPollPauseMs = { waiting: 350, idle: 3_000 }
-
 /**
  * Age of the view, in milliseconds, above which the host reports that it is not ready, so that
  * callers use other hosts. The operators' limits for their changes are 2 s.
@@ -149,7 +141,11 @@
     this.#view = createLoggedView(this.#log)
     this.#operatorFollower = this.#followOperatorTable()
     this.#admission = createAdmission({ log: this.#log, metrics: this.#metrics })
-    this.#loadFollower = this.#followLoadTable()
+    this.#loadFollower = followLoad({
+      store: this.#store,
+      admission: this.#admission,
+      log: this.#log,
+    })
     this.#acceptor = createJobAcceptor(this.#store)
     this.#dispatcher = this.#createDispatcher()
     this.#addGauges()
@@ -238,27 +234,6 @@
     })
   }
 
-  #followLoadTable(): TableFollower {
-    const applyRows: TableFollowerOptions['onChanges'] = rows => {
-      this.#admission.applyRows(rows)
-    }
-    return followTable({
-      store: this.#store,
-      table: loadTable,
-      parts: [''],
-      pauseMs: () =>
-        this.#admission.hasWaitedRecently() ? loadPollPauseMs.waiting : loadPollPauseMs.idle,
-      onSnapshot: applyRows,
-      onChanges: applyRows,
-      onRejected: ({ key }, reason) => {
-        this.#log.error('row could not be applied', { table: loadTable, key, reason })
-      },
-      onState: (state, detail) => {
-        this.#log.warn(`change feed ${state}`, { table: loadTable, detail })
-      },
-    })
-  }
-
   #createDispatcher(): Dispatcher {
     const cfg = this.#cfg
     const dispatcherLeaseMs = this.#opts.dispatcherLeaseMs ?? 2_000
