--- a/packages/dispatcher/src/placement-pass.ts
+++ b/packages/dispatcher/src/placement-pass.ts
@@ -15,6 +15,7 @@
 import type { JobTracker } from './job-tracker.js'
 import { toAvailableRunner } from './available-runner.js'
 import { bytesPerOccurrence, runBytes } from './memory-budget.js'
+import type { LoadPublisher } from './load-publisher.js'
 import type { MachineOrderRecord } from './machine-order-record.js'
 import { RunStarter } from './run-starter.js'
 import { createShareReport, type ShareReport } from './share-report.js'
@@ -35,9 +36,16 @@
   #awaitsConfirmations = false
   /** Orders of earlier dispatchers to machines; set when they have been read. */
   machineOrders: MachineOrderRecord | undefined
+  readonly #loadPublisher: LoadPublisher
 
-  constructor(ctx: TermContext, jobTracker: JobTracker, advice: AdviceCache | undefined) {
+  constructor(
+    ctx: TermContext,
+    jobTracker: JobTracker,
+    advice: AdviceCache | undefined,
+    loadPublisher: LoadPublisher,
+  ) {
     this.#ctx = ctx
+    this.#loadPublisher = loadPublisher
     this.#starter = new RunStarter(ctx, jobTracker, advice)
     this.#advice = advice
     this.#shareReport = createShareReport(ctx.opts)
@@ -78,6 +86,7 @@
     if (steps.length === 0) {
       this.#waiting = new Map()
       this.#shareReport.notePass({ wallNow: Date.now() })
+      this.#loadPublisher.notePass({ steps, starts: [], queues: queuesOf(this.#ctx), runners: [] })
       return false
     }
     const organisations = this.#ctx.opts.view.configuration()?.organisations ?? []
@@ -112,6 +121,7 @@
     )
     this.#starter.begin(starts)
     this.#shareReport.notePass({ shares, steps, queues, wallNow })
+    this.#loadPublisher.notePass({ steps, starts, queues, runners })
     this.#waitingTaskCount = steps.reduce((sum, { pendingCount }) => sum + pendingCount, 0)
     // What a full pass left out has not been offered to a runner, so it does not lack capacity.
     if (starts.length >= maxStarts) return true
--- a/packages/dispatcher/src/term.ts
+++ b/packages/dispatcher/src/term.ts
@@ -20,6 +20,7 @@
 import type { DispatcherOptions } from './dispatcher.js'
 import { JobTracker } from './job-tracker.js'
 import { createLoadLog, type LoadLog } from './load-log.js'
+import { createLoadPublisher, withListObserver, type LoadPublisher } from './load-publisher.js'
 import type { MachineContext } from './machine-context.js'
 import { createMachineController, type MachineController } from './machine-controller.js'
 import { defaultMachineOrdersPerSecond, MachineOrderRate } from './machine-order-rate.js'
@@ -84,6 +85,7 @@
   readonly #runTimeStore: RunTimeStore
   readonly #advice: AdviceCache | undefined
   readonly #loadLog: LoadLog
+  readonly #loadPublisher: LoadPublisher
   readonly #startLimit = createStartLimit()
   #followers: TableFollower[] = []
   #machineController: MachineController | undefined
@@ -115,7 +117,14 @@
       onJobForgotten: id => this.#advice?.forgetJob(id),
     })
     this.#runnerSessions = new RunnerSessions(ctx, this.#jobTracker.events())
-    this.#placement = new PlacementPass(ctx, this.#jobTracker, this.#advice)
+    this.#loadPublisher = createLoadPublisher({
+      ...opts,
+      ...ctx,
+      leaseCheck: held.check,
+      hasMachines: opts.machines !== undefined,
+      hostCount: () => ctx.connections.hostCount?.() ?? 1,
+    })
+    this.#placement = new PlacementPass(ctx, this.#jobTracker, this.#advice, this.#loadPublisher)
     this.#monitor = createRunMonitor({ ...ctx, log })
     const leaseCheck = held.check
     this.#runTimeStore = createRunTimeStore({ ...opts, ...ctx, leaseCheck })
@@ -200,6 +209,7 @@
       this.#machineController?.close(),
       this.#retention?.close(),
       this.#runTimeStore.close(),
+      this.#loadPublisher.close(),
       ...this.#followers.map(follower => follower.close()),
       ...[...this.#ctx.sessions.values()].map(session => session.close()),
       ...[...this.#writers.values()].map(writer => writer.close()),
@@ -258,8 +268,10 @@
     if (machines === undefined) return undefined
     return {
       ...opts,
-      machines,
       orderRate: new MachineOrderRate(machineOrdersPerSecond, performance.now()),
+      machines: withListObserver(machines, list => {
+        this.#loadPublisher.noteMachines(list)
+      }),
       fence,
       leaseCheck: this.#held.check,
       sessions,
--- a/packages/host-program/src/host-program.ts
+++ b/packages/host-program/src/host-program.ts
@@ -2,7 +2,13 @@
 import { createCallerServer, listen, type CallerServer } from '@bulrushbridge/caller-server'
 import { createDispatcher, type Dispatcher } from '@bulrushbridge/dispatcher'
 import { normalizeError, type RequestError, systemClock } from '@bulrushbridge/errors'
-import { createJobAcceptor, createJobHandler, type JobAcceptor } from '@bulrushbridge/job-front'
+import {
+  createAdmission,
+  createJobAcceptor,
+  createJobHandler,
+  type Admission,
+  type JobAcceptor,
+} from '@bulrushbridge/job-front'
 import {
   configurationKey,
   createAdviceClient,
@@ -42,6 +48,7 @@
 } from '@bulrushbridge/store'
 import { createMetrics, type Logger, type Metrics } from '@bulrushbridge/telemetry'
 import { dispatchCapacity } from './dispatch-capacity.js'
+import { followLoad } from './follow-load.js'
 import { dispatcherTiming } from './timing.js'
 
 /** Pause between two calls that wait for changes of the operators' table, in milliseconds. */
@@ -115,6 +122,8 @@
   readonly #store: FollowableTableService
   readonly #view: OperatorView
   readonly #operatorFollower: TableFollower
+  readonly #admission: Admission
+  readonly #loadFollower: TableFollower
   readonly #acceptor: JobAcceptor
   readonly #dispatcher: Dispatcher
   #internalServers: Server[] = []
@@ -131,6 +140,12 @@
     this.#store = createStoreClient(cfg.storeAddress)
     this.#view = createLoggedView(this.#log)
     this.#operatorFollower = this.#followOperatorTable()
+    this.#admission = createAdmission({ log: this.#log, metrics: this.#metrics })
+    this.#loadFollower = followLoad({
+      store: this.#store,
+      admission: this.#admission,
+      log: this.#log,
+    })
     this.#acceptor = createJobAcceptor(this.#store)
     this.#dispatcher = this.#createDispatcher()
     this.#addGauges()
@@ -191,6 +206,7 @@
     await this.#callerServer?.close()
     await this.#acceptor.close()
     await this.#operatorFollower.close()
+    await this.#loadFollower.close()
     await this.#store.close()
     await this.#relayServer?.close()
     for (const server of this.#internalServers) server.close()
@@ -255,6 +271,7 @@
       view: this.#view,
       store: this.#store,
       acceptor: this.#acceptor,
+      admission: this.#admission,
       codec: { deadlineHeader, isJobId, decodeKey, decodeJob, encodeStatus, encodeWaitingCount },
       refreshView: () => this.#refreshView(),
       log: this.#log,
