test(scheduler): forecast and planner under bursts, faults and wrong predictions

Splits the counting of arrivals from the detection of bursts, dates the start of a burst by the likeliest change of rate, does not learn from rises of fewer than twelve jobs, and bounds the time for which a burst that does not begin is predicted to 2.6 s.

--- a/packages/scheduler/__tests__/demand-bursts.ts
+++ b/packages/scheduler/__tests__/demand-bursts.ts
@@ -129,7 +129,7 @@
  */
 export const largeLoad: BurstLoad = {
   tickMs: 20,
-  lengthMs: 48_000,
+  lengthMs: 36_000,
   burstMs: 4_000,
   demandInBurst: 4.5,
   kinds: [quickJobs, largerJobs, quickJobs, largerJobs],
--- a/packages/scheduler/__tests__/known-demand.ts
+++ b/packages/scheduler/__tests__/known-demand.ts
@@ -1,3 +1,9 @@
+import {
+  createDemandForecast,
+  demandForecastSchema,
+  type AcceptedWork,
+  type DemandForecast,
+} from '../src/index.js'
 import { demandOutsideBurst, type BurstLoad, type SimulatedForecast } from './demand-bursts.js'
 
 /** Granularity of the known demand, in milliseconds. */
@@ -46,3 +52,36 @@
     expectedPeak: (pool, from, until) => Math.max(0, ...busyCores(pool, from, until)),
   }
 }
+
+/**
+ * Creates a forecast that another dispatcher continues at a given time: from the encoded state and
+ * the jobs that are open then, which are taken to be those of the last `openMs`.
+ *
+ * @example
+ * simulateDemandBursts({ seed, load, forecast: withTakeover(9_000, 2_000) })
+ */
+export function withTakeover(at: number, openMs: number): (now: number) => SimulatedForecast {
+  const first = createDemandForecast()
+  let second: SimulatedForecast | undefined
+  const accepted: AcceptedWork[] = []
+  const noteAccepted = (work: AcceptedWork) => {
+    accepted.push(work)
+    first.noteAccepted(work)
+  }
+  return now => {
+    if (now < at) return { noteAccepted, ...askedOf(first) }
+    if (second === undefined) {
+      const saved: unknown = JSON.parse(JSON.stringify(first.encode()))
+      second = createDemandForecast(demandForecastSchema.parse(saved))
+      for (const work of accepted.reverse()) if (work.at >= at - openMs) second.noteAccepted(work)
+    }
+    return second
+  }
+}
+
+function askedOf(forecast: DemandForecast): Pick<DemandForecast, 'expected' | 'expectedPeak'> {
+  return {
+    expected: (...args) => forecast.expected(...args),
+    expectedPeak: (...args) => forecast.expectedPeak(...args),
+  }
+}
--- a/packages/scheduler/__tests__/plan-pool-moves.test.ts
+++ b/packages/scheduler/__tests__/plan-pool-moves.test.ts
@@ -118,3 +118,110 @@
   t.same(planPoolMoves({ machines, pools, now: 1_000, maxMoves: 16 }), [{ machine: 'b2', to: 'a' }])
   t.end()
 })
+
+/** Returns machines of a pool that have been idle since a time, or are in use. */
+function group(pool: string, count: number, changes: Partial<MovableMachine> = {}) {
+  return Array.from({ length: count }, (_, i) => machine(`${pool}${i}`, pool, changes))
+}
+
+// Guards against a pool that gets machines only for the work that waits at this instant.
+void t.test('a pool gets the machines that the expected work will need', t => {
+  const machines = group('spare', 20)
+  const pools = [pool('a', { expected: waitingFor(10), arrivingCount: 1 }), spare]
+  const moves = planPoolMoves({ machines, pools, now: 10_000, maxMoves: 32 })
+  t.equal(moves.length, 2, 'ten and a tenth, minus eight in the pool and one in transit')
+  const withLasting = [pool('a', { expected: waitingFor(10), lasting: waitingFor(3) }), spare]
+  t.equal(planPoolMoves({ machines, pools: withLasting, now: 10_000, maxMoves: 32 }).length, 6)
+  t.end()
+})
+
+// Guards against machines ordered for work that the pool will have done before they arrive.
+void t.test('work that ends before a machine would arrive needs none', t => {
+  const machines = group('spare', 20)
+  const load = { expected: waitingFor(1), waiting: waitingFor(4), running: waitingFor(8) }
+  const short = [pool('a', load), spare]
+  t.equal(planPoolMoves({ machines, pools: short, now: 10_000, maxMoves: 32 }).length, 6)
+  const ending = [pool('a', { ...load, ending: waitingFor(8) }), spare]
+  // One is ordered nevertheless, as the waiting work may need a machine of its own.
+  t.equal(planPoolMoves({ machines, pools: ending, now: 10_000, maxMoves: 32 }).length, 1)
+  const arriving = [pool('a', { ...load, ending: waitingFor(8), arrivingCount: 1 }), spare]
+  t.same(planPoolMoves({ machines, pools: arriving, now: 10_000, maxMoves: 32 }), [])
+  t.end()
+})
+
+// Guards against counting a crashed rack as capacity until the platform lists its machines as down.
+void t.test('lost machines are neither capacity nor moved', t => {
+  const lost = group('b', 8, { isLost: true, idleSince: 0 })
+  const machines = [...lost, ...group('spare', 4)]
+  const pools = [
+    pool('a', { expected: waitingFor(7), usableCount: 5 }),
+    pool('b', { expected: noWaitingWork, usableCount: 0 }),
+    spare,
+  ]
+  t.same(
+    planPoolMoves({ machines, pools, now: 10_000, maxMoves: 32 }).map(({ machine: id }) => id),
+    ['spare0', 'spare1', 'spare2'],
+  )
+  t.end()
+})
+
+// Guards against switching machines off and others on, two moves, when one burst follows another.
+void t.test('machines of a pool whose burst has ended go to the next one before spare ones', t => {
+  const machines = [...group('spare', 4), ...group('b', 8, { idleSince: 9_900 })]
+  const next = pool('a', { expected: waitingFor(10) })
+  const ended = [next, pool('b', { expected: waitingFor(0.5) }), spare]
+  t.same(
+    planPoolMoves({ machines, pools: ended, now: 10_000, maxMoves: 32 }).map(
+      ({ machine: id }) => id,
+    ),
+    ['b0', 'b1', 'b2'],
+    'three of b, idle for 0.1 s, which keeps five',
+  )
+  const needed = [next, pool('b', { expected: noWaitingWork, expectedPeak: waitingFor(7) }), spare]
+  t.same(
+    planPoolMoves({ machines, pools: needed, now: 10_000, maxMoves: 32 }).map(
+      ({ machine: id }) => id,
+    ),
+    ['spare0', 'spare1', 'spare2'],
+    'b needs its machines soon',
+  )
+  t.end()
+})
+
+// Guards against a pool below its minimum after several machines of it leave in one plan.
+void t.test('a pool keeps its minimum however many others are short', t => {
+  const machines = group('b', 8, { idleSince: 0, isLent: true })
+  const pools = [pool('a', { waiting: waitingFor(9) }), pool('b'), spare]
+  t.equal(planPoolMoves({ machines, pools, now: 10_000, maxMoves: 32 }).length, 3)
+  t.end()
+})
+
+// Guards against machines that stay on for a predicted burst that does not begin.
+void t.test('machines stay on for an expected burst and are switched off without it', t => {
+  const machines = group('a', 12, { idleSince: 7_000, isLent: true })
+  const load = { upCount: 12, expected: noWaitingWork }
+  const soon = [pool('a', { ...load, expectedPeak: waitingFor(10) }), spare]
+  t.equal(planPoolMoves({ machines, pools: soon, now: 10_000, maxMoves: 32 }).length, 1)
+  t.equal(
+    planPoolMoves({ machines, pools: [pool('a', load), spare], now: 10_000, maxMoves: 32 }).length,
+    7,
+  )
+  t.equal(
+    planPoolMoves({ machines, pools: [pool('a', load), spare], now: 9_000, maxMoves: 32 }).length,
+    0,
+    'not before staying has cost as much as two moves',
+  )
+  t.end()
+})
+
+// Guards against moving machines with running or lasting work, or those that run something unknown.
+void t.test('a machine in use keeps its place', t => {
+  const machines = group('b', 20)
+  const pools = [
+    pool('a', { expected: waitingFor(10) }),
+    pool('b', { upCount: 20, expected: noWaitingWork }),
+    spare,
+  ]
+  t.same(planPoolMoves({ machines, pools, now: 10_000, maxMoves: 32 }), [])
+  t.end()
+})
--- a/packages/scheduler/src/burst-recurrence.ts
+++ b/packages/scheduler/src/burst-recurrence.ts
@@ -45,6 +45,15 @@
  */
 const lateStartMs = 600
 
+/**
+ * Longest time for which one burst is predicted without having begun, in milliseconds. Keeping a
+ * machine for that long costs as much as two moves.
+ */
+const maxPredictedMs = 2_600
+
+/** Largest usual deviation at which a start is predicted, in milliseconds. */
+const maxDeviationMs = 1_000
+
 /** Number of bursts that are predicted one after another. */
 const maxPredictedBursts = 3
 
@@ -116,8 +125,9 @@
 
 function nextAfter(last: BurstStart, interval: RegularInterval, now: number): number[] {
   const due = last.from + interval.meanMs
-  if (now > due + lateStartMs + 3 * interval.deviationMs) return []
-  return [due - interval.deviationMs]
+  const from = due - interval.deviationMs
+  const latest = Math.min(due + lateStartMs + 3 * interval.deviationMs, from + maxPredictedMs)
+  return now > latest ? [] : [from]
 }
 
 /** Returns the pools that may follow the last burst, the likeliest first. */
@@ -163,5 +173,5 @@
   if (regular.length < 2 || regular.length < regularFraction * compared.length) return undefined
   const meanMs = regular.reduce((sum, ms) => sum + ms, 0) / regular.length
   const deviationMs = regular.reduce((sum, ms) => sum + Math.abs(ms - meanMs), 0) / regular.length
-  return { meanMs, deviationMs }
+  return deviationMs > maxDeviationMs ? undefined : { meanMs, deviationMs }
 }
--- a/packages/scheduler/src/demand-forecast.ts
+++ b/packages/scheduler/src/demand-forecast.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod'
 import { demandBurstSchema, predictBursts, type DemandBurst } from './burst-recurrence.js'
-import { bucketMs, PoolArrivals, poolArrivalsSchema } from './pool-arrivals.js'
+import { bucketMs } from './arrival-buckets.js'
+import { PoolArrivals, poolArrivalsSchema } from './pool-arrivals.js'
 
 /** Most pools of which something is learned; further ones are expected to need nothing. */
 const maxPools = 12
@@ -134,7 +135,7 @@
     for (let number = first - spans + 1; number <= last; number++) {
       const at = number * bucketMs
       const futureMs = Math.min(bucketMs, Math.max(0, at + bucketMs - now))
-      arrived.push((at <= now ? arrivals.coreMsIn(at) : 0) + futureMs * rateAt(at))
+      arrived.push((at <= now ? arrivals.arrivedIn(at).coreMs : 0) + futureMs * rateAt(at))
     }
     // Little's law: the work that arrives during one critical path is under way together.
     const cores: number[] = []
@@ -168,7 +169,7 @@
       if (next !== pool || (current !== undefined && from < current.from + meanMs)) continue
       spans.push({ from, until: from + meanMs, cores: cores * probability })
     }
-    const quiet = arrivals.quietCores
+    const quiet = arrivals.quietCores(now)
     return at => spans.find(span => at >= span.from && at < span.until)?.cores ?? quiet
   }
 
--- a/packages/scheduler/src/plan-pool-moves.ts
+++ b/packages/scheduler/src/plan-pool-moves.ts
@@ -105,7 +105,7 @@
  * Number of machines for the expected work of a pool, as a multiple of those that it would fill.
  * Tasks do not fill machines completely, and jobs arrive unevenly within a burst.
  */
-const headroomFactor = 1.2
+const headroomFactor = 1.1
 
 /**
  * Plans which machines change their pool when bursts of demand reach one pool after another. A pool
--- a/packages/scheduler/src/pool-arrivals.ts
+++ b/packages/scheduler/src/pool-arrivals.ts
@@ -1,7 +1,5 @@
 import { z } from 'zod'
-
-/** Length of the time spans in which arrivals are counted, in milliseconds. */
-export const bucketMs = 100
+import { ArrivalBuckets, bucketMs, startOfBucket, type Arrived } from './arrival-buckets.js'
 
 /** Time for which arrivals are kept, in milliseconds; longer than jobs usually take. */
 const historyMs = 6_000
@@ -33,24 +31,33 @@
 /** Time constant of the rate outside bursts, in milliseconds. */
 const quietTimeConstantMs = 20_000
 
-/** A shorter rise is not learned from: a few jobs that arrived together by chance. */
+/**
+ * A rise that is shorter or has fewer jobs is not learned from: a few jobs that arrived together by
+ * chance. While the rate outside bursts is unknown, six such jobs were taken for a burst.
+ */
 const minBurstMs = 500
+const minBurstJobs = 12
 
 /** A longer rise is a new steady rate, not a burst. */
 const maxBurstMs = 30_000
 
-/** Time over which the level of a current burst is measured, in milliseconds. */
+/** Time over which the present rate of arrivals is measured, in milliseconds. */
 const levelWindowMs = 2_000
 
 /** Number of jobs that the level of earlier bursts counts for in the level of the current one. */
 const levelPriorJobs = 8
 
+/** Longest time that these jobs count for, in milliseconds, so that a higher burst is soon known. */
+const maxLevelPriorMs = 300
+
 /** Time that a job takes if nothing is known, in milliseconds. */
 const defaultPathMs = 1_500
 
 const phaseSchema = z.object({
   /** Time up to which arrivals have been judged. */
   at: z.number(),
+  /** Time of the last change of the phase. */
+  since: z.number(),
   /** Logarithm of the likelihood ratio for a change of the phase, at least 0. */
   evidence: z.number(),
   /** Time since which the evidence is above 0, which is when the change took place, if it did. */
@@ -79,14 +86,6 @@
 /** What is known of the arrivals of a pool, as a JSON value. */
 export type PoolArrivalsState = z.infer<typeof poolArrivalsSchema>
 
-interface Bucket {
-  jobs: number
-  coreMs: number
-  /** Counted before the state was restored; the same jobs may be counted again. */
-  savedJobs: number
-  savedCoreMs: number
-}
-
 /** A burst that has ended, without its pool. */
 export interface EndedBurst {
   from: number
@@ -105,7 +104,7 @@
  * const ended = arrivals.settle(Date.now())
  */
 export class PoolArrivals {
-  readonly #buckets = new Map<number, Bucket>()
+  readonly #buckets: ArrivalBuckets
   #phase: Phase
   #quietJobsPerMs: number
   #burst: { jobsPerMs: number; cores: number } | undefined
@@ -115,14 +114,13 @@
 
   constructor(at: number, saved?: PoolArrivalsState) {
     // Jobs may be added in any order, so the first one need not be the earliest.
-    this.#phase = saved?.phase ?? quietPhase(startOf(at - levelWindowMs))
+    this.#phase = saved?.phase ?? quietPhase(startOfBucket(at - levelWindowMs))
     this.#quietJobsPerMs = saved?.quietJobsPerMs ?? 5 * minQuietJobsPerMs
     this.#burst = saved?.burst
     this.#jobs = saved?.jobs ?? 0
     this.#jobCoreMs = saved?.jobCoreMs ?? 0
     this.#pathMs = saved?.pathMs ?? defaultPathMs
-    for (const [number, savedJobs, savedCoreMs] of saved?.buckets ?? [])
-      this.#buckets.set(number, { jobs: 0, coreMs: 0, savedJobs, savedCoreMs })
+    this.#buckets = new ArrivalBuckets(saved?.buckets)
   }
 
   /** Mean time for which the work of a job keeps cores busy, in milliseconds. */
@@ -135,9 +133,16 @@
     return this.#burst?.cores
   }
 
-  /** Arrival rate of work outside bursts, in cores. */
-  get quietCores(): number {
-    return this.#quietJobsPerMs * this.#jobCoreMs
+  /**
+   * Arrival rate of work outside bursts, in cores. Half of it is what arrived lately, so that a steady
+   * demand that has changed is followed within seconds.
+   */
+  quietCores(now: number): number {
+    const phase = this.#phaseAt(now)
+    const since = phase.burstFrom === undefined ? phase.since : now
+    const { coreMs, elapsedMs } = this.#arrivedSince(since, now)
+    const usualCoreMs = this.#quietJobsPerMs * this.#jobCoreMs * levelWindowMs
+    return (usualCoreMs + coreMs) / (levelWindowMs + elapsedMs)
   }
 
   /** Adds a job with its work and the time that it takes. */
@@ -148,25 +153,18 @@
     if (pathMs !== undefined) this.#pathMs += weight * (Math.max(bucketMs, pathMs) - this.#pathMs)
     // A job older than the history is only seen at a takeover and says nothing of the present.
     if (at < this.#phase.at - historyMs) return
-    const number = Math.floor(at / bucketMs)
-    const bucket = this.#buckets.get(number)
-    if (bucket === undefined)
-      this.#buckets.set(number, { jobs: 1, coreMs, savedJobs: 0, savedCoreMs: 0 })
-    else {
-      bucket.jobs += 1
-      bucket.coreMs += coreMs
-    }
+    this.#buckets.add(at, coreMs)
   }
 
   /** Judges the arrivals that are final; returns the bursts that have ended in them. */
   settle(now: number): EndedBurst[] {
     const ended: EndedBurst[] = []
-    const until = startOf(now - settleMs)
+    const until = startOfBucket(now - settleMs)
     // After a pause without a dispatcher, arrivals are unknown, and an earlier burst is over.
     if (until - this.#phase.at > historyMs) this.#phase = quietPhase(until - historyMs)
     while (this.#phase.at + bucketMs <= until) {
       const before = this.#phase
-      const jobs = this.#jobsIn(before.at)
+      const { jobs } = this.#buckets.in(before.at)
       this.#phase = this.#advance(before, bucketMs)
       if (before.burstFrom === undefined) {
         const weight = bucketMs / quietTimeConstantMs
@@ -179,8 +177,7 @@
         this.#phase = quietPhase(this.#phase.at)
       }
     }
-    for (const number of this.#buckets.keys())
-      if (number * bucketMs < until - historyMs) this.#buckets.delete(number)
+    this.#buckets.deleteBefore(until - historyMs)
     return ended
   }
 
@@ -189,27 +186,19 @@
    * so far; undefined outside bursts.
    */
   currentBurst(now: number): { from: number; cores: number } | undefined {
-    let phase = this.#phase
-    while (phase.at < now) phase = this.#advance(phase, Math.min(bucketMs, now - phase.at))
-    if (phase.burstFrom === undefined) return undefined
-    return { from: phase.burstFrom, cores: this.#levelOf(phase.burstFrom, now) }
+    const { burstFrom } = this.#phaseAt(now)
+    if (burstFrom === undefined) return undefined
+    return { from: burstFrom, cores: this.#levelOf(burstFrom, now) }
   }
 
-  /** Work that arrived in the time span that contains `at`, in core-milliseconds. */
-  coreMsIn(at: number): number {
-    const bucket = this.#buckets.get(Math.floor(at / bucketMs))
-    return bucket === undefined ? 0 : Math.max(bucket.coreMs, bucket.savedCoreMs)
+  /** Returns what arrived in the time span that contains `at`. */
+  arrivedIn(at: number): Arrived {
+    return this.#buckets.in(at)
   }
 
   encode(): PoolArrivalsState {
-    const buckets = [...this.#buckets.keys()]
-      .sort((a, b) => a - b)
-      .map((number): [number, number, number] => {
-        const at = number * bucketMs
-        return [number, this.#jobsIn(at), Math.round(this.coreMsIn(at))]
-      })
     return {
-      buckets,
+      buckets: this.#buckets.encode(),
       phase: this.#phase,
       quietJobsPerMs: this.#quietJobsPerMs,
       ...(this.#burst === undefined ? {} : { burst: this.#burst }),
@@ -219,15 +208,16 @@
     }
   }
 
-  #jobsIn(at: number): number {
-    const bucket = this.#buckets.get(Math.floor(at / bucketMs))
-    return bucket === undefined ? 0 : Math.max(bucket.jobs, bucket.savedJobs)
+  /** The phase as judged by all arrivals so far, final or not. */
+  #phaseAt(now: number): Phase {
+    let phase = this.#phase
+    while (phase.at < now) phase = this.#advance(phase, Math.min(bucketMs, now - phase.at))
+    return phase
   }
 
   /** Judges the arrivals of one time span, or of its part up to now. */
   #advance(phase: Phase, ms: number): Phase {
-    const jobs = this.#jobsIn(phase.at)
-    const coreMs = this.coreMsIn(phase.at)
+    const { jobs, coreMs } = this.#buckets.in(phase.at)
     const at = phase.at + ms
     const quietRate = Math.max(minQuietJobsPerMs, this.#quietJobsPerMs)
     const burstRate = this.#burstRate(phase, quietRate)
@@ -236,16 +226,30 @@
     const evidence = Math.max(0, phase.evidence + (isBurst ? -forBurst : forBurst))
     let changeAt = phase.evidence > 0 ? phase.changeAt : phase.at
     if (evidence === 0) changeAt = at
-    const sums =
-      evidence === 0 && !isBurst
-        ? { burstJobs: 0, burstCoreMs: 0 }
-        : { burstJobs: phase.burstJobs + jobs, burstCoreMs: phase.burstCoreMs + coreMs }
     if (!isBurst) {
-      if (evidence < riseEvidence) return { at, evidence, changeAt, ...sums }
-      return { at, evidence: 0, changeAt: at, burstFrom: changeAt, ...sums }
+      if (evidence < riseEvidence) return { ...phase, at, evidence, changeAt }
+      const from = this.#likeliestStart(changeAt, at, quietRate)
+      const arrived = this.#buckets.between(from, at)
+      return { ...quietPhase(at), since: from, burstFrom: from, ...sumsOf(arrived) }
     }
+    const sums = sumsOf({ jobs: phase.burstJobs + jobs, coreMs: phase.burstCoreMs + coreMs })
     if (evidence < fallEvidence) return { ...phase, at, evidence, changeAt, ...sums }
-    return { at, evidence: 0, changeAt, burstJobs: 0, burstCoreMs: 0 }
+    return { ...quietPhase(at), since: changeAt, changeAt }
+  }
+
+  /**
+   * Start of the time up to `until` in which the number of jobs is the least likely at the rate outside
+   * bursts. The evidence alone may start with an ordinary job shortly before the burst.
+   */
+  #likeliestStart(from: number, until: number, quietRate: number): number {
+    let best = { at: from, score: 0 }
+    for (let at = from; at < until; at += bucketMs) {
+      const { jobs } = this.#buckets.between(at, until)
+      const usualJobs = quietRate * (until - at)
+      const score = jobs === 0 ? 0 : jobs * Math.log(jobs / usualJobs) - (jobs - usualJobs)
+      if (score > best.score) best = { at, score }
+    }
+    return best.at
   }
 
   #burstRate({ burstFrom, at, burstJobs }: Phase, quietRate: number): number {
@@ -257,25 +261,28 @@
     return Math.max(measured, 2 * quietRate)
   }
 
+  /** What arrived within {@link levelWindowMs}, but not before `since`. */
+  #arrivedSince(since: number, now: number): Arrived & { elapsedMs: number } {
+    const from = Math.max(since, startOfBucket(now - levelWindowMs))
+    return { ...this.#buckets.between(from, now), elapsedMs: Math.max(0, now - from) }
+  }
+
   #levelOf(burstFrom: number, now: number): number {
-    const from = Math.max(burstFrom, startOf(now - levelWindowMs))
-    let coreMs = 0
-    let jobs = 0
-    for (let at = from; at < now; at += bucketMs) {
-      coreMs += this.coreMsIn(at)
-      jobs += this.#jobsIn(at)
-    }
+    const arrived = this.#arrivedSince(burstFrom, now)
+    const isYoung = now - burstFrom < levelWindowMs
     // The burst was noticed because of its first job, which therefore says nothing of its rate.
-    if (from === burstFrom && jobs > 0) coreMs *= (jobs - 1) / jobs
-    const elapsedMs = Math.max(2 * bucketMs, now - from)
+    const countedFraction = isYoung ? (arrived.jobs - 1) / Math.max(1, arrived.jobs) : 1
+    const coreMs = arrived.coreMs * Math.max(0, countedFraction)
+    const elapsedMs = Math.max(2 * bucketMs, arrived.elapsedMs)
     if (this.#burst === undefined) return coreMs / elapsedMs
-    const priorMs = levelPriorJobs / this.#burst.jobsPerMs
+    const priorMs = Math.min(maxLevelPriorMs, levelPriorJobs / this.#burst.jobsPerMs)
     return (coreMs + this.#burst.cores * priorMs) / (elapsedMs + priorMs)
   }
 
   #endBurst({ burstFrom, burstJobs, burstCoreMs }: Phase, until: number): EndedBurst | undefined {
-    if (burstFrom === undefined || until - burstFrom < minBurstMs) return undefined
+    if (burstFrom === undefined) return undefined
     const ms = until - burstFrom
+    if (ms < minBurstMs || burstJobs < minBurstJobs) return undefined
     const seen = { jobsPerMs: burstJobs / ms, cores: burstCoreMs / ms }
     this.#burst =
       this.#burst === undefined
@@ -288,10 +295,10 @@
   }
 }
 
-function startOf(at: number): number {
-  return Math.floor(at / bucketMs) * bucketMs
+function sumsOf({ jobs, coreMs }: Arrived): Pick<Phase, 'burstJobs' | 'burstCoreMs'> {
+  return { burstJobs: jobs, burstCoreMs: coreMs }
 }
 
 function quietPhase(at: number): Phase {
-  return { at, evidence: 0, changeAt: at, burstJobs: 0, burstCoreMs: 0 }
+  return { at, since: at, evidence: 0, changeAt: at, burstJobs: 0, burstCoreMs: 0 }
 }
