fix(dispatcher): judge a runner as of its last answer

Cause, by reading: after a pause of the dispatcher all runners seem to have reported nothing for its duration, so that all of them would be taken for stuck, and their runs of images stopped. And the runs of a stuck runner that began at different times were stopped one after another, so that it was never noticed.

Change: an answer older than 1.5 s is the time as of which runs are judged; two runs that are stopped one after another while nothing progresses make a runner stuck; gangs don't.

--- a/packages/dispatcher/__tests__/stall-detector.test.ts
+++ b/packages/dispatcher/__tests__/stall-detector.test.ts
@@ -26,7 +26,10 @@
     }
   })
   const stopped: string[] = []
-  const runner = { runnerStartedAt: 1 }
+  const runner: { runnerStartedAt: number; answeredAt: number | undefined } = {
+    runnerStartedAt: 1,
+    answeredAt: undefined,
+  }
   const session: CheckedSession = {
     id: 'r1',
     rack: 'rack-1',
@@ -34,6 +37,9 @@
       return runner.runnerStartedAt
     },
     lastDoneAt: undefined,
+    get answeredAt() {
+      return runner.answeredAt
+    },
     allocations: new Map(runs.map(run => [allocationKey(run.taskName, run.runNumber), run])),
     stop: run => {
       stopped.push(run.taskName)
@@ -47,7 +53,8 @@
   const { log, lines } = createRecordingLog()
   const sessions = new Map([['r1', session]])
   const detector = createStallDetector({ runTimes, speeds, sessions, runnerFailures, log })
-  const check = (now: number) => {
+  const check = (now: number, answeredAt = now) => {
+    runner.answeredAt = answeredAt
     detector.check(session, now)
     detector.finishCheck()
   }
@@ -69,6 +76,41 @@
   t.end()
 })
 
+// Guards against a stuck runner that is not noticed because its runs are stopped one after another.
+void t.test('a runner is stuck also if its runs began at different times', t => {
+  const { check, stopped, runs, runnerFailures } = createCheck(6)
+  for (const [index, run] of runs.entries())
+    Object.assign(run, { confirmedAt: 1_000 * index, percentAt: 1_000 * index })
+  for (let now = 200; now < 3_600; now += 200) check(now)
+  t.equal(stopped.length, 1)
+  t.notOk(runnerFailures.isQuarantined('r1', 3_600))
+  check(3_800)
+  t.equal(stopped.length, 2)
+  t.ok(runnerFailures.isQuarantined('r1', 3_800))
+  t.end()
+})
+
+// Guards against a dispatcher that was paused for seconds and then takes every runner for stuck, because
+// none of them has reported anything meanwhile.
+void t.test('a runner is judged as of its last answer', t => {
+  const { check, stopped, runnerFailures } = createCheck(2)
+  check(9_000, 1_000)
+  t.same(stopped, [])
+  t.notOk(runnerFailures.isQuarantined('r1', 9_000))
+  check(2_650, 1_400)
+  t.equal(stopped.length, 2, 'a poll may be held for that long')
+  t.end()
+})
+
+// Guards against stopping the members of a gang, which wait for each other.
+void t.test('a gang does not make its runner stuck', t => {
+  const { check, stopped, runnerFailures } = createCheck(4, { image, isGang: true })
+  check(10_000)
+  t.same(stopped, [])
+  t.notOk(runnerFailures.isQuarantined('r1', 10_000))
+  t.end()
+})
+
 // Guards against a runner that stays out of use after the restart that repaired it.
 void t.test('the quarantine of a stuck runner ends when the runner restarts', t => {
   const { check, runner, runnerFailures } = createCheck(4)
--- a/packages/dispatcher/src/runner-session.ts
+++ b/packages/dispatcher/src/runner-session.ts
@@ -114,6 +114,8 @@
   unreachableSince: number | undefined
   /** When the runner last listed a run that ended as done; undefined before the first. */
   lastDoneAt: number | undefined
+  /** When the runner last answered a poll; undefined before the first answer of this term. */
+  answeredAt: number | undefined
   /** When the last poll of this term that the runner answered was sent; undefined before the first. */
   answeredPollSentAt: number | undefined
   readonly #opts: RunnerSessionOptions
@@ -371,6 +373,7 @@
 
   async #applyReport(report: RunnerReport, sentAt: number): Promise<void> {
     this.answeredPollSentAt = sentAt
+    this.answeredAt = performance.now()
     const previous = this.#runnerStartedAt
     const isNewIncarnation = report.startedAt !== undefined && report.startedAt !== previous
     if (isNewIncarnation) this.#beginIncarnation(report.startedAt)
--- a/packages/dispatcher/src/stall-detector.ts
+++ b/packages/dispatcher/src/stall-detector.ts
@@ -26,6 +26,12 @@
 /** Time for which a change of its progress shows that a run does not hang, in milliseconds. */
 const progressKeptMs = 2_500
 
+/** Longest age of the last answer of a runner that is polled; a poll is held for up to 1.2 s. */
+const maxAnswerAgeMs = 1_500
+
+/** Runs that were stopped one after another on a runner on which nothing has progressed since. */
+const stalledRunsIfStuck = 2
+
 /** Least time between two log lines about runners on which nothing progresses, in milliseconds. */
 const stuckLogIntervalMs = 200
 
@@ -41,7 +47,7 @@
 /** What the detector needs of a runner's session. */
 export type CheckedSession = Pick<
   RunnerSession,
-  'id' | 'rack' | 'runnerStartedAt' | 'lastDoneAt' | 'allocations' | 'stop'
+  'id' | 'rack' | 'runnerStartedAt' | 'lastDoneAt' | 'answeredAt' | 'allocations' | 'stop'
 >
 
 /**
@@ -77,6 +83,8 @@
 export function createStallDetector(opts: StallDetectorOptions): StallDetector {
   const { runTimes, speeds, sessions, runnerFailures, log } = opts
   let activeRuns: ActiveRun[] = []
+  /** Runs that were stopped as stalled since anything progressed, by runner. */
+  const stalledRuns = new Map<string, number>()
   /** When the runners started that were quarantined as stuck. */
   const stuckRunners = new Map<string, number>()
   let stuckLoggedAt = -Infinity
@@ -101,17 +109,26 @@
       const runs = finiteRunsOf(session, runTimes)
       if (runs.length === 0) return
       const speedFactor = speeds.factor(session.id, session.runnerStartedAt, now)
-      const state = stateWith(session, runs, speedFactor, now)
+      const judgedAt = judgedTimeOf(session, now)
+      const state = stateWith(session, runs, speedFactor, judgedAt)
       if (state === 'stuck') noteStuck(session, runs, now)
+      if (state === 'working') stalledRuns.delete(session.id)
       for (const run of runs) {
-        stopIfStalled(opts, session, run, { speedFactor, state }, now)
+        const isStopped = stopIfStalled(opts, session, run, { speedFactor, state, judgedAt }, now)
+        if (isStopped && run.kind.image !== undefined && state === 'unknown')
+          stalledRuns.set(session.id, (stalledRuns.get(session.id) ?? 0) + 1)
         if (isEvidence(run, session, now))
           activeRuns.push({ ...run.kind, id: run.allocation, ms: now - run.startedAt })
       }
+      // Runs that began at different times are overdue one after another.
+      if ((stalledRuns.get(session.id) ?? 0) < stalledRunsIfStuck) return
+      stalledRuns.delete(session.id)
+      noteStuck(session, runs, now)
     },
     finishCheck: () => {
       runTimes.setActive(activeRuns)
       activeRuns = []
+      for (const id of stalledRuns.keys()) if (!sessions.has(id)) stalledRuns.delete(id)
       for (const [id, startedAt] of stuckRunners) {
         const session = sessions.get(id)
         if (session?.runnerStartedAt === startedAt) continue
@@ -154,31 +171,46 @@
   return percentAt > startedAt && now - percentAt <= progressKeptMs
 }
 
+/**
+ * Returns the time as of which a runner is judged: that of its last answer if it is old, because after a
+ * pause of this process all runners would seem to have reported nothing for its duration.
+ */
+function judgedTimeOf(
+  { answeredAt = Number.NEGATIVE_INFINITY }: CheckedSession,
+  now: number,
+): number {
+  return now - answeredAt <= maxAnswerAgeMs ? now : answeredAt
+}
+
 function stateWith(
   session: CheckedSession,
   runs: readonly FiniteRun[],
   speedFactor: number,
-  now: number,
+  judgedAt: number,
 ): RunnerState {
   const isLearned = runs.some(({ kind }) => kind.image !== undefined)
-  const atFullSpeed = runs.filter(({ task }) => isFullSpeedRun(task, session.rack))
-  const progress = atFullSpeed.map(({ allocation, startedAt, estimate }) => ({
+  // Members of a gang wait for each other.
+  const judged = runs.filter(
+    ({ task }) => isFullSpeedRun(task, session.rack) && task.step.definition.isGang !== true,
+  )
+  const progress = judged.map(({ allocation, startedAt, estimate }) => ({
     startedAt,
     progressAt: allocation.percentAt,
     expectedMs: estimate.meanMs * Math.max(1, speedFactor),
   }))
-  return isLearned ? runnerStateOf(progress, session.lastDoneAt, now) : 'unknown'
+  return isLearned ? runnerStateOf(progress, session.lastDoneAt, judgedAt) : 'unknown'
 }
 
+/** Stops a run if it is stalled; returns whether it is. */
 function stopIfStalled(
   { runnerFailures, log }: StallDetectorOptions,
   session: CheckedSession,
   { allocation, task, kind, estimate, startedAt }: FiniteRun,
-  { speedFactor, state }: { speedFactor: number; state: RunnerState },
+  { speedFactor, state, judgedAt }: { speedFactor: number; state: RunnerState; judgedAt: number },
   now: number,
-): void {
+): boolean {
   const { definition, job } = task.step
-  if (definition.isGang === true) return
+  if (definition.isGang === true) return false
   const { percentAt: progressAt, percent, taskName, runNumber } = allocation
   const estimateMs = estimate.meanMs
   const run: ObservedRun = { startedAt, progressAt, estimateMs }
@@ -186,11 +218,12 @@
     run.speedFactor = speedFactor
     run.isRunnerStuck = state === 'stuck'
   }
-  if (!isStalled(run, now)) return
+  const asOf = kind.image === undefined ? now : judgedAt
+  if (!isStalled(run, asOf)) return false
   // Beside runs that progress, a run without progress may be one of the few long tasks.
   if (kind.image !== undefined && state === 'working')
     run.longMs = estimate.quantileMs(longQuantile)
-  if (!isStalled(run, now)) return
+  if (!isStalled(run, asOf)) return false
   log.info('stalled run stopped', {
     task: taskName,
     run: runNumber,
@@ -209,4 +242,5 @@
     log.warn('runner quarantined after failures', { runner: session.id })
   }
   void session.stop(allocation)
+  return true
 }
