--- a/packages/dispatcher/__tests__/load-publisher.test.ts
+++ b/packages/dispatcher/__tests__/load-publisher.test.ts
@@ -15,6 +15,7 @@
 import { createAllocation } from '../src/allocation.js'
 import { createLoadPublisher, type LoadPublisherOptions } from '../src/load-publisher.js'
 import { sumPoolCores, type CountedSession } from '../src/pool-cores.js'
+import { createRunningMeans } from '../src/running-means.js'
 import { createFleet, oneTask, queueName } from './fixture.js'
 
 const capacity = { cpuMillis: 4_000, memoryMb: 4_000, accelerators: 0 }
@@ -139,6 +140,21 @@
   t.match(metrics.render(), /bulrush_load_views_total\{result="fenced"\} 1/)
 })
 
+// Guards against an age that depends on the clocks of two hosts, which differ.
+void t.test('the row tells the time of the store, as of its last answer', async t => {
+  const { store, clock, pass, read } = await setup()
+  const commit = store.commit.bind(store)
+  store.commit = async (tx, opts) => {
+    const result = await commit(tx, opts)
+    return result.committed ? { ...result, serviceTimeMs: clock.now - 9_000 } : result
+  }
+  await pass([])
+  t.match(await read(), { storeAt: null })
+  clock.now += 250
+  await pass([createJob('a', {}, clock.now)])
+  t.match(await read(), { storeAt: 1_250 })
+})
+
 // Guards against jobs that were accepted although they could not be done in time, and that nobody counts.
 void t.test(
   'a job that waits past its limit is counted once, in the term in which that happened',
@@ -219,6 +235,24 @@
   t.end()
 })
 
+// Guards against an organisation that counts as under its share whenever one of its runs ends.
+void t.test('the cores in use are means over the last seconds', t => {
+  const means = createRunningMeans()
+  const pool = { name: 'pool', cores: 10, expectedCores: 10 }
+  const at = (now: number, running: [string, number][]) =>
+    means.apply([{ ...pool, busyCores: 10, running }], now)[0]
+  t.match(at(0, [['a', 8]]), { busyCores: 8, running: [['a', 8]] }, 'the first value counts alone')
+  const changed = at(200, [
+    ['a', 6],
+    ['b', 4],
+  ])
+  const [[, a] = ['', 0], [, b] = ['', 0]] = changed?.running ?? []
+  t.ok(a > 7.5 && a < 8)
+  t.ok(b > 0.2 && b < 0.5)
+  t.match(at(60_000, [['b', 4]]), { busyCores: 4, running: [['b', 4]] }, 'old values are forgotten')
+  t.end()
+})
+
 // Guards against a list of machines that is too old to show what a pool can get.
 void t.test('without a recent list of machines the expected cores are not known', async t => {
   const sessions = new Map([['r1', session('r1', 'pool', [{}])]])
--- a/packages/dispatcher/src/load-publisher.ts
+++ b/packages/dispatcher/src/load-publisher.ts
@@ -18,6 +18,7 @@
 import type { Check, TableService } from '@bulrushbridge/store'
 import type { Logger, Metrics } from '@bulrushbridge/telemetry'
 import { sumPoolCores, type CountedSession } from './pool-cores.js'
+import { createRunningMeans } from './running-means.js'
 
 /** Least time between two publications while work waits, in milliseconds. */
 const publishIntervalMs = 250
@@ -127,8 +128,11 @@
   readonly #wallNow: () => number
   readonly #startedAt: number
   readonly #drain = new Map<string, { cores: number; at: number }>()
+  readonly #runningMeans = createRunningMeans()
   readonly #countedPastLimit = new WeakSet<JobExecution>()
   #machines: { list: readonly Machine[]; at: number } | undefined
+  /** Time of the store when it answered the last publication, and when the answer arrived. */
+  #storeClock: { timeMs: number; at: number } | undefined
   #number = 0
   #dueAt = 0
   /** The stored row shows that nothing waits. False at first, as the row may be of an earlier term. */
@@ -175,8 +179,12 @@
     try {
       const deadline = performance.now() + commitTimeoutMs
       const result = await store.commit({ checks: [leaseCheck], writes: [write] }, { deadline })
-      if (result.committed) this.#isEmptyStored = isEmpty
-      else this.#logFailure('the lease check failed')
+      if (result.committed) {
+        this.#isEmptyStored = isEmpty
+        const { serviceTimeMs } = result
+        if (serviceTimeMs !== undefined)
+          this.#storeClock = { timeMs: serviceTimeMs, at: this.#now() }
+      } else this.#logFailure('the lease check failed')
       metrics.count('bulrush_load_views_total', { result: result.committed ? 'stored' : 'fenced' })
     } catch (err) {
       metrics.count('bulrush_load_views_total', { result: 'failed' })
@@ -209,23 +217,31 @@
     this.#countPastLimit(pastLimit)
     this.#number += 1
     const cfg = this.#opts.view.configuration()
+    const pools = sumPoolCores({
+      sessions: sessions.values(),
+      availableRunners: new Set(runners.map(({ id }) => id)),
+      machines: this.#knownMachines(now),
+      sparePools: new Set(cfg?.pools.flatMap(({ name, isSpare }) => (isSpare ? [name] : []))),
+    })
     return boundLoadView({
       format: 1,
       term: fence,
       number: this.#number,
       at: wallNow,
+      storeAt: this.#storeTimeMs(now),
       hosts: Math.max(1, hostCount()),
       queues: loads,
-      pools: sumPoolCores({
-        sessions: sessions.values(),
-        availableRunners: new Set(runners.map(({ id }) => id)),
-        machines: this.#knownMachines(now),
-        sparePools: new Set(cfg?.pools.flatMap(({ name, isSpare }) => (isSpare ? [name] : []))),
-      }),
+      pools: this.#runningMeans.apply(pools, now),
       accepted: countAccepted(jobs.values(), wallNow),
     })
   }
 
+  /** The answer took some time to arrive, so the time of the store is at least this. */
+  #storeTimeMs(now: number): number | null {
+    const clock = this.#storeClock
+    return clock === undefined ? null : clock.timeMs + now - clock.at
+  }
+
   #knownMachines(now: number): readonly Machine[] | 'none' | undefined {
     if (!this.#opts.hasMachines) return 'none'
     const known = this.#machines
--- a/packages/job-front/__tests__/admission-fixture.ts
+++ b/packages/job-front/__tests__/admission-fixture.ts
@@ -38,6 +38,7 @@
     term: 7,
     number: 1,
     at: 0,
+    storeAt: null,
     hosts: 1,
     accepted: organisations.map(([name]) => [name, 1_000]),
     queues: [
--- a/packages/job-front/__tests__/admission-simulation.ts
+++ b/packages/job-front/__tests__/admission-simulation.ts
@@ -251,6 +251,7 @@
       term: 1,
       number,
       at: now,
+      storeAt: null,
       hosts: 1,
       queues,
       accepted,
--- a/packages/job-front/__tests__/early-rejection.test.ts
+++ b/packages/job-front/__tests__/early-rejection.test.ts
@@ -212,6 +212,15 @@
   t.notOk(isRejected(), 'a view that was already old when it arrived')
   apply(burst({ at: clock.now + 60_000, term: 9, number: 3 }))
   t.notOk(isRejected(), 'a view from the future')
+  const applyWithStoreTime = (changes: Partial<LoadView>, storeTimeMs: number) => {
+    admission.applyRows([rowOf(burst({ term: 10, ...changes }))], storeTimeMs)
+  }
+  applyWithStoreTime({ at: clock.now + 60_000, storeAt: 500, number: 1 }, 1_500)
+  t.ok(isRejected(), 'the clock of the store tells the age where those of the hosts differ')
+  applyWithStoreTime({ at: clock.now, storeAt: 500, number: 2 }, 1_501)
+  t.notOk(isRejected(), 'a view that is old by the clock of the store')
+  applyWithStoreTime({ at: clock.now, storeAt: 500, number: 3 }, 600)
+  t.ok(isRejected())
   apply({ format: 99 })
   apply('x')
   t.notOk(isRejected(), 'a malformed row')
--- a/packages/job-front/src/admission.ts
+++ b/packages/job-front/src/admission.ts
@@ -17,6 +17,13 @@
 /** Least time between two log lines about rejections, in milliseconds. */
 const logIntervalMs = 1_000
 
+/** A row of the table `load`, or its deletion. */
+export interface LoadRow {
+  key: string
+  value: unknown
+  isDeleted: boolean
+}
+
 /** Options of {@link createAdmission}. */
 export interface AdmissionOptions {
   log: Logger
@@ -44,8 +51,8 @@
 
 /** Decides by the dispatcher's view of the load which submissions are rejected. */
 export interface Admission {
-  /** Applies rows of the table `load`. */
-  applyRows(rows: readonly { key: string; value: unknown; isDeleted: boolean }[]): void
+  /** Applies rows of the table `load`, with the time of the store when it answered, if it is known. */
+  applyRows(rows: readonly LoadRow[], storeTimeMs?: number): void
   /** Whether work waits in any queue, or did within the last seconds. */
   hasWaitedRecently(): boolean
   /** Returns the rejection of a job that cannot be done in time; undefined for any other job. */
@@ -74,6 +81,8 @@
   #view: LoadView | undefined
   /** When the view arrived. */
   #arrivedAt = 0
+  /** Age of the view by the clock of the store when it arrived, in milliseconds. */
+  #storeAgeMs: number | undefined
   #newestTerm = 0
   #waitedAt = Number.NEGATIVE_INFINITY
   #isMalformed = false
@@ -92,7 +101,7 @@
     )
   }
 
-  applyRows(rows: readonly { key: string; value: unknown; isDeleted: boolean }[]): void {
+  applyRows(rows: readonly LoadRow[], storeTimeMs?: number): void {
     for (const { key, value, isDeleted } of rows) {
       if (key !== loadKey) continue
       const view = isDeleted ? undefined : decodeLoadView(value)
@@ -103,7 +112,7 @@
         this.#view = undefined
       } else {
         this.#isMalformed = false
-        this.#applyView(view)
+        this.#applyView(view, storeTimeMs)
       }
     }
   }
@@ -158,23 +167,27 @@
   }
 
   /** A view that a late transaction has stored after a newer one is ignored. */
-  #applyView(view: LoadView): void {
+  #applyView(view: LoadView, storeTimeMs: number | undefined): void {
     const known = this.#view
     if (view.term < this.#newestTerm) return
     if (known?.term === view.term && view.number <= known.number) return
     this.#view = view
     this.#newestTerm = view.term
     this.#arrivedAt = this.#now()
+    this.#storeAgeMs =
+      storeTimeMs === undefined || view.storeAt === null ? undefined : storeTimeMs - view.storeAt
     if (view.queues.length > 0) this.#waitedAt = this.#arrivedAt
     this.#review.applyView(view, this.#arrivedAt)
   }
 
   /**
-   * The longer of the times since the view was computed and since it arrived, as clocks may differ. It is
-   * negative for a view that is too far in the future to tell its age.
+   * The longest of the ages by the clocks of the hosts, by that of the store, and since the view arrived. By
+   * the hosts alone, it is negative for a view from the future, whose age cannot be told.
    */
   #ageMs(view: LoadView): number {
     const ageMs = this.#wallNow() - view.at
-    return ageMs < minViewAgeMs ? ageMs : Math.max(ageMs, this.#now() - this.#arrivedAt)
+    if (this.#storeAgeMs === undefined && ageMs < minViewAgeMs) return ageMs
+    const sinceArrivalMs = this.#now() - this.#arrivedAt
+    return Math.max(ageMs, (this.#storeAgeMs ?? 0) + sinceArrivalMs)
   }
 }
--- a/packages/scheduler/__tests__/queue-load.test.ts
+++ b/packages/scheduler/__tests__/queue-load.test.ts
@@ -107,6 +107,7 @@
     term: 3,
     number: 1,
     at: 0,
+    storeAt: null,
     hosts: 43,
     accepted: amounts,
     queues: Array.from({ length: queueCount }, (_, index) => ({
--- a/packages/scheduler/src/queue-load.ts
+++ b/packages/scheduler/src/queue-load.ts
@@ -48,7 +48,7 @@
    * idle ones of other pools. Null while the dispatcher does not know the machines.
    */
   expectedCores: amountSchema.nullable(),
-  /** Cores that runs of finite tasks reserve. */
+  /** Cores that runs of finite tasks reserve, as a mean over the last seconds. */
   busyCores: amountSchema,
   /** The same by organisation. */
   running: z.array(namedAmountSchema),
@@ -77,8 +77,10 @@
   term: z.int().min(0),
   /** Number of the view in its term; a view with a lower one is outdated. */
   number: z.int().min(0),
-  /** When the dispatcher computed the view, in Unix milliseconds. */
+  /** When the dispatcher computed the view, in Unix milliseconds of its clock. */
   at: z.number(),
+  /** The same on the clock of the store, at the earliest; null while it is not known. */
+  storeAt: z.number().nullable(),
   /** Number of entry hosts that accept jobs, as far as it is known. */
   hosts: z.int().min(1),
   pools: z.array(poolSchema),
--- a/packages/store/src/follow-table.ts
+++ b/packages/store/src/follow-table.ts
@@ -2,8 +2,8 @@
 import type { ChangedRow, FollowableTableService } from './table-service.js'
 import { wait, type WaitingClock } from './wait.js'
 
-/** Longest wait for a change, in milliseconds; short, to detect a silent connection soon. */
-const changeWaitMs = 1_000
+/** Default of the longest wait for a change, in milliseconds; short, to detect a silent connection soon. */
+const defaultWaitMs = 1_000
 
 /** Time after the wait within which the response must arrive, in milliseconds. */
 const responseSlackMs = 700
@@ -18,11 +18,14 @@
   /** Parts of the table whose rows are in the snapshot. */
   parts: readonly string[]
   /** Called with all rows at the start and after the service has dropped the history of changes. */
-  onSnapshot?: (rows: ChangedRow[]) => void
+  onSnapshot?: (rows: ChangedRow[], serviceTimeMs?: number) => void
   /** Called in place of `onSnapshot` with the rows of one page after another, see `snapshotPages`. */
   onSnapshotPage?: (rows: ChangedRow[]) => void
-  /** Called with the rows that have changed since the previous call. */
-  onChanges: (rows: ChangedRow[]) => void
+  /**
+   * Called with the rows that have changed since the previous call, and the time of the service when it
+   * answered, if it is known.
+   */
+  onChanges: (rows: ChangedRow[], serviceTimeMs?: number) => void
   /**
    * Called for each row for which the callbacks throw. The other rows of the answer are applied, so
    * the callbacks may get a row of it twice; this one is reported as deleted.
@@ -35,6 +38,8 @@
    * called before each pause.
    */
   pauseMs: number | (() => number)
+  /** Longest time for which one call waits for a change, in milliseconds; 1,000 by default. */
+  waitMs?: number
   clock?: WaitingClock
 }
 
@@ -108,7 +113,7 @@
   }
 
   async #fetchRows(): Promise<void> {
-    const { store, table, parts } = this.#opts
+    const { store, table, parts, waitMs = defaultWaitMs } = this.#opts
     if (this.#version === undefined && this.#opts.onSnapshotPage !== undefined) {
       const apply = this.#opts.onSnapshotPage
       this.#version = await store.snapshotPages(table, parts, rows => {
@@ -117,25 +122,27 @@
       return
     }
     if (this.#version === undefined) {
-      const { rows, version } = await store.snapshot(table, parts)
-      this.#applySnapshot(rows)
+      const { rows, version, serviceTimeMs } = await store.snapshot(table, parts)
+      this.#applySnapshot(rows, serviceTimeMs)
       this.#version = version
       return
     }
     const changes = await store.changes(table, {
       after: this.#version,
-      waitMs: changeWaitMs,
-      deadline: this.#clock.now() + changeWaitMs + responseSlackMs,
+      waitMs,
+      deadline: this.#clock.now() + waitMs + responseSlackMs,
       signal: this.#closing.signal,
     })
     if (changes !== undefined && changes.rows.length > 0)
-      this.#applyAll(changes.rows, this.#opts.onChanges)
+      this.#applyAll(changes.rows, rows => {
+        this.#opts.onChanges(rows, changes.serviceTimeMs)
+      })
     this.#version = changes?.version
   }
 
-  #applySnapshot(rows: ChangedRow[]): void {
+  #applySnapshot(rows: ChangedRow[], serviceTimeMs: number | undefined): void {
     try {
-      this.#opts.onSnapshot?.(rows)
+      this.#opts.onSnapshot?.(rows, serviceTimeMs)
     } catch {
       this.#opts.onSnapshot?.(rows.filter(row => this.#applyRow(row)))
     }
--- a/packages/store/src/table-service.ts
+++ b/packages/store/src/table-service.ts
@@ -36,11 +36,12 @@
 }
 
 /**
- * The result of a transaction. `version` is the version of the rows it wrote, if the service
- * returns it; `failed` lists the checks that did not hold.
+ * The result of a transaction. `version` is the version of the rows it wrote and `serviceTimeMs` the time of
+ * the service when it answered, if the service returns them; `failed` lists the checks that did not hold.
  */
 export type CommitResult =
-  { committed: true; version?: number } | { committed: false; failed: Check[] }
+  | { committed: true; version?: number; serviceTimeMs?: number }
+  | { committed: false; failed: Check[] }
 
 /** Options of {@link TableService.scan}; `from` is inclusive, `to` exclusive. */
 export interface ScanOptions extends CallOptions {
@@ -73,6 +74,8 @@
 export interface TableSnapshot {
   rows: ChangedRow[]
   version: number
+  /** Time of the service when it answered, in milliseconds from a start of its own, if it returns it. */
+  serviceTimeMs?: number
 }
 
 /** Options of {@link FollowableTableService.changes}. */
