--- a/packages/dispatcher/src/machine-context.ts
+++ b/packages/dispatcher/src/machine-context.ts
@@ -23,6 +23,8 @@
   view: OperatorView
   sessions: ReadonlyMap<string, RunnerSession>
   waveStatusRow: (wave: number, state: 'running' | 'completed') => Write
+  /** Whether a runner takes new runs; one that fails what it starts does not. */
+  canStartOn: (session: RunnerSession) => boolean
   /** What the pools are expected to need. */
   demand: Pick<PoolDemand, 'loadOf' | 'storeIfDue'>
   /** Sum of the amounts of a pool's startable tasks for which the last pass found no runner. */
--- a/packages/dispatcher/src/placement-pass.ts
+++ b/packages/dispatcher/src/placement-pass.ts
@@ -18,6 +18,7 @@
 import type { LoadPublisher } from './load-publisher.js'
 import type { MachineOrderRecord } from './machine-order-record.js'
 import { RunStarter } from './run-starter.js'
+import type { RunnerSession } from './runner-session.js'
 import { createShareReport, type ShareReport } from './share-report.js'
 import { queuesOf, type TermContext } from './term-context.js'
 
@@ -166,6 +167,12 @@
     })
   }
 
+  /** Whether a runner takes new runs: it and its zone allow them, and it is not quarantined. */
+  canStartOn(session: RunnerSession, now: number): boolean {
+    if (!this.#starter.canStartOn(session)) return false
+    return !this.#ctx.runnerFailures.isQuarantined(session.id, now)
+  }
+
   #availableRunners(): AvailableRunner[] {
     const now = performance.now()
     const { speeds } = this.#ctx
@@ -173,8 +180,7 @@
     const found: AvailableRunner[] = []
     for (const session of this.#ctx.sessions.values()) {
       const { entry } = session
-      if (entry === undefined || !this.#starter.canStartOn(session)) continue
-      if (this.#ctx.runnerFailures.isQuarantined(session.id, now)) continue
+      if (entry === undefined || !this.canStartOn(session, now)) continue
       const isThreatened = threatened?.has(session.id) === true
       const slowness = slownessOf(speeds.factor(session.id, session.runnerStartedAt, now))
       found.push({ ...toAvailableRunner(session, entry), isThreatened, slowness })
--- a/packages/dispatcher/src/pool-demand.ts
+++ b/packages/dispatcher/src/pool-demand.ts
@@ -3,6 +3,7 @@
   createDemandForecast,
   criticalPathMs,
   demandForecastSchema,
+  expectedMsOf,
   largestFraction,
   noAmounts,
   type Amounts,
@@ -87,21 +88,23 @@
   noteLoaded({ queue, steps, schedule, acceptedAt }: JobDefinition): void {
     const pool = queuesOf(this.#ctx).get(queue)?.pool
     // The occurrences of a job with a schedule are spread over time.
+    if (this.#ctx.opts.machines === undefined) return
     if (pool === undefined || schedule !== undefined) return
     // At a takeover, jobs are read before runners.
     const machineSize = this.#machineSize(pool)
     const { runTimes } = this.#ctx
     let coreMs = 0
-    for (const { isLasting, amounts, count, estimateMs } of steps) {
+    for (const step of steps) {
+      const { isLasting, amounts, count } = step
       if (isLasting === true) continue
       const cores = coresOf(amounts, machineSize)
-      coreMs += cores * count * runTimes.estimateMs(queue, estimateMs)
+      coreMs += cores * count * expectedMsOf(runTimes, queue, step)
     }
     if (coreMs === 0) return
     const now = Date.now()
     const isClockOff = Math.abs(now - acceptedAt) > maxClockDifferenceMs
-    const at = this.#isTakeoverComplete && isClockOff ? now : acceptedAt
-    const pathMs = criticalPathMs(steps, step => runTimes.estimateMs(queue, step.estimateMs))
+    const at = this.#isTakeoverComplete && isClockOff ? now : Math.min(acceptedAt, now)
+    const pathMs = criticalPathMs(steps, step => expectedMsOf(runTimes, queue, step))
     this.#forecast.noteAccepted({ pool, coreMs, at, pathMs })
     this.#hasChanged = true
     this.#hasNewJobs = true
@@ -171,7 +174,7 @@
     if (task === undefined) return 0
     const { definition, job } = task.step
     const startedAt = confirmedAt ?? performance.now()
-    return startedAt + this.#ctx.runTimes.estimateMs(job.definition.queue, definition.estimateMs)
+    return startedAt + expectedMsOf(this.#ctx.runTimes, job.definition.queue, definition)
   }
 
   #machineSize(pool: string): Amounts | undefined {
--- a/packages/dispatcher/src/pool-moves.ts
+++ b/packages/dispatcher/src/pool-moves.ts
@@ -13,7 +13,7 @@
 import type { WaveOrders } from './wave-orders.js'
 
 /**
- * Time after which an accepted move counts as failed if its machine is up in another pool, in
+ * Time after which an accepted move counts as failed if its machine is down or up in another pool, in
  * milliseconds beyond the duration of a move; the machine crashed meanwhile.
  */
 const failedMoveSlackMs = 3_000
@@ -167,7 +167,7 @@
         machine === undefined || (machine.state === 'up' && machine.pool === move.to)
       if (move.acceptedAt === undefined) continue
       const overAt = move.acceptedAt + this.#opts.timing.moveMs + failedMoveSlackMs
-      const hasFailed = machine?.state === 'up' && listRequestedAt > overAt
+      const hasFailed = machine?.state !== 'moving' && listRequestedAt > overAt
       if (!hasArrived && !hasFailed) continue
       this.#moving.delete(id)
       this.#idleSince.delete(id)
@@ -212,17 +212,24 @@
   #poolLoad(name: string, machines: readonly Machine[]): PoolLoad {
     const up = machines.filter(({ pool, state }) => pool === name && state === 'up')
     const usableCount = up.filter(machine => this.#isUsable(machine)).length
-    const arrivingCount = [...this.#moving.values()].filter(({ to }) => to === name).length
+    const arrivingCount = machines.filter(machine => this.#isArriving(machine, name)).length
     const isSpare = isSparePool(this.#opts, name)
     const waiting = isSpare ? noAmounts : this.#opts.waitingAmounts(name)
     const load = { name, isSpare, waiting, arrivingCount, upCount: up.length, usableCount }
     return isSpare ? load : { ...load, ...this.#opts.demand.loadOf(name) }
   }
 
+  /** Whether a machine is on its way into a pool, by an order of this dispatcher or an earlier one. */
+  #isArriving({ id, state, pool }: Machine, to: string): boolean {
+    const move = this.#moving.get(id)
+    if (move === undefined) return state === 'moving' && pool === to
+    return move.to === to && state !== 'down'
+  }
+
   /** Whether runs can start on a machine that is up; its runner may not have registered yet. */
   #isUsable(machine: Machine): boolean {
     const session = sessionOf(this.#opts, machine)
-    return session === undefined || (session.unreachableSince === undefined && !session.isCordoned)
+    return session === undefined || this.#opts.canStartOn(session)
   }
 
   #poolNames(): string[] {
--- a/packages/dispatcher/src/read-progress.ts
+++ b/packages/dispatcher/src/read-progress.ts
@@ -2,6 +2,7 @@
   hasEnded,
   partNames,
   progressSchema,
+  maxExcessMs,
   progressTable,
   taskBlocksTable,
   type GuaranteedWork,
@@ -32,6 +33,7 @@
 ): Promise<void> {
   found.clear()
   const invalid: string[] = []
+  const since = Date.now() - maxExcessMs
   await store.snapshotPages(progressTable, partNames, rows => {
     for (const { key, value } of rows) {
       const { data: progress } = progressSchema.safeParse(value)
@@ -40,7 +42,8 @@
         continue
       }
       const { organisation, acceptedAt } = progress
-      if (acceptedAt !== undefined) guaranteed.noteAccepted({ id: key, organisation, acceptedAt })
+      if (acceptedAt !== undefined && acceptedAt > since)
+        guaranteed.noteAccepted({ id: key, organisation, acceptedAt })
       if (isNeeded(progress)) found.set(key, { progress, blocks: [] })
     }
   })
--- a/packages/dispatcher/src/share-report.ts
+++ b/packages/dispatcher/src/share-report.ts
@@ -7,6 +7,9 @@
 /** Time without a delay after which an organisation counts as not delayed, in milliseconds. */
 const delayEndMs = 1_000
 
+/** Least time between two passes that are looked at, in milliseconds; each has thousands of steps. */
+const noteIntervalMs = 200
+
 /** Most lines about starts and ends of delays in one second; more are left out. */
 const maxLinesPerS = 16
 
@@ -47,6 +50,7 @@
 export function createShareReport(opts: { log: Logger; metrics: Metrics }): ShareReport {
   const delays = new Map<string, Delay>()
   let latest: readonly PoolShare[] = []
+  let notedAt = -Infinity
   let lines = { second: 0, count: 0 }
 
   const logDelay = (message: string, { share, isExcess, seenAt }: Delay, wallNow: number) => {
@@ -82,6 +86,8 @@
 
   return {
     notePass: ({ shares, steps = [], queues, wallNow }) => {
+      if (wallNow >= notedAt && wallNow - notedAt < noteIntervalMs) return
+      notedAt = wallNow
       latest = shares === undefined ? [] : [...shares.entries()]
       if (shares !== undefined && queues !== undefined) {
         for (const [key, delay] of findDelays(latest, shares, steps, queues, wallNow)) {
--- a/packages/dispatcher/src/term.ts
+++ b/packages/dispatcher/src/term.ts
@@ -275,6 +275,7 @@
       fence,
       leaseCheck: this.#held.check,
       sessions,
+      canStartOn: session => this.#placement.canStartOn(session, performance.now()),
       demand: this.#poolDemand,
       waitingAmounts: pool => this.#placement.waitingAmounts(pool),
       isInactive: () => !isActive(),
--- a/packages/scheduler/src/demand-forecast.ts
+++ b/packages/scheduler/src/demand-forecast.ts
@@ -105,6 +105,7 @@
   }
 
   burstSince(pool: string, now: number): number | undefined {
+    this.#settle(now)
     return this.#pools.get(pool)?.currentBurst(now)?.from
   }
 
@@ -151,6 +152,9 @@
     const ended = [...this.#pools].flatMap(([pool, arrivals]) =>
       arrivals.settle(now).map(burst => ({ pool, ...burst })),
     )
+    // A dispatcher whose clock was ahead may have saved them.
+    if (this.#bursts.some(({ from }) => from > now))
+      this.#bursts = this.#bursts.filter(({ from }) => from <= now)
     if (ended.length === 0) return
     this.#bursts = [...this.#bursts, ...ended].sort((a, b) => a.from - b.from).slice(-maxBursts)
   }
--- a/packages/scheduler/src/plan-pool-moves.ts
+++ b/packages/scheduler/src/plan-pool-moves.ts
@@ -240,8 +240,11 @@
   #canDonate(machine: MovableMachine): boolean {
     const pool = this.#pools.get(machine.pool)
     if (pool === undefined || pool.isSpare) return false
-    if (this.#hasForecast(pool.name)) return this.#isIdleFor(machine, donateSurplusAfterMs)
-    return this.#machinesFor(pool.waiting) === 0 && this.#isIdleFor(machine, donateAfterMs)
+    if (this.#machinesFor(pool.waiting) > 0) return false
+    return this.#isIdleFor(
+      machine,
+      this.#hasForecast(pool.name) ? donateSurplusAfterMs : donateAfterMs,
+    )
   }
 
   /** Whether a machine can move at all and its pool keeps enough others. */
--- a/packages/scheduler/src/pool-arrivals.ts
+++ b/packages/scheduler/src/pool-arrivals.ts
@@ -28,6 +28,9 @@
 /** Least rate of arrivals outside bursts that is assumed, in jobs per millisecond. */
 const minQuietJobsPerMs = 0.000_1
 
+/** Greatest difference between the clocks of two dispatchers that is taken as usual, in milliseconds. */
+const maxClockErrorMs = 1_000
+
 /** Time constant of the rate outside bursts, in milliseconds. */
 const quietTimeConstantMs = 20_000
 
@@ -161,7 +164,9 @@
     const ended: EndedBurst[] = []
     const until = startOfBucket(now - settleMs)
     // After a pause without a dispatcher, arrivals are unknown, and an earlier burst is over.
-    if (until - this.#phase.at > historyMs) this.#phase = quietPhase(until - historyMs)
+    // So they are if the clock of an earlier dispatcher was ahead, or this one has jumped back.
+    const isOff = until - this.#phase.at > historyMs || this.#phase.at > now + maxClockErrorMs
+    if (isOff) this.#phase = quietPhase(until - historyMs)
     while (this.#phase.at + bucketMs <= until) {
       const before = this.#phase
       const { jobs } = this.#buckets.in(before.at)
--- a/packages/scheduler/src/start-turns.ts
+++ b/packages/scheduler/src/start-turns.ts
@@ -47,8 +47,9 @@
  *   running first get one run each, one job of each organisation after another.
  * - Among steps of the same class, those of organisations under their share of the pool go first. A
  *   share may be reached in the middle of a step.
- * - Among these, late jobs with nothing running get one run each before other late steps go on, begun
- *   jobs first. Finishing late jobs one by one would leave the others with nothing.
+ * - Among these, late jobs with nothing running go before other late steps: those that have begun with all
+ *   their tasks, as they would go on one task at a time otherwise, then those that have waited long with
+ *   one run each.
  *
  * A step can have several turns, each of which continues where the one before stopped.
  *
@@ -56,10 +57,15 @@
  * for (const turn of startTurns(input)) startTasks(turn)
  */
 export function* startTurns(input: StartTurnsInput): Generator<StartTurn> {
-  const { ranked, shares, mayFit, isIdle } = input
-  yield* longWaitTurns(input)
+  const { ranked, shares, mayFit, isIdle, wallNow } = input
+  let isLongWaitDone = false
   for (const steps of classesOf(ranked)) {
     const [{ urgency }] = steps
+    // Lasting tasks are replaced within seconds, however long others have waited.
+    if (!isLongWaitDone && urgency.tier > 0) {
+      isLongWaitDone = true
+      yield* longWaitTurns(input)
+    }
     const decides = urgency.tier > 0 && shares?.decides(urgency.excessRank === 1) === true
     let left: readonly RankedStep[] = steps
     for (const isWithinShare of decides ? [true, false] : [false]) {
@@ -68,8 +74,10 @@
       left = left.filter(({ step, queue }) => mayFit(step, queue))
       if (urgency.tier === lateTier) {
         for (const each of left) {
-          if (mayStart(each) && isIdle(each.step))
-            yield { ...each, isFirstOnly: true, isWithinShare }
+          if (!mayStart(each) || !isIdle(each.step)) continue
+          const { isPlaced } = each.step.job
+          if (isPlaced || hasWaitedLong(each, wallNow))
+            yield { ...each, isFirstOnly: !isPlaced, isWithinShare }
         }
       }
       for (const each of left)
@@ -78,6 +86,10 @@
   }
 }
 
+function hasWaitedLong({ step }: RankedStep, wallNow: number): boolean {
+  return wallNow - stepDueAt(step) >= longWaitMs
+}
+
 /** One turn of each idle job that has waited long, while half of its pool is free. */
 function* longWaitTurns(input: StartTurnsInput): Generator<StartTurn> {
   const { ranked, isIdle, isHalfFree, wallNow } = input
--- a/packages/scheduler/src/urgency.ts
+++ b/packages/scheduler/src/urgency.ts
@@ -1,5 +1,4 @@
 import type { JobQueue } from './configuration.js'
-import type { Step } from './job.js'
 import type { JobExecution, StepExecution } from './job-execution.js'
 import { expectedMsOf, type RunTimeSource } from './run-time-estimator.js'
 
@@ -54,25 +53,15 @@
   const slackMs = dueAt(job, execution.occurrence) + objectiveMs - wallNow - remainingMs
   const isLate = slackMs < -lateTolerance * remainingMs
   const excessRank = isExcess === true ? 1 : 0
-  const staysTimely = isExcess !== undefined && isHalfDone(definition, slackMs, objectiveMs)
   return {
     excessRank,
-    tier: isLate && !staysTimely ? lateTier : 1,
+    tier: isLate ? lateTier : 1,
     priority: queue.priority,
     begunRank,
     slackMs,
   }
 }
 
-/**
- * Whether earlier steps are done and the job still counts: it does until three times its objective. In
- * simulations of an overloaded pool with shares, 25 to 32% of the jobs were begun and not ended without
- * this rule, and 14 to 15% with it.
- */
-function isHalfDone({ after = [] }: Step, slackMs: number, objectiveMs: number): boolean {
-  return after.length > 0 && slackMs >= -2 * objectiveMs
-}
-
 /** Compares two urgencies for sorting, most urgent first. */
 export function compareUrgency(a: Urgency, b: Urgency): number {
   return compareClass(a, b) || a.begunRank - b.begunRank || a.slackMs - b.slackMs
