--- a/packages/scheduler/__tests__/shares-simulation.ts
+++ b/packages/scheduler/__tests__/shares-simulation.ts
@@ -116,6 +116,7 @@
     for (const { task, runnerId } of starts) {
       const { job } = task.step
       const { id, organisation = '' } = job.definition
+      if (running.has(task.name)) throw new Error(`${task.name} was started while it runs`)
       job.beginRun(task, runnerId, 0)
       job.markBegun()
       const times = result.starts.get(organisation) ?? []
