--- a/packages/dispatcher/src/stall-detector.ts
+++ b/packages/dispatcher/src/stall-detector.ts
@@ -13,6 +13,7 @@
   taskKindOf,
   type ObservedRun,
   type RunnerFailureTracker,
+  type StepExecution,
   type Task,
 } from '@bulrushbridge/scheduler'
 import type { Logger } from '@bulrushbridge/telemetry'
@@ -64,6 +65,8 @@
   finishCheck(): void
 }
 
+type StepEstimates = Map<StepExecution, { kind: TaskKind; estimate: RunTimeEstimate }>
+
 /** A run of a finite task that its runner has confirmed. */
 interface FiniteRun {
   allocation: Allocation
@@ -83,6 +86,8 @@
 export function createStallDetector(opts: StallDetectorOptions): StallDetector {
   const { runTimes, speeds, sessions, runnerFailures, log } = opts
   let activeRuns: ActiveRun[] = []
+  /** Estimates of this check by step, since the runs of a step have the same. */
+  const estimates: StepEstimates = new Map()
   /** Runs that were stopped as stalled since anything progressed, by runner. */
   const stalledRuns = new Map<string, number>()
   /** When the runners started that were quarantined as stuck. */
@@ -106,7 +111,7 @@
 
   return {
     check: (session, now) => {
-      const runs = finiteRunsOf(session, runTimes)
+      const runs = finiteRunsOf(session, runTimes, estimates)
       if (runs.length === 0) return
       const speedFactor = speeds.factor(session.id, session.runnerStartedAt, now)
       const judgedAt = judgedTimeOf(session, now)
@@ -128,6 +133,7 @@
     finishCheck: () => {
       runTimes.setActive(activeRuns)
       activeRuns = []
+      estimates.clear()
       for (const id of stalledRuns.keys()) if (!sessions.has(id)) stalledRuns.delete(id)
       for (const [id, startedAt] of stuckRunners) {
         const session = sessions.get(id)
@@ -139,16 +145,24 @@
   }
 }
 
-function finiteRunsOf(session: CheckedSession, runTimes: RunTimeModel): FiniteRun[] {
+function finiteRunsOf(
+  session: CheckedSession,
+  runTimes: RunTimeModel,
+  estimates: StepEstimates,
+): FiniteRun[] {
   const runs: FiniteRun[] = []
   for (const allocation of session.allocations.values()) {
     const { task, state, confirmedAt } = allocation
     if (task === undefined || state !== 'present' || confirmedAt === undefined) continue
     const { definition, job } = task.step
     if (definition.isLasting === true) continue
-    const kind = taskKindOf(job.definition.queue, definition)
-    const estimate = runTimes.estimate(kind)
-    runs.push({ allocation, task, kind, estimate, startedAt: confirmedAt })
+    let estimated = estimates.get(task.step)
+    if (estimated === undefined) {
+      const kind = taskKindOf(job.definition.queue, definition)
+      estimated = { kind, estimate: runTimes.estimate(kind) }
+      estimates.set(task.step, estimated)
+    }
+    runs.push({ allocation, task, ...estimated, startedAt: confirmedAt })
   }
   return runs
 }
