test(host-program): clients that do not read, endless messages, more connections than descriptors

Change: four test files start bulrush-host with a heap of 64 MB and 400 descriptors against a stand-in of the store, apply a fixed load, and check that the process is alive, its peak of resident memory is under 200 MB (140 to 162 MB before the load), a descriptor is free, and an ordinary request is answered. scripts/test.mjs runs them one at a time in a phase of their own.

Seen on the unchanged program, machine load 6 to 20: - unread-responses: all 7 shapes end the process, which runs out of heap: the callers' port with the usual headers, with the host only and without headers; the readiness port with and without headers; the metrics port; the relay port.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -14,12 +14,16 @@
 // each core would make these processes wait for each other.
 const maxScenarioFilesAtOnce = 4
 
+// Each of these tests brings a process to its limits and checks its memory, so they run alone.
+const clientLoadTests = 'packages/host-program/__tests__/client-load/*.test.ts'
+
 const paths = process.argv.slice(2)
 const selections =
   paths.length > 0
     ? [paths]
     : [
-        ['--exclude=scenarios/**'],
+        ['--exclude=scenarios/**', `--exclude=${clientLoadTests}`],
+        ['--jobs=1', `--include=${clientLoadTests}`],
         [`--jobs=${maxScenarioFilesAtOnce}`, '--include=scenarios/**/*.test.ts'],
       ]
 const reports = selections.map((selection, index) => {
