feat(host-program): bound what clients make a host hold

Cause: each request of a connection was parsed and held, whatever the number that was not answered or not read, so clients that send ahead ended the process.

Ruled out: maxRequestsPerSocket counts over the life of a connection, and still creates a request and a response for each refused one; maxConnections refuses the new connection, not the oldest idle one; socket.pause() alone has no effect, because Node parses the whole chunk of up to 64 KiB that it has read and resumes the socket after each message.

Change: caller-server gets a limiter of connections (by process and by address; the oldest idle one is closed for a new one), requests in progress, requests of a connection without a delivered response (it is not read from 8 on), unread responses and unparsed bytes; a client that leaves a response unread for 10 s is closed. It is used on the ports for callers, readiness, metrics and relays. Reads of the store wait behind a gate and are given up when the connection has ended. Readiness and metrics are answered from a cached value. Log lines about one address are limited. The limits are settings.

The tests run with limits that are lowered with the heap (requests, unread responses, unparsed bytes, semi-spaces). The ordinary request at their end comes from an address of its own, and is repeated after 429 and 503: a host that is busy with the end of the load rejects it truthfully as not run, which depends on the speed of the machine.

--- a/packages/caller-server/src/caller-server.ts
+++ b/packages/caller-server/src/caller-server.ts
@@ -3,6 +3,8 @@
 import { errorResponses, RequestError, toRequestError, type ErrorKind } from '@bulrushbridge/errors'
 import { H3, type H3Event } from 'h3'
 import { toNodeHandler } from 'h3/node'
+import type { ClientLimits, LimitCause } from './client-limits.js'
+import { limitConnections, type Admission, type ConnectionLimiter } from './connection-limiter.js'
 import { sendError } from './json-response.js'
 
 /** Maximum size of the headers of a request. */
@@ -17,6 +19,9 @@
 /** Time without traffic after which the kernel starts TCP keep-alive probes, in milliseconds. */
 const keepAliveProbeDelayMs = 10_000
 
+/** Most header lines of a request; further ones are dropped. Those of trailers count as well. */
+const maxHeaderLines = 128
+
 /** Interval of the check for connections that exceed `headersTimeoutMs`, in milliseconds. */
 const headersCheckIntervalMs = 1_000
 
@@ -36,6 +41,12 @@
   routes: Record<string, CallerHandler>
   /** Called for each failed request. */
   onError: (err: RequestError, req: IncomingMessage, requestId: string) => void
+  /** Bounds on what clients may make the server hold; without them it has none. */
+  limits?: ClientLimits
+  /** Time limit for a whole request to arrive, in milliseconds; 0, the default, sets none. */
+  requestTimeoutMs?: number
+  /** Called for each connection that is closed and each request that is rejected by a limit. */
+  onLimit?: (cause: LimitCause, address: string) => void
 }
 
 /** The HTTP server that callers send their requests to. */
@@ -44,6 +55,8 @@
   readonly address: string
   /** Number of requests in progress. */
   activeRequests(): number
+  /** What clients make the server hold now; zeros without limits. */
+  held(): ReturnType<ConnectionLimiter['held']>
   /** Sends `connection: close` with all further responses; requests are still accepted. */
   drain(): void
   /** Closes the connections that have no request in progress. */
@@ -77,6 +90,7 @@
       sendError(res, err, requestId)
     } finally {
       inProgress.delete(res)
+      limiter?.answered(req, res)
     }
   }
   const createRoute =
@@ -102,29 +116,56 @@
       headersTimeout: headersTimeoutMs,
       connectionsCheckingInterval: headersCheckIntervalMs,
       // The body has its own time limit for each chunk, which does not limit a long upload.
-      requestTimeout: 0,
+      requestTimeout: opts.requestTimeoutMs ?? 0,
+      // Node's own response to a request without a host precedes the bounds on requests.
+      requireHostHeader: opts.limits === undefined,
       keepAliveTimeout: keepAliveTimeoutMs,
       // TCP keep-alive probes detect that the host of a waiting caller is unreachable.
       keepAlive: true,
       keepAliveInitialDelay: keepAliveProbeDelayMs,
     },
     (req, res) => {
+      const admission = limiter?.admit(req, res) ?? 'admitted'
+      if (admission === 'ignored') return
+      if (admission !== 'admitted') {
+        rejectRequest(req, res, new RequestError(rejectionKinds[admission]))
+        return
+      }
+      if (limiter !== undefined && lacksHost(req)) {
+        rejectRequest(req, res, new RequestError('bad-request'))
+        return
+      }
       try {
         handleWithH3(req, res)
       } catch (cause) {
         // h3 throws when the host and the target of a request together are not a URL.
-        const err = new RequestError('bad-request', { cause })
-        const requestId = opts.nextRequestId()
-        opts.onError(err, req, requestId)
-        sendError(res, err, requestId)
+        rejectRequest(req, res, new RequestError('bad-request', { cause }))
       }
     },
   )
+  server.maxHeadersCount = maxHeaderLines
+  const limiter =
+    opts.limits === undefined
+      ? undefined
+      : limitConnections(server, {
+          limits: opts.limits,
+          onLimit: (cause, address) => opts.onLimit?.(cause, address),
+        })
+  /** Sends an error before the request has had any effect, and closes its connection. */
+  const rejectRequest = (req: IncomingMessage, res: ServerResponse, err: RequestError) => {
+    const requestId = opts.nextRequestId()
+    opts.onError(err, req, requestId)
+    res.setHeader('connection', 'close')
+    sendError(res, err, requestId)
+    limiter?.closeAfterResponse(req)
+    limiter?.answered(req, res)
+  }
   server.on('clientError', sendClientError)
   const port = await listen(server, opts.host, opts.port)
   return {
     address: `${opts.host}:${port}`,
     activeRequests: () => inProgress.size,
+    held: () => limiter?.held() ?? nothingHeld,
     drain: () => {
       isDraining = true
       for (const res of inProgress) if (!res.headersSent) res.setHeader('connection', 'close')
@@ -134,6 +175,7 @@
     },
     close: () =>
       new Promise(resolve => {
+        limiter?.close()
         server.close(() => {
           resolve()
         })
@@ -142,6 +184,18 @@
   }
 }
 
+const nothingHeld = { connections: 0, requests: 0, unreadResponses: 0, unparsedBytes: 0 }
+
+const rejectionKinds: Record<Exclude<Admission, 'admitted' | 'ignored'>, ErrorKind> = {
+  'requests-of-address': 'client-limit-reached',
+  'requests-of-process': 'host-limit-reached',
+}
+
+/** HTTP/1.1 requires a host; one without it is refused, as Node does by default. */
+function lacksHost(req: IncomingMessage): boolean {
+  return req.httpVersion === '1.1' && req.headers.host === undefined
+}
+
 function notFound(): Promise<void> {
   return Promise.reject(new RequestError('unknown-path'))
 }
--- a/packages/errors/src/error-kinds.ts
+++ b/packages/errors/src/error-kinds.ts
@@ -96,6 +96,16 @@
     message: 'This entry host is handling as many submissions as its memory allows.',
     retryable: true,
   },
+  'client-limit-reached': {
+    status: 429,
+    message: 'The client address has as many requests in progress as it may have.',
+    retryable: true,
+  },
+  'host-limit-reached': {
+    status: 503,
+    message: 'This entry host has as many requests in progress as its memory allows.',
+    retryable: true,
+  },
   'deadline-too-short': {
     status: 503,
     message: 'The expected wait is longer than the deadline allows.',
--- a/packages/host-program/__tests__/client-load/host-process.ts
+++ b/packages/host-program/__tests__/client-load/host-process.ts
@@ -17,6 +17,23 @@
  */
 const maxHeapMb = 64
 
+/**
+ * Limits that are lowered with the heap: a request in progress takes about 20 KB, and about 30 MB of the
+ * heap are left to them and to garbage.
+ */
+const loweredLimits = {
+  BULRUSH_MAX_REQUESTS: '1024',
+  BULRUSH_MAX_ADDRESS_REQUESTS: '960',
+  BULRUSH_MAX_UNREAD_RESPONSES: '1024',
+  BULRUSH_MAX_UNPARSED_BYTES: '4000000',
+}
+
+/**
+ * Size of the semi-spaces of the heap, in megabytes. With 16, the default, the buffers of bodies that
+ * are collected late took up to 50 MB on a busy machine.
+ */
+const maxSemiSpaceMb = 4
+
 /** Descriptors that the process may open; an entry host has 4,100 or more. */
 const maxOpenFiles = 400
 
@@ -61,6 +78,8 @@
 export async function startHost(t: Test, flags: string[] = []): Promise<HostProcess> {
   if (!existsSync(programPath)) throw new Error('dist/bulrush-host.mjs is missing; run the build')
   const ip = loopback.nextAddress()
+  // Ordinary requests come from another address than those of the load.
+  const localAddress = loopback.nextAddress()
   const store = await createStoreServer(loopback.nextAddress(), storeDelayMs)
   await store.rows.commit({
     checks: [],
@@ -71,10 +90,11 @@
   const settingsPath = join(folder, 'settings.toml')
   writeFileSync(settingsPath, settingsText(ip, ports, store.address))
   const command = `ulimit -n ${maxOpenFiles}; exec "$0" "$@"`
-  const args = [process.execPath, `--max-old-space-size=${maxHeapMb}`, programPath, ...flags]
+  const heap = [`--max-old-space-size=${maxHeapMb}`, `--max-semi-space-size=${maxSemiSpaceMb}`]
+  const args = [process.execPath, ...heap, programPath, ...flags]
   const child = spawn('sh', ['-c', command, ...args], {
     stdio: ['ignore', 'pipe', 'pipe'],
-    env: { ...process.env, BULRUSHBRIDGE_BOOT: settingsPath },
+    env: { ...process.env, ...loweredLimits, BULRUSHBRIDGE_BOOT: settingsPath },
   })
   let log = ''
   for (const output of [child.stdout, child.stderr])
@@ -88,7 +108,7 @@
     rmSync(folder, { recursive: true })
   })
   const send = (port: number, path: string, method = 'GET', body = '') =>
-    sendRequest({ host: ip, port, path, method }, body)
+    sendRequest({ host: ip, port, path, method, localAddress }, body)
   const isReady = () =>
     send(ports.readiness, '/v1/ready').then(
       ({ status }) => status === 200,
@@ -109,6 +129,21 @@
   const step = { cpu: 100, mem_mb: 10, gpu: 0, count: 1, estimate_ms: 100 }
   const submission = await send(ports.callers, jobPath, 'POST', JSON.stringify({ steps: [step] }))
   if (submission.status !== 200) throw new Error(`the job was not accepted: ${submission.body}`)
+  // A request may be rejected as not run while the machine is busy with the end of the load.
+  const answersOrdinaryRequest = async (t: Test) => {
+    const deadline = performance.now() + requestTimeoutMs
+    while (isRunning() && performance.now() < deadline) {
+      const { status, body } = await send(ports.callers, jobPath).catch((err: unknown) => ({
+        status: 0,
+        body: String(err),
+      }))
+      if (status === 200) return true
+      t.comment(`ordinary request: status ${status}, ${body}`)
+      if (status !== 0 && status !== 429 && status !== 503) return false
+      await new Promise(resolve => setTimeout(resolve, 250))
+    }
+    return false
+  }
   const idleMb = peakResidentMb(pid)
   return {
     ip,
@@ -131,11 +166,10 @@
       })
       t.ok(countDescriptors(pid) < maxOpenFiles - 10, 'some descriptors are free')
       t.ok(await becomesReady(), 'the host is ready')
-      const status = await send(ports.callers, jobPath).then(
-        res => res.status,
-        (err: unknown) => String(err),
+      t.ok(
+        await answersOrdinaryRequest(t),
+        'an ordinary request for the state of a job is answered',
       )
-      t.equal(status, 200, 'an ordinary request for the state of a job is answered')
       t.ok(isRunning(), 'the process is alive')
       if (!isRunning()) t.comment(log)
     },
@@ -153,7 +187,7 @@
 }
 
 function sendRequest(
-  target: { host: string; port: number; path: string; method: string },
+  target: { host: string; port: number; path: string; method: string; localAddress: string },
   body: string,
 ): Promise<Response> {
   return new Promise((resolve, reject) => {
--- a/packages/host-program/src/host-program.ts
+++ b/packages/host-program/src/host-program.ts
@@ -1,5 +1,5 @@
-import { createServer, type Server } from 'node:http'
-import { createCallerServer, listen, type CallerServer } from '@bulrushbridge/caller-server'
+import type { IncomingMessage } from 'node:http'
+import { createCallerServer, type CallerServer } from '@bulrushbridge/caller-server'
 import { createDispatcher, type Dispatcher } from '@bulrushbridge/dispatcher'
 import { normalizeError, type RequestError, systemClock } from '@bulrushbridge/errors'
 import { createJobAcceptor, createJobHandler, type JobAcceptor } from '@bulrushbridge/job-front'
@@ -41,7 +41,17 @@
   type TableFollower,
 } from '@bulrushbridge/store'
 import { createMetrics, type Logger, type Metrics } from '@bulrushbridge/telemetry'
+import { createCachedValue } from './cached-value.js'
+import {
+  callerLimits,
+  internalLimits,
+  readDescriptorLimit,
+  type ClientLimitSettings,
+} from './client-limit-settings.js'
+import { createClientLogLimit, type ClientLogLimit } from './client-log-limit.js'
 import { dispatchCapacity } from './dispatch-capacity.js'
+import { createInternalServer, type InternalServer } from './internal-server.js'
+import { createLimitReports, type ClientPort, type LimitReports } from './limit-reports.js'
 import { dispatcherTiming } from './timing.js'
 
 /** Pause between two calls that wait for changes of the operators' table, in milliseconds. */
@@ -74,6 +84,18 @@
 /** Interval at which a shutdown checks whether requests are in progress, in milliseconds. */
 const drainCheckIntervalMs = 50
 
+/**
+ * Age up to which a response to the readiness check is used again, in milliseconds; it is far below
+ * the age of the view from which a host is not ready.
+ */
+const readinessAgeMs = 50
+
+/** Age up to which the text of the metrics is used again, in milliseconds. */
+const metricsAgeMs = 250
+
+/** Most characters of a request line in a log line; a target may have 16,000. */
+const maxLoggedRequestLength = 200
+
 /** Options of {@link createHostProgram}. */
 export interface HostProgramOptions {
   /** Path of the settings file. */
@@ -83,6 +105,8 @@
   suppressedLines: () => number
   /** Lifetime of the lease under which one host is the dispatcher, in milliseconds. */
   dispatcherLeaseMs?: number
+  /** Bounds on what clients may make the program hold. */
+  clientLimits: ClientLimitSettings
 }
 
 /** The running program of one entry host. */
@@ -117,7 +141,10 @@
   readonly #operatorFollower: TableFollower
   readonly #acceptor: JobAcceptor
   readonly #dispatcher: Dispatcher
-  #internalServers: Server[] = []
+  readonly #limitReports: LimitReports
+  readonly #clientLogLimit: ClientLogLimit
+  readonly #descriptors = readDescriptorLimit()
+  #internalServers: InternalServer[] = []
   #relayServer: RelayServer | undefined
   #relayAnnouncer: RelayAnnouncer | undefined
   #callerServer: CallerServer | undefined
@@ -133,6 +160,8 @@
     this.#operatorFollower = this.#followOperatorTable()
     this.#acceptor = createJobAcceptor(this.#store)
     this.#dispatcher = this.#createDispatcher()
+    this.#limitReports = createLimitReports(this.#log, this.#metrics)
+    this.#clientLogLimit = createClientLogLimit(opts.clientLimits['max-client-log-lines'])
     this.#addGauges()
   }
 
@@ -145,7 +174,12 @@
       nextRequestId: () => `${name}-${++this.#requestCount}`,
       routes: { '/**': this.#createHandler() },
       onError: (err, req, requestId) => {
-        this.#recordFailedRequest(err, `${req.method ?? ''} ${req.url ?? ''}`, requestId)
+        this.#recordFailedRequest(err, req, requestId)
+      },
+      limits: callerLimits(this.#opts.clientLimits, this.#descriptors),
+      requestTimeoutMs: this.#opts.clientLimits['request-timeout'],
+      onLimit: (cause, address) => {
+        this.#limitReports.report('callers', cause, address)
       },
     })
     await this.#serveReadiness()
@@ -280,17 +314,19 @@
   }
 
   async #serveReadiness(): Promise<void> {
-    await this.#serve(this.#cfg.readinessAddress, path => {
+    const readReason = createCachedValue(() => this.#notReadyReason(), readinessAgeMs)
+    await this.#serve('readiness', this.#cfg.readinessAddress, path => {
       if (path !== readinessPath) return { status: 404, body: '' }
-      const reason = this.#notReadyReason()
+      const reason = readReason(performance.now())
       return { status: reason === undefined ? 200 : 503, body: reason ?? 'ready' }
     })
   }
 
   async #serveMetrics(): Promise<void> {
-    await this.#serve(`${this.#cfg.ip}:${this.#cfg.metricsPort}`, path =>
+    const readText = createCachedValue(() => this.#metrics.render(), metricsAgeMs)
+    await this.#serve('metrics', `${this.#cfg.ip}:${this.#cfg.metricsPort}`, path =>
       path === '/metrics'
-        ? { status: 200, body: this.#metrics.render() }
+        ? { status: 200, body: readText(performance.now()) }
         : { status: 404, body: '' },
     )
   }
@@ -306,6 +342,10 @@
       onCall: kind => {
         this.#metrics.count('bulrush_relayed_calls_total', { kind })
       },
+      limits: internalLimits(this.#opts.clientLimits, this.#descriptors),
+      onLimit: (cause, clientAddress) => {
+        this.#limitReports.report('relay', cause, clientAddress)
+      },
     })
     const { address, instance } = this.#relayServer
     const relay = { address, instance, zone, startsPerSecond: dispatchCapacity(this.#cfg) }
@@ -313,15 +353,18 @@
   }
 
   async #serve(
+    port: ClientPort,
     address: string,
     respond: (path: string) => { status: number; body: string },
   ): Promise<void> {
-    const [host = '', port = ''] = address.split(':')
-    const server = createServer((req, res) => {
-      const { status, body } = respond(req.url ?? '')
-      res.writeHead(status, { 'content-type': 'text/plain; charset=utf-8' }).end(body)
+    const server = await createInternalServer({
+      address,
+      respond,
+      limits: internalLimits(this.#opts.clientLimits, this.#descriptors),
+      onLimit: (cause, clientAddress) => {
+        this.#limitReports.report(port, cause, clientAddress)
+      },
     })
-    await listen(server, host, Number(port))
     this.#internalServers.push(server)
   }
 
@@ -333,8 +376,14 @@
     return isStale ? 'the store does not answer' : undefined
   }
 
-  #recordFailedRequest(err: RequestError, request: string, requestId: string): void {
+  #recordFailedRequest(err: RequestError, req: IncomingMessage, requestId: string): void {
     const { kind, outcome, retryAfterMs } = err
+    this.#metrics.count('bulrush_requests_refused_total', { kind })
+    if (!this.#clientLogLimit.allows(req.socket.remoteAddress ?? '', performance.now())) {
+      this.#metrics.count('bulrush_client_log_lines_suppressed_total')
+      return
+    }
+    const request = `${req.method ?? ''} ${req.url ?? ''}`.slice(0, maxLoggedRequestLength)
     const fields = { request, requestId, kind, outcome, retryAfterMs }
     const reason = err.cause instanceof Error ? err.cause.message : undefined
     this.#log.info('request failed', {
@@ -342,7 +391,6 @@
       reason,
       configuration: this.#view.configuration()?.version,
     })
-    this.#metrics.count('bulrush_requests_refused_total', { kind })
   }
 
   #addGauges(): void {
@@ -352,6 +400,12 @@
     this.#metrics.gauge('bulrush_view_age_ms', 'Age of the view of operators', () => [
       { value: performance.now() - (this.#operatorFollower.confirmedAt() ?? 0) },
     ])
+    this.#metrics.gauge('bulrush_client_held', 'What callers make this host hold', () =>
+      Object.entries(this.#callerServer?.held() ?? {}).map(([kind, value]) => ({
+        labels: { kind },
+        value,
+      })),
+    )
     this.#metrics.gauge('bulrush_log_lines_suppressed', 'Log lines suppressed', () => [
       { value: this.#opts.suppressedLines() },
     ])
--- a/packages/host-program/src/main.ts
+++ b/packages/host-program/src/main.ts
@@ -24,6 +24,7 @@
     const program = await createHostProgram({
       settingsPath,
       dispatcherLeaseMs: cfg['duty-lease'],
+      clientLimits: cfg,
       log,
       suppressedLines: () => output.suppressedLines(),
     })
--- a/packages/host-program/src/settings.ts
+++ b/packages/host-program/src/settings.ts
@@ -1,5 +1,6 @@
 import type { SettingSpec } from '@bulrushbridge/settings'
 import { z } from 'zod'
+import { clientLimitSettings } from './client-limit-settings.js'
 
 /** Flags and environment variables of `bulrush-host`. */
 export const hostProgramSettings = {
@@ -18,4 +19,5 @@
     description: 'lifetime of the lease of the host that places work, in milliseconds',
     default: '2000',
   },
+  ...clientLimitSettings,
 } satisfies Record<string, SettingSpec>
--- a/packages/job-front/src/job-handler.ts
+++ b/packages/job-front/src/job-handler.ts
@@ -1,5 +1,12 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { sendJson, readBody, type CallerHandler } from '@bulrushbridge/caller-server'
+import type { Socket } from 'node:net'
+import {
+  connectionSignal,
+  createUsageCounter,
+  sendJson,
+  readBody,
+  type CallerHandler,
+} from '@bulrushbridge/caller-server'
 import { RequestError, systemClock, type Outcome } from '@bulrushbridge/errors'
 import {
   cancelSuffix,
@@ -24,6 +31,7 @@
 import { StoreError, type TableService, type Transaction } from '@bulrushbridge/store'
 import type { Logger, Metrics } from '@bulrushbridge/telemetry'
 import type { JobAcceptor } from './job-acceptor.js'
+import { createStoreReadGate } from './store-read-gate.js'
 import { retryAfterMs, retryWrite } from './write-retries.js'
 
 /**
@@ -43,6 +51,18 @@
  */
 const maxSubmittingBytes = 12_000_000
 
+/** Most of these bytes from one client address; one job of most sizes is left to the others. */
+const maxAddressSubmittingBytes = 11_000_000
+
+/** Most of these bytes on one connection, which is enough for three jobs of the largest size. */
+const maxConnectionSubmittingBytes = 3_000_000
+
+/** Most reads of the store for requests at once; the store's client has 12 connections. */
+const maxRunningReads = 64
+
+/** Most requests that wait for a read of the store; as many as a process has by default. */
+const maxWaitingReads = 2_048
+
 /** Most bytes of a body; larger jobs could not be stored, whatever the configuration allows. */
 const maxStorableBodyBytes = 1_000_000
 
@@ -102,7 +122,15 @@
   readonly #handlersByMethod: Record<string, ((ctx: RequestContext) => Promise<void>) | undefined>
   /** Settles when the refresh of the view that is in progress is over. */
   #refreshing: Promise<void> | undefined
-  #submittingBytes = 0
+  readonly #submittingBytes = createUsageCounter({
+    max: maxSubmittingBytes,
+    maxPerAddress: maxAddressSubmittingBytes,
+  })
+  readonly #connectionBytes = new WeakMap<Socket, number>()
+  readonly #readGate = createStoreReadGate({
+    maxRunning: maxRunningReads,
+    maxWaiting: maxWaitingReads,
+  })
 
   constructor(opts: JobHandlerOptions) {
     this.#opts = opts
@@ -121,6 +149,8 @@
     if (ctx.subpath !== '' && !this.#opts.codec.isJobId(ctx.subpath)) {
       throw new RequestError('unknown-path')
     }
+    // A body that the method does not need is discarded, not kept until the response.
+    if (req.method !== 'POST') req.resume()
     await handler(ctx)
     const labels = { method: req.method ?? '', queue: ctx.queue.name }
     this.#opts.metrics.observe('bulrush_request_ms', labels, performance.now() - startedAt)
@@ -178,13 +208,19 @@
     const length = Number(ctx.req.headers['content-length'])
     // Without a length the body may be as large as it may be at all.
     const bytes = length <= maxBytes ? length : maxBytes
-    if (this.#submittingBytes + bytes > maxSubmittingBytes)
-      throw new RequestError('submissions-full', { retryAfterMs })
-    this.#submittingBytes += bytes
+    const { socket } = ctx.req
+    const address = socket.remoteAddress ?? ''
+    const connectionBytes = (this.#connectionBytes.get(socket) ?? 0) + bytes
+    const isFull =
+      connectionBytes > maxConnectionSubmittingBytes ||
+      this.#submittingBytes.tryAdd(address, bytes) !== undefined
+    if (isFull) throw new RequestError('submissions-full', { retryAfterMs })
+    this.#connectionBytes.set(socket, connectionBytes)
     try {
       await this.#accept(ctx)
     } finally {
-      this.#submittingBytes -= bytes
+      this.#submittingBytes.remove(address, bytes)
+      this.#connectionBytes.set(socket, (this.#connectionBytes.get(socket) ?? 0) - bytes)
     }
   }
 
@@ -270,8 +306,9 @@
     const deadline = performance.now() + readTimeoutMs
     const from = queuedJobPrefix(name)
     // The range covers all keys with the prefix, because "0" is the character after its "/".
-    const range = { from, to: `${from.slice(0, -1)}0`, deadline }
-    const rows = await this.#readStore(() =>
+    const signal = connectionSignal(ctx.req.socket)
+    const range = { from, to: `${from.slice(0, -1)}0`, deadline, signal }
+    const rows = await this.#readStore(signal, () =>
       Promise.all(
         partNames.map(part => this.#opts.store.scan(queuedJobsTable, { ...range, part })),
       ),
@@ -285,21 +322,28 @@
    * `outcome` is that of the request if the read fails.
    */
   async #readProgress(
-    { subpath: id, queue, organisation }: RequestContext,
+    { req, subpath: id, queue, organisation }: RequestContext,
     outcome?: Outcome,
   ): Promise<Progress | undefined> {
-    const opts = { part: partOf(id), deadline: performance.now() + readTimeoutMs }
+    // A cancellation is carried out although its caller has left.
+    const signal = req.method === 'GET' ? connectionSignal(req.socket) : undefined
+    const deadline = performance.now() + readTimeoutMs
+    const opts = { part: partOf(id), deadline, ...(signal === undefined ? {} : { signal }) }
     const read = () => this.#opts.store.read(progressTable, id, opts)
-    const row = await this.#readStore(read, outcome)
+    const row = await this.#readStore(signal, read, outcome)
     const parsed = progressSchema.safeParse(row?.value)
     if (!parsed.success) return undefined
     const isOwn = queue.isAnonymousAllowed || parsed.data.organisation === organisation
     return parsed.data.queue === queue.name && isOwn ? parsed.data : undefined
   }
 
-  async #readStore<T>(read: () => Promise<T>, outcome: Outcome = 'not-run'): Promise<T> {
+  async #readStore<T>(
+    signal: AbortSignal | undefined,
+    read: () => Promise<T>,
+    outcome: Outcome = 'not-run',
+  ): Promise<T> {
     try {
-      return await read()
+      return await this.#readGate.run(signal, read)
     } catch (cause) {
       if (!(cause instanceof StoreError)) throw cause
       throw new RequestError('store-unavailable', { retryAfterMs, outcome, cause })
--- a/packages/runner-relay/src/relay-server.ts
+++ b/packages/runner-relay/src/relay-server.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
 import { randomUUID } from 'node:crypto'
+import { limitConnections, type ClientLimits, type LimitCause } from '@bulrushbridge/caller-server'
 import { normalizeError } from '@bulrushbridge/errors'
 import { isOfEarlierTerm, type CallResult, type RunnerApi } from '@bulrushbridge/scheduler'
 import type { Logger } from '@bulrushbridge/telemetry'
@@ -22,6 +23,12 @@
  */
 const pauseToleranceMs = 400
 
+/**
+ * Calls in progress from which a connection is not read. A dispatcher has one poll, and a few orders,
+ * at each of some hundred runners.
+ */
+const maxCallsInProgress = 4_000
+
 /** Time for which results wait so that several share a packet, in milliseconds. */
 const resultDelayMs = 8
 
@@ -33,6 +40,10 @@
   log: Logger
   /** Called for each call that is made to a runner. */
   onCall?: (kind: RelayedCall['kind']) => void
+  /** Bounds on what clients may make the server hold; without them it has none. */
+  limits?: ClientLimits
+  /** Called for each connection that is closed and each request that is rejected by a limit. */
+  onLimit?: (cause: LimitCause, address: string) => void
 }
 
 /**
@@ -70,9 +81,14 @@
     for (const connection of connections) connection.close()
     return true
   }
-  const server = createServer((req, res) => {
-    if (req.method !== 'POST' || req.url !== relayPath) {
-      res.writeHead(404).end()
+  const server = createServer({ requireHostHeader: opts.limits === undefined }, (req, res) => {
+    const admission = limiter?.admit(req, res) ?? 'admitted'
+    if (admission === 'ignored') return
+    if (admission !== 'admitted' || req.method !== 'POST' || req.url !== relayPath) {
+      req.resume()
+      res.writeHead(admission === 'admitted' ? 404 : 503, { connection: 'close' }).end()
+      limiter?.closeAfterResponse(req)
+      limiter?.answered(req, res)
       return
     }
     res.writeHead(200, { [instanceHeader]: instance, 'content-type': 'application/x-ndjson' })
@@ -88,6 +104,13 @@
   })
   // The body of a request goes on for as long as the dispatcher's term.
   server.requestTimeout = 0
+  const limiter =
+    opts.limits === undefined
+      ? undefined
+      : limitConnections(server, {
+          limits: opts.limits,
+          onLimit: (cause, address) => opts.onLimit?.(cause, address),
+        })
   const aliveTimer = setInterval(() => {
     if (closeAfterPause(pauseDetector.check())) return
     for (const connection of connections) connection.showAlive()
@@ -103,6 +126,7 @@
     instance,
     close: async () => {
       clearInterval(aliveTimer)
+      limiter?.close()
       for (const connection of connections) connection.close()
       server.closeAllConnections()
       await new Promise(resolve => server.close(resolve))
@@ -136,6 +160,7 @@
   readonly #fences: FenceRecord
   readonly #results: LineWriter
   readonly #runners = new Map<string, RunnerApi>()
+  #callsInProgress = 0
   #isClosed = false
 
   constructor(
@@ -186,6 +211,8 @@
 
   async #carryOut(call: RelayedCall): Promise<void> {
     const { fence } = call.order
+    this.#callsInProgress += 1
+    if (this.#callsInProgress >= maxCallsInProgress) this.#req.pause()
     let result: CallResult<unknown>
     if (!this.#fences.accepts(call.runnerId, fence))
       result = { outcome: 'done', value: fencedAnswers[call.kind] }
@@ -197,6 +224,8 @@
         result = { outcome: 'unknown', reason: normalizeError(err).message }
       }
     }
+    this.#callsInProgress -= 1
+    if (this.#callsInProgress < maxCallsInProgress && !this.#isClosed) this.#req.resume()
     if (result.outcome !== 'done') this.#logFailure(call, result.reason)
     if (!this.#isClosed) this.#results.write(JSON.stringify({ id: call.id, result }))
   }
--- a/packages/store/src/table-service.ts
+++ b/packages/store/src/table-service.ts
@@ -4,6 +4,8 @@
   deadline?: number
   /** Part of the table, if the service divides tables; by default the part without a name. */
   part?: string
+  /** Ends a read whose result is not wanted any more; services may ignore it. */
+  signal?: AbortSignal
 }
 
 /** A stored row. `version` starts at 1 and increases with each write of the key. */
@@ -81,7 +83,6 @@
   after: number
   /** Longest time the service waits for a change before it responds, in milliseconds. */
   waitMs: number
-  signal?: AbortSignal
 }
 
 /** A table service whose changes can be followed. */
