--- a/packages/caller-server/src/connection-limiter.ts
+++ b/packages/caller-server/src/connection-limiter.ts
@@ -178,6 +178,7 @@
   #forget(connection: LimitedConnection): boolean {
     if (!this.#connections.delete(connection.socket)) return false
     this.#connectionUsage.remove(connection.address)
+    connection.release()
     return true
   }
 }
--- a/packages/caller-server/src/limited-connection.ts
+++ b/packages/caller-server/src/limited-connection.ts
@@ -34,6 +34,7 @@
   #heldBytes = 0
   #isPausedHere = false
   #isClosing = false
+  #isReleased = false
   #activeAt: number
   #bytesRead = 0
   /** First time at which the next response was seen to be written and not read. */
@@ -54,9 +55,6 @@
     socket.on('drain', () => {
       this.#resumeIfPossible()
     })
-    socket.once('close', () => {
-      this.#release()
-    })
   }
 
   get openRequests(): number {
@@ -89,6 +87,7 @@
 
   /** Adds a request; `onAnswered` is called once, when it is answered or the connection has ended. */
   add(req: IncomingMessage, res: ServerResponse, onAnswered: () => void): void {
+    this.#setHeldBytes(this.socket.readableLength)
     const exchange: Exchange = { req, res, isWritten: false, onAnswered }
     this.#exchanges.push(exchange)
     res.once('close', () => {
@@ -147,18 +146,20 @@
   }
 
   #setHeldBytes(bytes: number): void {
+    if (this.#isReleased) return
     const change = bytes - this.#heldBytes
     this.#heldBytes = bytes
     if (change !== 0) this.#opts.onHeldBytes(change)
   }
 
-  /** Frees everything; Node reports the end only to the response that is being sent. */
-  #release(): void {
+  /** Frees everything at the end; Node reports it only to the response that is being sent. */
+  release(): void {
     for (const exchange of this.#exchanges.splice(0)) {
       if (exchange.isWritten) this.#opts.onUnread(-1)
       endProgress(exchange)
     }
     this.#setHeldBytes(0)
+    this.#isReleased = true
   }
 }
 
--- a/packages/host-program/__tests__/client-load/host-process.ts
+++ b/packages/host-program/__tests__/client-load/host-process.ts
@@ -18,8 +18,7 @@
 const maxHeapMb = 64
 
 /**
- * Limits that are lowered with the heap: a request in progress takes about 20 KB, and about 30 MB of the
- * heap are left to them and to garbage.
+ * Limits that are lowered with the heap, to about half of their defaults.
  */
 const loweredLimits = {
   BULRUSH_MAX_REQUESTS: '1024',
@@ -92,9 +91,10 @@
   const command = `ulimit -n ${maxOpenFiles}; exec "$0" "$@"`
   const heap = [`--max-old-space-size=${maxHeapMb}`, `--max-semi-space-size=${maxSemiSpaceMb}`]
   const args = [process.execPath, ...heap, programPath, ...flags]
+  // The test runner's NODE_OPTIONS would load source maps, which take 40 MB of the heap.
   const child = spawn('sh', ['-c', command, ...args], {
     stdio: ['ignore', 'pipe', 'pipe'],
-    env: { ...process.env, ...loweredLimits, BULRUSHBRIDGE_BOOT: settingsPath },
+    env: { PATH: process.env.PATH, ...loweredLimits, BULRUSHBRIDGE_BOOT: settingsPath },
   })
   let log = ''
   for (const output of [child.stdout, child.stderr])
--- a/packages/job-front/src/store-read-gate.ts
+++ b/packages/job-front/src/store-read-gate.ts
@@ -22,7 +22,7 @@
 
 /**
  * Creates a gate. It addresses clients that ask for the state of jobs faster than the store answers: a
- * waiting read takes a few hundred bytes here and about 15 KB once it is sent.
+ * waiting read is cheaper than one that is queued in the store's client with its timers and signals.
  *
  * @example
  * const gate = createStoreReadGate({ maxRunning: 64, maxWaiting: 2_048 })
--- a/packages/runner-relay/src/line-stream.ts
+++ b/packages/runner-relay/src/line-stream.ts
@@ -8,6 +8,7 @@
 
 /**
  * Calls `onLine` for each line of a stream of UTF-8 text, and `onError` when a line is too long.
+ * `onPartial` gets the change of the length of the line that has not ended.
  *
  * @example
  * readLines(req, line => handle(JSON.parse(line)), () => req.destroy())
@@ -16,12 +17,19 @@
   input: Readable,
   onLine: (line: string) => void,
   onError: () => void,
+  onPartial: (change: number) => void = () => undefined,
 ): void {
   let rest = ''
+  input.on('close', () => {
+    onPartial(-rest.length)
+    rest = ''
+  })
   input.setEncoding('utf8')
   input.on('data', (chunk: string) => {
+    const earlierLength = rest.length
     const lines = (rest + chunk).split('\n')
     rest = lines.pop() ?? ''
+    onPartial(rest.length - earlierLength)
     for (const line of lines) if (line !== '') onLine(line)
     if (rest.length > maxLineLength) onError()
   })
--- a/packages/runner-relay/src/relay-server.ts
+++ b/packages/runner-relay/src/relay-server.ts
@@ -29,6 +29,9 @@
  */
 const maxCallsInProgress = 4_000
 
+/** Most characters of lines that have not ended, on all connections together. */
+const maxPartialLength = 12_000_000
+
 /** Time for which results wait so that several share a packet, in milliseconds. */
 const resultDelayMs = 8
 
@@ -70,6 +73,12 @@
   const instance = randomUUID()
   const connections = new Set<RelayServerConnection>()
   const fences = new FenceRecord()
+  let partialLength = 0
+  /** Adds to the length of lines that have not ended; returns whether it is still under its bound. */
+  const notePartial = (change: number): boolean => {
+    partialLength += change
+    return partialLength <= maxPartialLength
+  }
   const pauseDetector = createPauseDetector({
     intervalMs: aliveIntervalMs,
     toleranceMs: pauseToleranceMs,
@@ -93,9 +102,11 @@
     }
     res.writeHead(200, { [instanceHeader]: instance, 'content-type': 'application/x-ndjson' })
     res.flushHeaders()
-    const connection = new RelayServerConnection(req, res, opts, fences, () =>
-      closeAfterPause(pauseDetector.peek()),
-    )
+    const connection = new RelayServerConnection(req, res, opts, {
+      fences,
+      closeAfterPause: () => closeAfterPause(pauseDetector.peek()),
+      notePartial,
+    })
     connections.add(connection)
     res.on('close', () => {
       connections.delete(connection)
@@ -153,6 +164,13 @@
   }
 }
 
+/** What the connections of one relay share. */
+interface SharedParts {
+  fences: FenceRecord
+  closeAfterPause: () => boolean
+  notePartial: (change: number) => boolean
+}
+
 class RelayServerConnection {
   readonly #req: IncomingMessage
   readonly #res: ServerResponse
@@ -167,8 +185,7 @@
     req: IncomingMessage,
     res: ServerResponse,
     opts: RelayServerOptions,
-    fences: FenceRecord,
-    closeAfterPause: () => boolean,
+    { fences, closeAfterPause, notePartial }: SharedParts,
   ) {
     this.#req = req
     this.#res = res
@@ -194,6 +211,9 @@
         else void this.#carryOut(call)
       },
       reject,
+      change => {
+        if (!notePartial(change) && change > 0) reject()
+      },
     )
   }
 
