--- a/packages/scheduler/__tests__/demand-bursts.test.ts
+++ b/packages/scheduler/__tests__/demand-bursts.test.ts
@@ -6,6 +6,7 @@
   simulateDemandBursts,
   type DemandBurstsOptions,
   type DemandBurstsResult,
+  type SimulatedForecast,
 } from './demand-bursts.js'
 import { createKnownDemand, withTakeover } from './known-demand.js'
 
@@ -120,6 +121,24 @@
   t.end()
 })
 
+// Guards against a forecast that replaces the evidence of work that waits: declared run times are off
+// by up to 90%.
+void t.test('expected run times of half the true ones', { timeout: 120_000 }, t => {
+  const learned = createDemandForecast()
+  const halved: SimulatedForecast = {
+    noteAccepted: work => {
+      learned.noteAccepted({ ...work, coreMs: work.coreMs / 2 })
+    },
+    expected: (...args) => learned.expected(...args),
+    expectedPeak: (...args) => learned.expectedPeak(...args),
+  }
+  const low = simulateForecast({ forecast: () => halved })
+  const unlimited = simulateDemandBursts({ seed, load: largeLoad })
+  t.comment(low)
+  t.ok(low.served > unlimited.served, 'more is served than by the work that waits')
+  t.end()
+})
+
 void t.test('a takeover in the middle of a burst', { timeout: 120_000 }, t => {
   const forecast = simulateForecast()
   const takenOver = simulateDemandBursts({
--- a/packages/scheduler/src/burst-recurrence.ts
+++ b/packages/scheduler/src/burst-recurrence.ts
@@ -69,8 +69,7 @@
  * each of some seconds, while a machine needs up to two seconds to reach the next pool.
  *
  * - Bursts of different pools at a regular interval: the next one begins an interval after the last
- *   one, in the pool that has followed the last one so far. Without such an experience, it begins in
- *   one of the pools whose last burst is the longest ago.
+ *   one, in a pool that has followed the last one so far or whose last burst is the longest ago.
  * - Bursts of one pool at a regular interval, however the others behave.
  *
  * A burst that has not begun shortly after its time is no longer predicted.
@@ -144,11 +143,6 @@
     counts.set(next.pool, (counts.get(next.pool) ?? 0) + 1)
     total += 1
   }
-  if (total > 0) {
-    return [...counts]
-      .map(([pool, count]) => ({ pool, share: count / total }))
-      .sort((a, b) => b.share - a.share)
-  }
   const lastStarts = pools
     .filter(pool => pool !== last?.pool)
     .map(pool => ({
@@ -157,7 +151,12 @@
     }))
   const oldest = Math.min(...lastStarts.map(({ at }) => at))
   const candidates = lastStarts.filter(({ at }) => at === oldest)
-  return candidates.map(({ pool }) => ({ pool, share: 1 / candidates.length }))
+  // The rule counts like one experience, so that a single one that contradicts it is no certainty.
+  for (const { pool } of candidates)
+    counts.set(pool, (counts.get(pool) ?? 0) + 1 / candidates.length)
+  return [...counts]
+    .map(([pool, count]) => ({ pool, share: count / (total + 1) }))
+    .sort((a, b) => b.share - a.share)
 }
 
 function regularInterval(starts: readonly BurstStart[]): RegularInterval | undefined {
--- a/packages/scheduler/src/plan-pool-moves.ts
+++ b/packages/scheduler/src/plan-pool-moves.ts
@@ -101,12 +101,6 @@
  */
 const overprovisionFactor = 1.6
 
-/**
- * Number of machines for the expected work of a pool, as a multiple of those that it would fill.
- * Tasks do not fill machines completely, and jobs arrive unevenly within a burst.
- */
-const headroomFactor = 1.1
-
 /**
  * Plans which machines change their pool when bursts of demand reach one pool after another. A pool
  * that will be short when a machine ordered now arrives gets idle machines that their own pool does
@@ -192,13 +186,13 @@
   }
 
   /**
-   * Number of machines that a pool needs for its lasting tasks and for the larger of two amounts of
-   * finite work: what is expected by the forecast, or what stands already and will not have ended.
+   * Number of machines that a pool needs for its lasting tasks, for what its forecast expects, and for
+   * what stands already and will not have ended. Part of the waiting work is expected too; if it waits
+   * in spite of that, the pool has a backlog or the forecast is too low.
    */
   #neededMachines({ waiting, lasting, running, ending }: PoolLoad, expected: Amounts): number {
     const standing = this.#machinesFor(running, waiting) - this.#machinesFor(ending)
-    const finite = Math.max(this.#machinesFor(expected), standing)
-    return this.#machinesFor(lasting) + headroomFactor * finite
+    return this.#machinesFor(lasting) + this.#machinesFor(expected) + Math.max(0, standing)
   }
 
   #givableCount(pool: PoolLoad): number {
