--- a/packages/scheduler/__tests__/demand-forecast.test.ts
+++ b/packages/scheduler/__tests__/demand-forecast.test.ts
@@ -186,3 +186,18 @@
   t.equal(expectedAt(forecast, 'unknown', 100), 0)
   t.end()
 })
+
+// Guards against a row from long ago or from a clock that was ahead, which would hide all later bursts.
+void t.test('a state of another time does not hide a burst', t => {
+  for (const shiftMs of [-86_400_000, 86_400_000]) {
+    const first = createDemandForecast()
+    replay(first, cycle(['a', 'b'], 18_500), 0, 18_500)
+    const forecast = createDemandForecast(first.encode())
+    const start = 18_500 - shiftMs
+    t.equal(forecast.burstSince('a', epoch + start), undefined, 'the old burst is over')
+    const jobs = arrivals('a', () => burstRate, start, start + 1_000)
+    replay(forecast, jobs, start, start + 1_000)
+    t.ok(expectedAt(forecast, 'a', start + 1_000) > 0.6 * burstCores, 'a new one is noticed')
+  }
+  t.end()
+})
--- a/packages/scheduler/src/demand-forecast.ts
+++ b/packages/scheduler/src/demand-forecast.ts
@@ -105,6 +105,7 @@
   }
 
   burstSince(pool: string, now: number): number | undefined {
+    this.#settle(now)
     return this.#pools.get(pool)?.currentBurst(now)?.from
   }
 
@@ -151,8 +152,11 @@
     const ended = [...this.#pools].flatMap(([pool, arrivals]) =>
       arrivals.settle(now).map(burst => ({ pool, ...burst })),
     )
-    if (ended.length === 0) return
-    this.#bursts = [...this.#bursts, ...ended].sort((a, b) => a.from - b.from).slice(-maxBursts)
+    // Bursts of the future were seen before a clock was set back.
+    this.#bursts = [...this.#bursts, ...ended]
+      .filter(({ until }) => until <= now)
+      .sort((a, b) => a.from - b.from)
+      .slice(-maxBursts)
   }
 
   /** Returns the arrival rate of work, in cores, at a time in the future. */
--- a/packages/scheduler/src/pool-arrivals.ts
+++ b/packages/scheduler/src/pool-arrivals.ts
@@ -161,7 +161,8 @@
     const ended: EndedBurst[] = []
     const until = startOfBucket(now - settleMs)
     // After a pause without a dispatcher, arrivals are unknown, and an earlier burst is over.
-    if (until - this.#phase.at > historyMs) this.#phase = quietPhase(until - historyMs)
+    // So are arrivals after a clock was set back.
+    if (Math.abs(until - this.#phase.at) > historyMs) this.#phase = quietPhase(until - historyMs)
     while (this.#phase.at + bucketMs <= until) {
       const before = this.#phase
       const { jobs } = this.#buckets.in(before.at)
