--- a/packages/scheduler/src/demand-forecast.ts
+++ b/packages/scheduler/src/demand-forecast.ts
@@ -152,11 +152,11 @@
     const ended = [...this.#pools].flatMap(([pool, arrivals]) =>
       arrivals.settle(now).map(burst => ({ pool, ...burst })),
     )
-    // A dispatcher whose clock was ahead may have saved them.
-    if (this.#bursts.some(({ from }) => from > now))
-      this.#bursts = this.#bursts.filter(({ from }) => from <= now)
-    if (ended.length === 0) return
-    this.#bursts = [...this.#bursts, ...ended].sort((a, b) => a.from - b.from).slice(-maxBursts)
+    // Bursts of the future were seen before a clock was set back.
+    this.#bursts = [...this.#bursts, ...ended]
+      .filter(({ until }) => until <= now)
+      .sort((a, b) => a.from - b.from)
+      .slice(-maxBursts)
   }
 
   /** Returns the arrival rate of work, in cores, at a time in the future. */
