--- a/packages/dispatcher/src/load-publisher.ts
+++ b/packages/dispatcher/src/load-publisher.ts
@@ -276,11 +276,15 @@
 }
 
 /** Jobs accepted a second by organisation; of those in memory, so ended ones may be missing. */
+/** Greatest difference between the clocks of two hosts that is taken as usual, in milliseconds. */
+const maxClockErrorMs = 500
+
 function countAccepted(jobs: Iterable<JobExecution>, wallNow: number): [string, number][] {
   const counts = new Map<string, number>()
   for (const { definition } of jobs) {
     const { acceptedAt, organisation = '' } = definition
-    if (acceptedAt <= wallNow - acceptedWindowMs) continue
+    // The clock of the accepting host may be ahead; a rate that is too high would cost others their due.
+    if (acceptedAt <= wallNow - acceptedWindowMs || acceptedAt > wallNow + maxClockErrorMs) continue
     counts.set(organisation, (counts.get(organisation) ?? 0) + 1)
   }
   return [...counts].map(([name, count]) => [name, (count * 1_000) / acceptedWindowMs])
--- a/packages/errors/src/error-kinds.ts
+++ b/packages/errors/src/error-kinds.ts
@@ -47,7 +47,7 @@
   'job-not-in-time': {
     status: 429,
     message:
-      'The organisation has more waiting work than can be done in time; the job was not stored and does not run.',
+      'The organisation has more waiting work than can be done in time; this submission was not stored.',
     retryable: true,
   },
   'job-too-large': {
