--- a/packages/dispatcher/src/machine-controller.ts
+++ b/packages/dispatcher/src/machine-controller.ts
@@ -12,7 +12,7 @@
 const roundPauseMs = 250
 
 /** Least time between the starts of two rounds that follow a change of demand, in milliseconds. */
-const minRoundIntervalMs = 100
+const minRoundIntervalMs = 200
 
 /** Pause after a list of the machines that failed, in milliseconds. */
 const failedListPauseMs = 400
