--- a/packages/dispatcher/src/organisation-usage.ts
+++ b/packages/dispatcher/src/organisation-usage.ts
@@ -27,7 +27,7 @@
   const queueUsage = new Map<string, QueueUsage & { runs: number }>()
   const addToQueue = ({ step }: Task, amounts: Amounts, sign: 1 | -1) => {
     const { organisation = '', queue } = step.job.definition
-    const key = JSON.stringify([organisation, queue])
+    const key = `${organisation}\0${queue}`
     const sum = queueUsage.get(key) ?? {
       organisation,
       queue,
--- a/packages/dispatcher/src/share-report.ts
+++ b/packages/dispatcher/src/share-report.ts
@@ -154,7 +154,7 @@
 }
 
 function keyOf(pool: string, organisation: string): string {
-  return JSON.stringify([pool, organisation])
+  return `${pool}\0${organisation}`
 }
 
 function round(value: number): number {
--- a/packages/scheduler/src/start-turns.ts
+++ b/packages/scheduler/src/start-turns.ts
@@ -108,7 +108,7 @@
   for (const each of steps) {
     const { pool } = each.queue
     const organisation = organisationOf(each.step)
-    const key = JSON.stringify([pool, organisation])
+    const key = `${pool}\0${organisation}`
     const lane = lanes.get(key)
     if (lane === undefined)
       lanes.set(key, { pool, organisation, steps: [each], next: 0, isFirstRun: isLate })
