--- a/packages/dispatcher/src/placement-pass.ts
+++ b/packages/dispatcher/src/placement-pass.ts
@@ -25,6 +25,9 @@
 /** Most further occurrences of a job that a pass opens, so that the jobs of an organisation take turns. */
 const maxOpenedPerPass = 64
 
+/** Interval at which the slowness of runners is computed anew, in milliseconds; passes are more frequent. */
+const slownessIntervalMs = 250
+
 /** Places work: chooses which tasks start where. */
 export class PlacementPass {
   readonly #ctx: TermContext
@@ -35,6 +38,9 @@
   #waiting = new Map<string, Amounts>()
   #waitingTaskCount = 0
   #awaitsConfirmations = false
+  /** By runner, see `slownessOf`. */
+  readonly #slowness = new Map<string, number>()
+  #slownessAt = -Infinity
   /** Orders of earlier dispatchers to machines; set when they have been read. */
   machineOrders: MachineOrderRecord | undefined
   readonly #loadPublisher: LoadPublisher
@@ -167,6 +173,15 @@
     })
   }
 
+  #updateSlowness(now: number): void {
+    if (now - this.#slownessAt < slownessIntervalMs) return
+    this.#slownessAt = now
+    const { speeds, sessions } = this.#ctx
+    for (const { id, runnerStartedAt } of sessions.values())
+      this.#slowness.set(id, slownessOf(speeds.factor(id, runnerStartedAt, now)))
+    for (const id of this.#slowness.keys()) if (!sessions.has(id)) this.#slowness.delete(id)
+  }
+
   /** Whether a runner takes new runs: it and its zone allow them, and it is not quarantined. */
   canStartOn(session: RunnerSession, now: number): boolean {
     if (!this.#starter.canStartOn(session)) return false
@@ -175,14 +190,14 @@
 
   #availableRunners(): AvailableRunner[] {
     const now = performance.now()
-    const { speeds } = this.#ctx
+    this.#updateSlowness(now)
     const threatened = this.machineOrders?.threatenedRunners()
     const found: AvailableRunner[] = []
     for (const session of this.#ctx.sessions.values()) {
       const { entry } = session
       if (entry === undefined || !this.canStartOn(session, now)) continue
       const isThreatened = threatened?.has(session.id) === true
-      const slowness = slownessOf(speeds.factor(session.id, session.runnerStartedAt, now))
+      const slowness = this.#slowness.get(session.id) ?? 0
       found.push({ ...toAvailableRunner(session, entry), isThreatened, slowness })
     }
     return found
--- a/packages/dispatcher/src/pool-demand.ts
+++ b/packages/dispatcher/src/pool-demand.ts
@@ -43,6 +43,9 @@
  */
 const maxClockDifferenceMs = 2_000
 
+/** Interval at which a rise of demand is looked for, in milliseconds; arrivals are counted in spans of 100. */
+const riseCheckIntervalMs = 100
+
 /** What a pool is expected to need, and what runs there, as {@link PoolLoad} has it. */
 export type PoolDemandLoad = Pick<
   PoolLoad,
@@ -61,6 +64,7 @@
   #storedAt = performance.now()
   #hasChanged = false
   #hasNewJobs = false
+  #riseCheckedAt = 0
   /** Beginnings of the bursts that are known to be under way, in Unix milliseconds, by pool. */
   readonly #burstsSince = new Map<string, number>()
 
@@ -112,9 +116,11 @@
 
   /** Whether a burst of demand has begun since the last call. */
   hasRisen(): boolean {
-    if (!this.#hasNewJobs) return false
-    this.#hasNewJobs = false
     const wallNow = Date.now()
+    const isDue = Math.abs(wallNow - this.#riseCheckedAt) >= riseCheckIntervalMs
+    if (!this.#hasNewJobs || !isDue) return false
+    this.#hasNewJobs = false
+    this.#riseCheckedAt = wallNow
     let hasRisen = false
     for (const pool of this.#ctx.opts.view.configuration()?.pools ?? []) {
       const since = this.#forecast.burstSince(pool.name, wallNow)
--- a/packages/scheduler/src/weighted-shares.ts
+++ b/packages/scheduler/src/weighted-shares.ts
@@ -125,14 +125,24 @@
     if (amounts.cpuMillis < least) smallest.set(pool, amounts)
   }
   const capacityOf = (pool: string) => capacities.get(pool) ?? noAmounts
-  const usable = sumCapacities(input.runners, ({ pool, free }) => {
-    const amounts = smallest.get(pool)
-    return amounts !== undefined && countFitting(free, amounts) < 1 ? free : noAmounts
-  })
   for (const [pool, entries] of pools) {
     const capacity = capacityOf(pool)
-    const slots = largestFraction(usable.get(pool) ?? noAmounts, capacity)
-    divide([...entries.values()], capacity, slots)
+    for (const entry of entries.values()) entry.used = largestFraction(entry.amounts, capacity)
+  }
+  let isDivided = false
+  // The order follows from the levels alone, and a pass runs many times a second.
+  const divideOnce = () => {
+    if (isDivided) return
+    isDivided = true
+    const usable = sumCapacities(input.runners, ({ pool, free }) => {
+      const amounts = smallest.get(pool)
+      return amounts !== undefined && countFitting(free, amounts) < 1 ? free : noAmounts
+    })
+    for (const [pool, entries] of pools) {
+      const capacity = capacityOf(pool)
+      const slots = largestFraction(usable.get(pool) ?? noAmounts, capacity)
+      divide([...entries.values()], capacity, slots)
+    }
   }
   return {
     isExcess: job =>
@@ -144,6 +154,7 @@
       return (used + unit) / Math.max(weight, weightWithoutShare)
     },
     isUnderShare: (pool, organisation) => {
+      divideOnce()
       const entry = pools.get(pool)?.get(organisation)
       return entry === undefined || entry.used < entry.entitled - epsilon
     },
@@ -153,6 +164,7 @@
       entry.used = largestFraction(entry.amounts, capacityOf(pool))
     },
     entries: function* () {
+      divideOnce()
       for (const entries of pools.values()) yield* entries.values()
     },
   }
@@ -162,11 +174,10 @@
 const epsilon = 1e-9
 
 /**
- * Sets what each organisation uses of a pool and is entitled to. `slots` is the fraction of the capacity
+ * Sets what each organisation is entitled to of a pool. `slots` is the fraction of the capacity
  * that runs use or can use.
  */
 function divide(entries: readonly Entry[], capacity: Amounts, slots: number): void {
-  for (const entry of entries) entry.used = largestFraction(entry.amounts, capacity)
   let open = entries.map(entry => ({
     entry,
     demand: largestFraction(entry.demand, capacity),
