--- a/packages/dispatcher/__tests__/organisation-usage.test.ts
+++ b/packages/dispatcher/__tests__/organisation-usage.test.ts
@@ -77,7 +77,7 @@
   const guaranteed = createGuaranteedWork()
   const log = createLogger({ program: 'test', level: 'silent' })
   const found: EarlierProgress = new Map()
-  await readProgress({ store, log }, found, guaranteed)
+  await readProgress({ store, log }, found, guaranteed, acceptedAt + 10)
   t.equal(found.size, 0)
   const open = { id: 'job-3', organisation: 'org-1', acceptedAt }
   guaranteed.noteAccepted(open)
--- a/packages/dispatcher/src/read-progress.ts
+++ b/packages/dispatcher/src/read-progress.ts
@@ -21,7 +21,8 @@
 
 /**
  * Reads the progress of all jobs that have not ended for good, row by row, so that the rows of ended
- * jobs take no memory. Of ended jobs, only their acceptance is noted.
+ * jobs take no memory. Of ended jobs, only their acceptance is noted, if it still matters at
+ * `wallNow` (Unix milliseconds).
  *
  * @example
  * await readProgress({ store, log }, earlierProgress, guaranteed)
@@ -30,10 +31,11 @@
   { store, log }: { store: FollowableTableService; log: Logger },
   found: EarlierProgress,
   guaranteed: GuaranteedWork,
+  wallNow = Date.now(),
 ): Promise<void> {
   found.clear()
   const invalid: string[] = []
-  const since = Date.now() - maxExcessMs
+  const since = wallNow - maxExcessMs
   await store.snapshotPages(progressTable, partNames, rows => {
     for (const { key, value } of rows) {
       const { data: progress } = progressSchema.safeParse(value)
