fix(caller-server): count a request until its handler has ended

Cause: the end of a connection ended the count of its requests, but handlers that waited for the view of the operators went on. A client that connected again and again piled them up: pipelined submissions with Expect: 100-continue to an unknown queue ran a process with a heap of 64 MB out of memory in one of three runs of bodies.test.ts.

Change: the count ends when the handler ends, or the response is delivered. Handlers of reads end at once, because their signal is aborted with the connection.

--- a/packages/caller-server/__tests__/connection-limiter.test.ts
+++ b/packages/caller-server/__tests__/connection-limiter.test.ts
@@ -19,7 +19,11 @@
 const request = 'GET /job HTTP/1.1\r\nhost: h\r\n\r\n'
 
 /** A server whose requests wait until the test answers them. */
-async function setup(t: Test, limits: Partial<ClientLimits> = {}, responseBytes = 10) {
+async function setup(
+  t: Test,
+  limits: Partial<ClientLimits> = {},
+  { responseBytes = 10, givesUp = true } = {},
+) {
   const waiting: (() => void)[] = []
   const causes: string[] = []
   const signals: AbortSignal[] = []
@@ -29,8 +33,15 @@
     nextRequestId: () => 'id',
     routes: {
       '/**': async (req, res) => {
-        signals.push(connectionSignal(req.socket))
-        await new Promise<void>(resolve => waiting.push(resolve))
+        const signal = connectionSignal(req.socket)
+        signals.push(signal)
+        await new Promise<void>(resolve => {
+          waiting.push(resolve)
+          if (givesUp)
+            signal.addEventListener('abort', () => {
+              resolve()
+            })
+        })
         res.end('x'.repeat(responseBytes))
       },
     },
@@ -96,7 +107,7 @@
 
 // Guards against a client that holds responses for good by not reading them.
 void t.test('a client that does not read is closed', async t => {
-  const { server, open, answerAll, causes } = await setup(t, {}, 3_000_000)
+  const { server, open, answerAll, causes } = await setup(t, {}, { responseBytes: 3_000_000 })
   const socket = await open()
   socket.pause()
   socket.write(request.repeat(10))
@@ -122,6 +133,19 @@
   )
 })
 
+// Guards against handlers of closed connections that pile up uncounted while a client connects again.
+void t.test('a request counts until its handler has ended', async t => {
+  const { server, open, answerAll } = await setup(t, {}, { givesUp: false })
+  const socket = await open()
+  socket.write(request.repeat(2))
+  await waitUntil(() => server.held().requests === 2)
+  socket.destroy()
+  await waitUntil(() => server.held().connections === 0)
+  t.equal(server.held().requests, 2)
+  answerAll()
+  await waitUntil(() => server.held().requests === 0)
+})
+
 // Guards against a process that takes more requests than its memory allows, and against a rejection
 // that does not say so.
 void t.test('requests beyond the bound are rejected as not run', async t => {
--- a/packages/caller-server/src/connection-limiter.ts
+++ b/packages/caller-server/src/connection-limiter.ts
@@ -24,7 +24,10 @@
    * is `ignored` follows a request after which its connection is closed.
    */
   admit(req: IncomingMessage, res: ServerResponse): Admission
-  /** Notes that the response to an admitted or rejected request has been written. */
+  /**
+   * Notes that the response to an admitted or rejected request has been written, or that its handler has
+   * ended. Must be called for each: a handler that goes on after its connection has ended still counts.
+   */
   answered(req: IncomingMessage, res: ServerResponse): void
   /** Reads no more requests of the connection; the response in progress is its last one. */
   closeAfterResponse(req: IncomingMessage): void
@@ -48,6 +51,8 @@
   readonly #connections = new Map<Socket, LimitedConnection>()
   readonly #connectionUsage
   readonly #requestUsage
+  /** Ends the count of a request in progress. */
+  readonly #releases = new WeakMap<ServerResponse, () => void>()
   readonly #timer: NodeJS.Timeout
   #unreadResponses = 0
   #unparsedBytes = 0
@@ -81,9 +86,11 @@
     const { address } = connection
     const exceeded = this.#requestUsage.tryAdd(address)
     if (exceeded === undefined) {
-      connection.add(req, res, () => {
-        this.#requestUsage.remove(address)
-      })
+      const release = () => {
+        if (this.#releases.delete(res)) this.#requestUsage.remove(address)
+      }
+      this.#releases.set(res, release)
+      connection.add(req, res, release)
       return 'admitted'
     }
     connection.add(req, res, () => undefined)
@@ -94,6 +101,7 @@
 
   answered(req: IncomingMessage, res: ServerResponse): void {
     this.#connections.get(req.socket)?.answered(res)
+    this.#releases.get(res)?.()
   }
 
   closeAfterResponse(req: IncomingMessage): void {
--- a/packages/caller-server/src/limited-connection.ts
+++ b/packages/caller-server/src/limited-connection.ts
@@ -17,7 +17,7 @@
   res: ServerResponse
   /** Whether the response is written and waits for the client to read it. */
   isWritten: boolean
-  /** Called once, when the request is answered or its connection has ended. */
+  /** Called when the request is answered. */
   onAnswered: (() => void) | undefined
 }
 
@@ -85,7 +85,7 @@
     this.#pause()
   }
 
-  /** Adds a request; `onAnswered` is called once, when it is answered or the connection has ended. */
+  /** Adds a request; `onAnswered` is called when it is answered, unless the connection ends before. */
   add(req: IncomingMessage, res: ServerResponse, onAnswered: () => void): void {
     this.#setHeldBytes(this.socket.readableLength)
     const exchange: Exchange = { req, res, isWritten: false, onAnswered }
@@ -156,7 +156,6 @@
   release(): void {
     for (const exchange of this.#exchanges.splice(0)) {
       if (exchange.isWritten) this.#opts.onUnread(-1)
-      endProgress(exchange)
     }
     this.#setHeldBytes(0)
     this.#isReleased = true
--- a/packages/runner-relay/src/relay-server.ts
+++ b/packages/runner-relay/src/relay-server.ts
@@ -111,6 +111,7 @@
     res.on('close', () => {
       connections.delete(connection)
       connection.close()
+      limiter?.answered(req, res)
     })
   })
   // The body of a request goes on for as long as the dispatcher's term.
