test(host-program): no options of the test runner in the processes under load

Cause: tap adds NODE_OPTIONS to every child that a test spawns, so did not remove them.

Change: the shell that starts the process unsets NODE_OPTIONS. Load and bounds are unchanged.

--- a/packages/host-program/__tests__/client-load/host-process.ts
+++ b/packages/host-program/__tests__/client-load/host-process.ts
@@ -88,10 +88,11 @@
   const folder = mkdtempSync(join(tmpdir(), 'bulrush-clients-'))
   const settingsPath = join(folder, 'settings.toml')
   writeFileSync(settingsPath, settingsText(ip, ports, store.address))
-  const command = `ulimit -n ${maxOpenFiles}; exec "$0" "$@"`
+  const command = `ulimit -n ${maxOpenFiles}; unset NODE_OPTIONS; exec "$0" "$@"`
   const heap = [`--max-old-space-size=${maxHeapMb}`, `--max-semi-space-size=${maxSemiSpaceMb}`]
   const args = [process.execPath, ...heap, programPath, ...flags]
-  // The test runner's NODE_OPTIONS would load source maps, which take 40 MB of the heap.
+  // The test runner adds NODE_OPTIONS to each child that it spawns, and with them source maps, which
+  // take 40 MB of the heap. The shell removes them.
   const child = spawn('sh', ['-c', command, ...args], {
     stdio: ['ignore', 'pipe', 'pipe'],
     env: { PATH: process.env.PATH, ...loweredLimits, BULRUSHBRIDGE_BOOT: settingsPath },
