--- a/packages/dispatcher/src/pool-demand.ts
+++ b/packages/dispatcher/src/pool-demand.ts
@@ -65,8 +65,8 @@
   #hasChanged = false
   #hasNewJobs = false
   #riseCheckedAt = 0
-  /** Beginnings of the bursts that are known to be under way, in Unix milliseconds, by pool. */
-  readonly #burstsSince = new Map<string, number>()
+  /** Pools in which a burst is known to be under way. */
+  readonly #poolsInBurst = new Set<string>()
 
   constructor(ctx: TermContext, leaseCheck: Check) {
     this.#ctx = ctx
@@ -122,12 +122,17 @@
     this.#hasNewJobs = false
     this.#riseCheckedAt = wallNow
     let hasRisen = false
-    for (const pool of this.#ctx.opts.view.configuration()?.pools ?? []) {
-      const since = this.#forecast.burstSince(pool.name, wallNow)
-      const isKnown = since === undefined || this.#burstsSince.has(pool.name)
-      if (!isKnown) hasRisen = true
-      if (since === undefined) this.#burstsSince.delete(pool.name)
-      else this.#burstsSince.set(pool.name, since)
+    for (const { name } of this.#ctx.opts.view.configuration()?.pools ?? []) {
+      const since = this.#forecast.burstSince(name, wallNow)
+      if (since === undefined) this.#poolsInBurst.delete(name)
+      else if (!this.#poolsInBurst.has(name)) {
+        this.#poolsInBurst.add(name)
+        hasRisen = true
+        this.#ctx.opts.log.info('demand burst began', {
+          pool: name,
+          noticedAfterMs: wallNow - since,
+        })
+      }
     }
     return hasRisen
   }
