test: share the crowd of clients between the tests of all programs

The crowd of the tests of bulrush-host moves to the testbed, unchanged, so that tests of other programs use it. A program of the testbed can be started with a limited heap and descriptors, without the options that the test runner adds to its children (with them an idle bulrush-entry took 186 to 281 MB instead of 129).

--- a/packages/host-program/__tests__/client-load/bodies.test.ts
+++ b/packages/host-program/__tests__/client-load/bodies.test.ts
@@ -1,5 +1,5 @@
+import { runClients } from '@bulrushbridge/testbed'
 import t from 'tap'
-import { runClients } from './clients.js'
 import { startHost } from './host-process.js'
 
 const clients = 60
--- a/packages/host-program/__tests__/client-load/host-process.ts
+++ b/packages/host-program/__tests__/client-load/host-process.ts
@@ -1,11 +1,12 @@
 import { spawn } from 'node:child_process'
 import { once } from 'node:events'
-import { existsSync, mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { existsSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { request } from 'node:http'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { createLoopback } from '@bulrushbridge/testbed'
+import { countDescriptors, createLoopback, peakResidentMb } from '@bulrushbridge/testbed'
+import type { MemoryStore } from '@bulrushbridge/standins'
 import type { Test } from 'tap'
 import { createStoreServer } from './store-server.js'
 
@@ -56,6 +57,8 @@
   readonly usualHeaders: string
   /** Path of a job that exists. */
   readonly jobPath: string
+  /** The rows of its store. */
+  readonly storeRows: MemoryStore
   /** Resolves to the status and body of one request. */
   send(port: number, path: string, method?: string, body?: string): Promise<Response>
   /**
@@ -152,6 +155,7 @@
     ports,
     usualHeaders: `host: ${ip}\r\nauthorization: Token none\r\nbulrushbridge-deadline-ms: 3000\r\n`,
     jobPath,
+    storeRows: store.rows,
     send,
     checkAfterLoad: async t => {
       if (!isRunning()) {
@@ -177,16 +181,6 @@
   }
 }
 
-/** Reads the peak of the resident memory of a process, in megabytes. */
-function peakResidentMb(pid: number): number {
-  const match = /^VmHWM:\s+(\d+) kB/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))
-  return Math.round(Number(match?.[1]) / 1_024)
-}
-
-function countDescriptors(pid: number): number {
-  return readdirSync(`/proc/${pid}/fd`).length
-}
-
 function sendRequest(
   target: { host: string; port: number; path: string; method: string; localAddress: string },
   body: string,
--- a/packages/testbed/src/index.ts
+++ b/packages/testbed/src/index.ts
@@ -1,8 +1,16 @@
 export { createCaller, type Caller, type CallerResponse, type CallerRequest } from './caller.js'
-export { launch, runToEnd, type ProgramName, type RunningProgram } from './launch.js'
+export { runClients, type ClientLoad, type OpenLoad } from './client-load.js'
+export {
+  launch,
+  runToEnd,
+  type ProcessLimits,
+  type ProgramName,
+  type RunningProgram,
+} from './launch.js'
 export { createLink, type Link } from './link.js'
 export { createLoopback, type Loopback } from './loopback.js'
 export { createOperator, type Operator, type OperatorResponse } from './operator.js'
+export { countDescriptors, peakResidentMb } from './process-usage.js'
 export {
   createSampleDocument,
   type SampleDocument,
--- a/packages/testbed/src/launch.ts
+++ b/packages/testbed/src/launch.ts
@@ -31,6 +31,29 @@
   return fileURLToPath(new URL(`${base}${name}.mjs`, import.meta.url))
 }
 
+/** Bounds of a process whose behaviour at its limits is tested. */
+export interface ProcessLimits {
+  /** Limit of the heap and size of its semi-spaces, in megabytes. */
+  maxHeapMb: number
+  maxSemiSpaceMb: number
+  /** Most descriptors that it may open. */
+  maxOpenFiles: number
+}
+
+/**
+ * Command and arguments that start a program. With limits, a shell sets them and removes the options that
+ * the test runner adds to each child; their source maps take tens of megabytes of the heap.
+ */
+function commandOf(args: string[], limits: ProcessLimits | undefined): [string, string[]] {
+  if (limits === undefined) return [process.execPath, args]
+  const script = `ulimit -n ${limits.maxOpenFiles}; unset NODE_OPTIONS; exec "$0" "$@"`
+  const heap = [
+    `--max-old-space-size=${limits.maxHeapMb}`,
+    `--max-semi-space-size=${limits.maxSemiSpaceMb}`,
+  ]
+  return ['sh', ['-c', script, process.execPath, ...heap, ...args]]
+}
+
 /**
  * Starts a program and waits until it prints its first line, a JSON object.
  *
@@ -42,8 +65,9 @@
   name: ProgramName,
   args: string[],
   env: Record<string, string> = {},
+  limits?: ProcessLimits,
 ): Promise<RunningProgram> {
-  const child = spawn(process.execPath, [programPath(name), ...args], {
+  const child = spawn(...commandOf([programPath(name), ...args], limits), {
     stdio: ['ignore', 'pipe', 'pipe'],
     env: { ...process.env, ...env },
   })
--- a/packages/testbed/src/testbed.ts
+++ b/packages/testbed/src/testbed.ts
@@ -9,7 +9,7 @@
   type Standin,
 } from '@bulrushbridge/standins'
 import { createCaller, type Caller, type CallerResponse, type CallerRequest } from './caller.js'
-import { launch, type RunningProgram } from './launch.js'
+import { launch, type ProcessLimits, type RunningProgram } from './launch.js'
 import { createLink, type Link } from './link.js'
 import { createLoopback } from './loopback.js'
 import { createOperator, type Operator } from './operator.js'
@@ -48,6 +48,8 @@
   balancerWaitMs?: number
   /** Environment variables of the entry hosts. */
   env?: Record<string, string>
+  /** Limits of the processes of the entry hosts; by default those of the test. */
+  processLimits?: ProcessLimits
   /** Seed of the runners' random work times; 1 by default. */
   seed?: number
   /** Called when work starts at a runner; see `RunnerOptions.onStart`. */
@@ -199,7 +201,7 @@
       'balancer-wait': String(opts.balancerWaitMs ?? 200),
       peers: entries.map(other => `${other.id}=${other.program.readyOutput.peers ?? ''}`).join(','),
     }
-    const program = await launch('bulrush-entry', flags(settings), env)
+    const program = await launch('bulrush-entry', flags(settings), env, opts.processLimits)
     programs.push(program)
     const { callers = '', operators = '' } = program.readyOutput
     const entry = { id, zone, program, callers, operators, storeLink, host, env }
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -15,7 +15,7 @@
 const maxScenarioFilesAtOnce = 4
 
 // Each of these tests brings a process to its limits and checks its memory, so they run alone.
-const clientLoadTests = 'packages/host-program/__tests__/client-load/*.test.ts'
+const clientLoadTests = 'packages/*/__tests__/client-load/*.test.ts'
 
 const paths = process.argv.slice(2)
 const selections =
