refactor(caller-server): settings and reports of the limits serve all programs

client-limit-settings, client-log-limit, limit-reports and cached-value move from host-program, without a change of behaviour, so that bulrush-entry can use them. The cause of a report is a text, as ports have causes of their own.

--- a/packages/host-program/src/client-limit-settings.ts
+++ b/packages/caller-server/src/client-limit-settings.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from 'node:fs'
-import type { ClientLimits } from '@bulrushbridge/caller-server'
 import type { Settings, SettingSpec } from '@bulrushbridge/settings'
 import { z } from 'zod'
+import type { ClientLimits } from './client-limits.js'
 
 const count = z.coerce.number().int().min(1).max(1_000_000)
 const milliseconds = z.coerce.number().int().min(100).max(3_600_000)
--- a/packages/caller-server/src/index.ts
+++ b/packages/caller-server/src/index.ts
@@ -6,7 +6,17 @@
   type CallerServer,
   type CallerServerOptions,
 } from './caller-server.js'
+export { createCachedValue } from './cached-value.js'
+export {
+  callerLimits,
+  clientLimitSettings,
+  internalLimits,
+  readDescriptorLimit,
+  type ClientLimitSettings,
+} from './client-limit-settings.js'
 export type { ClientLimits, LimitCause } from './client-limits.js'
+export { createClientLogLimit, type ClientLogLimit } from './client-log-limit.js'
+export { createLimitReports, type ClientPort, type LimitReports } from './limit-reports.js'
 export {
   limitConnections,
   type ConnectionLimiter,
--- a/packages/host-program/src/limit-reports.ts
+++ b/packages/caller-server/src/limit-reports.ts
@@ -1,15 +1,15 @@
-import type { LimitCause } from '@bulrushbridge/caller-server'
 import type { Logger, Metrics } from '@bulrushbridge/telemetry'
 
 /** Time between two log lines with the same port and cause, in milliseconds. */
 const lineIntervalMs = 1_000
 
-/** Ports of a host whose clients are limited. */
-export type ClientPort = 'callers' | 'readiness' | 'metrics' | 'relay'
+/** Ports of a program whose clients are limited. */
+export type ClientPort = 'callers' | 'readiness' | 'metrics' | 'relay' | 'operators' | 'peers'
 
 /** Counts and logs what the limits on clients close and reject. */
 export interface LimitReports {
-  report(port: ClientPort, cause: LimitCause, address: string): void
+  /** `cause` is one of a fixed set, as it is a label of the counter. */
+  report(port: ClientPort, cause: string, address: string): void
 }
 
 /**
--- a/packages/host-program/src/host-program.ts
+++ b/packages/host-program/src/host-program.ts
@@ -1,5 +1,18 @@
 import type { IncomingMessage } from 'node:http'
-import { createCallerServer, type CallerServer } from '@bulrushbridge/caller-server'
+import {
+  callerLimits,
+  createCachedValue,
+  createCallerServer,
+  createClientLogLimit,
+  createLimitReports,
+  internalLimits,
+  readDescriptorLimit,
+  type CallerServer,
+  type ClientLimitSettings,
+  type ClientLogLimit,
+  type ClientPort,
+  type LimitReports,
+} from '@bulrushbridge/caller-server'
 import { createDispatcher, type Dispatcher } from '@bulrushbridge/dispatcher'
 import { normalizeError, type RequestError, systemClock } from '@bulrushbridge/errors'
 import {
@@ -47,18 +60,9 @@
   type TableFollower,
 } from '@bulrushbridge/store'
 import { createMetrics, type Logger, type Metrics } from '@bulrushbridge/telemetry'
-import { createCachedValue } from './cached-value.js'
-import {
-  callerLimits,
-  internalLimits,
-  readDescriptorLimit,
-  type ClientLimitSettings,
-} from './client-limit-settings.js'
-import { createClientLogLimit, type ClientLogLimit } from './client-log-limit.js'
 import { dispatchCapacity } from './dispatch-capacity.js'
 import { followLoad } from './follow-load.js'
 import { createInternalServer, type InternalServer } from './internal-server.js'
-import { createLimitReports, type ClientPort, type LimitReports } from './limit-reports.js'
 import { dispatcherTiming } from './timing.js'
 
 /** Pause between two calls that wait for changes of the operators' table, in milliseconds. */
--- a/packages/host-program/src/settings.ts
+++ b/packages/host-program/src/settings.ts
@@ -1,6 +1,6 @@
+import { clientLimitSettings } from '@bulrushbridge/caller-server'
 import type { SettingSpec } from '@bulrushbridge/settings'
 import { z } from 'zod'
-import { clientLimitSettings } from './client-limit-settings.js'
 
 /** Flags and environment variables of `bulrush-host`. */
 export const hostProgramSettings = {
