fix(runner-relay): a long line takes time in proportion to its length

What a dispatcher saw: a relay that a client kept busy with one line. The start of a line was joined and searched again for each piece of 512 bytes, so its time grew with the square of its length. Only the new piece is searched now.

--- a/packages/runner-relay/src/line-stream.ts
+++ b/packages/runner-relay/src/line-stream.ts
@@ -27,7 +27,9 @@
   input.setEncoding('utf8')
   input.on('data', (chunk: string) => {
     const earlierLength = rest.length
-    const lines = (rest + chunk).split('\n')
+    const lines = chunk.split('\n')
+    // Only the chunk is searched: the start of a long line would be copied for each of its chunks.
+    lines[0] = rest + (lines[0] ?? '')
     rest = lines.pop() ?? ''
     onPartial(rest.length - earlierLength)
     for (const line of lines) if (line !== '') onLine(line)
