fix(runner-relay): bound the results that a relay holds for clients that do not read

A relay kept up to 16 MB of results for each of its connections, 1 GB together. All connections now share 8 MB; the one with the most is closed, with a counter and a log line (relay-results-unread). Evidence: by reading.

--- /dev/null
+++ b/packages/host-program/__tests__/client-load/relay-calls.test.ts
@@ -0,0 +1,61 @@
+import { createServer } from 'node:net'
+import { createLoopback, runClients } from '@bulrushbridge/testbed'
+import t, { type Test } from 'tap'
+import { startHost } from './host-process.js'
+
+const clients = 20
+
+/** Bytes that each client sends at most; as calls or results they exceed the heap of the process. */
+const maxBytes = 20_000_000
+
+const opening = 'POST /v1/relay HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n'
+
+const chunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`
+
+const stop = (address: string, runnerId: string, fence: number) => {
+  const order = { task: 't', run: 1, fence }
+  return `${JSON.stringify({ id: 1, kind: 'stop', address, runnerId, order })}\n`
+}
+
+/** A server that accepts connections and never answers. */
+async function startSilentRunner(t: Test): Promise<string> {
+  const host = createLoopback().nextAddress()
+  const server = createServer(socket => {
+    socket.resume()
+    socket.on('error', () => undefined)
+  })
+  await new Promise<void>(resolve => server.listen(0, host, resolve))
+  t.teardown(() => server.close())
+  const bound = server.address()
+  return `${host}:${typeof bound === 'object' && bound !== null ? bound.port : 0}`
+}
+
+const shapes = [
+  {
+    // A call with an earlier fencing token is answered at once, without a call to a runner.
+    name: 'whose results are not read',
+    first: (runner: string) => stop(runner, 'r', 4_096),
+    repeated: (runner: string) => stop(runner, 'r', 1),
+  },
+]
+
+// Guards against a relay that holds the results of calls without a bound.
+for (const { name, first, repeated } of shapes) {
+  void t.test(`relayed calls ${name}`, async t => {
+    const host = await startHost(t)
+    const runner = await startSilentRunner(t)
+    const firstCall = first(runner)
+    const load = await runClients({
+      host: host.ip,
+      port: host.ports.relay,
+      clients,
+      opening: opening + (firstCall === '' ? '' : chunk(firstCall)),
+      repeated: chunk(repeated(runner)),
+      maxBytes,
+    })
+    t.teardown(() => {
+      load.close()
+    })
+    await host.checkAfterLoad(t)
+  })
+}
--- a/packages/runner-relay/src/index.ts
+++ b/packages/runner-relay/src/index.ts
@@ -15,3 +15,4 @@
   type RelayAnnouncer,
   type RelayDirectory,
 } from './relay-directory.js'
+export type { RelayLimitCause } from './relay-usage.js'
--- a/packages/runner-relay/src/line-stream.ts
+++ b/packages/runner-relay/src/line-stream.ts
@@ -44,9 +44,18 @@
 
 /**
  * Creates a writer whose lines wait up to `delayMs` so that several share a packet; with 0, lines of
- * one pass of the event loop share one. Destroys the stream if its peer does not read.
+ * one pass of the event loop share one. Destroys the stream if its peer does not read. `onBuffered` gets
+ * the number of bytes that wait for the peer, after each write.
+ *
+ * @example
+ * const results = createLineWriter(res, 8)
+ * results.write('{"id":1}')
  */
-export function createLineWriter(output: Writable, delayMs: number): LineWriter {
+export function createLineWriter(
+  output: Writable,
+  delayMs: number,
+  onBuffered: (bytes: number) => void = () => undefined,
+): LineWriter {
   let waiting = ''
   const flush = () => {
     const text = waiting
@@ -54,6 +63,7 @@
     if (output.destroyed) return
     output.write(text)
     if (output.writableLength > maxBufferedBytes) output.destroy()
+    onBuffered(output.writableLength)
   }
   return {
     write: line => {
--- a/packages/runner-relay/src/relay-server.ts
+++ b/packages/runner-relay/src/relay-server.ts
@@ -1,18 +1,13 @@
-import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import { createServer } from 'node:http'
 import { randomUUID } from 'node:crypto'
 import { limitConnections, type ClientLimits, type LimitCause } from '@bulrushbridge/caller-server'
-import { normalizeError } from '@bulrushbridge/errors'
-import { isOfEarlierTerm, type CallResult, type RunnerApi } from '@bulrushbridge/scheduler'
+import type { RunnerApi } from '@bulrushbridge/scheduler'
 import type { Logger } from '@bulrushbridge/telemetry'
-import { createLineWriter, readLines, type LineWriter } from './line-stream.js'
+import { FenceRecord } from './fence-record.js'
 import { createPauseDetector } from './pause-detector.js'
-import {
-  aliveId,
-  instanceHeader,
-  relayedCallSchema,
-  relayPath,
-  type RelayedCall,
-} from './relay-messages.js'
+import { instanceHeader, relayPath, type RelayedCall } from './relay-messages.js'
+import { RelayServerConnection, type RelayServerParts } from './relay-server-connection.js'
+import { createRelayUsage, defaultRelayBounds, type RelayLimitCause } from './relay-usage.js'
 
 /** Interval at which a relay shows on each connection that it is alive, in milliseconds. */
 const aliveIntervalMs = 200
@@ -23,18 +18,6 @@
  */
 const pauseToleranceMs = 400
 
-/**
- * Calls in progress from which a connection is not read. A dispatcher has one poll, and a few orders,
- * at each of some hundred runners.
- */
-const maxCallsInProgress = 4_000
-
-/** Most characters of lines that have not ended, on all connections together. */
-const maxPartialLength = 12_000_000
-
-/** Time for which results wait so that several share a packet, in milliseconds. */
-const resultDelayMs = 8
-
 /** Options of {@link createRelayServer}. */
 export interface RelayServerOptions {
   host: string
@@ -45,8 +28,8 @@
   onCall?: (kind: RelayedCall['kind']) => void
   /** Bounds on what clients may make the server hold; without them it has none. */
   limits?: ClientLimits
-  /** Called for each connection that is closed and each request that is rejected by a limit. */
-  onLimit?: (cause: LimitCause, address: string) => void
+  /** Called for each connection that is closed, and each request that is rejected, by a limit. */
+  onLimit?: (cause: LimitCause | RelayLimitCause, address: string) => void
 }
 
 /**
@@ -72,13 +55,6 @@
 export async function createRelayServer(opts: RelayServerOptions): Promise<RelayServer> {
   const instance = randomUUID()
   const connections = new Set<RelayServerConnection>()
-  const fences = new FenceRecord()
-  let partialLength = 0
-  /** Adds to the length of lines that have not ended; returns whether it is still under its bound. */
-  const notePartial = (change: number): boolean => {
-    partialLength += change
-    return partialLength <= maxPartialLength
-  }
   const pauseDetector = createPauseDetector({
     intervalMs: aliveIntervalMs,
     toleranceMs: pauseToleranceMs,
@@ -90,6 +66,17 @@
     for (const connection of connections) connection.close()
     return true
   }
+  const onLimit = (cause: LimitCause | RelayLimitCause, address: string) =>
+    opts.onLimit?.(cause, address)
+  const parts: RelayServerParts = {
+    createRunner: opts.createRunner,
+    log: opts.log,
+    fences: new FenceRecord(),
+    usage: createRelayUsage(defaultRelayBounds),
+    closeAfterPause: () => closeAfterPause(pauseDetector.peek()),
+    onCall: kind => opts.onCall?.(kind),
+    onLimit,
+  }
   const server = createServer({ requireHostHeader: opts.limits === undefined }, (req, res) => {
     const admission = limiter?.admit(req, res) ?? 'admitted'
     if (admission === 'ignored') return
@@ -102,11 +89,7 @@
     }
     res.writeHead(200, { [instanceHeader]: instance, 'content-type': 'application/x-ndjson' })
     res.flushHeaders()
-    const connection = new RelayServerConnection(req, res, opts, {
-      fences,
-      closeAfterPause: () => closeAfterPause(pauseDetector.peek()),
-      notePartial,
-    })
+    const connection = new RelayServerConnection(req, res, parts)
     connections.add(connection)
     res.on('close', () => {
       connections.delete(connection)
@@ -119,10 +102,7 @@
   const limiter =
     opts.limits === undefined
       ? undefined
-      : limitConnections(server, {
-          limits: opts.limits,
-          onLimit: (cause, address) => opts.onLimit?.(cause, address),
-        })
+      : limitConnections(server, { limits: opts.limits, onLimit })
   const aliveTimer = setInterval(() => {
     if (closeAfterPause(pauseDetector.check())) return
     for (const connection of connections) connection.showAlive()
@@ -145,156 +125,3 @@
     },
   }
 }
-
-/**
- * The fencing tokens that a relay has seen. Calls of earlier dispatchers, and calls from before a
- * restart of their runner, are refused without reaching the runner, which may have forgotten them.
- */
-class FenceRecord {
-  #highest = 0
-  /** Highest token by runner, of the term of `#highest`. */
-  readonly #highestByRunner = new Map<string, number>()
-
-  accepts(runnerId: string, fence: number): boolean {
-    if (isOfEarlierTerm(fence, this.#highest)) return false
-    if (isOfEarlierTerm(this.#highest, fence)) this.#highestByRunner.clear()
-    this.#highest = Math.max(this.#highest, fence)
-    const highest = this.#highestByRunner.get(runnerId) ?? 0
-    this.#highestByRunner.set(runnerId, Math.max(highest, fence))
-    return fence >= highest
-  }
-}
-
-/** What the connections of one relay share. */
-interface SharedParts {
-  fences: FenceRecord
-  closeAfterPause: () => boolean
-  notePartial: (change: number) => boolean
-}
-
-class RelayServerConnection {
-  readonly #req: IncomingMessage
-  readonly #res: ServerResponse
-  readonly #opts: RelayServerOptions
-  readonly #fences: FenceRecord
-  readonly #results: LineWriter
-  readonly #runners = new Map<string, RunnerApi>()
-  #callsInProgress = 0
-  #isClosed = false
-
-  constructor(
-    req: IncomingMessage,
-    res: ServerResponse,
-    opts: RelayServerOptions,
-    { fences, closeAfterPause, notePartial }: SharedParts,
-  ) {
-    this.#req = req
-    this.#res = res
-    this.#opts = opts
-    this.#fences = fences
-    this.#results = createLineWriter(res, resultDelayMs)
-    const reject = () => {
-      opts.log.warn('malformed call to the relay, its connection is closed')
-      this.close()
-    }
-    req.on('error', () => {
-      this.close()
-    })
-    req.on('end', () => {
-      this.close()
-    })
-    readLines(
-      req,
-      line => {
-        if (this.#isClosed || closeAfterPause()) return
-        const call = parseCall(line)
-        if (call === undefined) reject()
-        else void this.#carryOut(call)
-      },
-      reject,
-      change => {
-        if (!notePartial(change) && change > 0) reject()
-      },
-    )
-  }
-
-  showAlive(): void {
-    this.#results.write(`{"id":${aliveId}}`)
-  }
-
-  close(): void {
-    if (this.#isClosed) return
-    this.#isClosed = true
-    this.#req.destroy()
-    this.#res.destroy()
-    for (const runner of this.#runners.values()) void runner.close()
-  }
-
-  async #carryOut(call: RelayedCall): Promise<void> {
-    const { fence } = call.order
-    this.#callsInProgress += 1
-    if (this.#callsInProgress >= maxCallsInProgress) this.#req.pause()
-    let result: CallResult<unknown>
-    if (!this.#fences.accepts(call.runnerId, fence))
-      result = { outcome: 'done', value: fencedAnswers[call.kind] }
-    else {
-      this.#opts.onCall?.(call.kind)
-      try {
-        result = await callRunner(this.#runnerOf(call), call)
-      } catch (err) {
-        result = { outcome: 'unknown', reason: normalizeError(err).message }
-      }
-    }
-    this.#callsInProgress -= 1
-    if (this.#callsInProgress < maxCallsInProgress && !this.#isClosed) this.#req.resume()
-    if (result.outcome !== 'done') this.#logFailure(call, result.reason)
-    if (!this.#isClosed) this.#results.write(JSON.stringify({ id: call.id, result }))
-  }
-
-  #logFailure({ kind, runnerId, order }: RelayedCall, reason: string): void {
-    const task = 'task' in order ? order.task : undefined
-    const fields = { call: kind, runner: runnerId, task, fence: order.fence, reason }
-    this.#opts.log.info('relayed call to a runner failed', fields)
-  }
-
-  #runnerOf({ address, runnerId }: RelayedCall): RunnerApi {
-    const key = `${address} ${runnerId}`
-    let runner = this.#runners.get(key)
-    if (runner === undefined) {
-      runner = this.#opts.createRunner({ address, runnerId })
-      this.#runners.set(key, runner)
-    }
-    return runner
-  }
-}
-
-/** Answers to calls whose fencing token is lower than one seen before. */
-const fencedAnswers: Record<RelayedCall['kind'], unknown> = {
-  start: { refusal: 'fence' },
-  stop: { refusal: 'fence' },
-  pace: { refusal: 'fence' },
-  poll: { isFenced: true },
-}
-
-function callRunner(runner: RunnerApi, call: RelayedCall): Promise<CallResult<unknown>> {
-  switch (call.kind) {
-    case 'start':
-      return runner.start({ ...call.order, ticket: call.order.ticket })
-    case 'stop':
-      return runner.stop(call.order)
-    case 'pace':
-      return runner.pace(call.order)
-    case 'poll':
-      return runner.poll({ ...call.order, leaseDeadline: call.order.leaseDeadline })
-  }
-}
-
-function parseCall(line: string): RelayedCall | undefined {
-  try {
-    const parsed = relayedCallSchema.safeParse(JSON.parse(line))
-    return parsed.success ? parsed.data : undefined
-  } catch {
-    // Not JSON; the caller logs it and closes the connection.
-    return undefined
-  }
-}
--- /dev/null
+++ b/packages/runner-relay/src/relay-usage.ts
@@ -0,0 +1,54 @@
+/** What the connections of a relay make it hold together. */
+export interface RelayBounds {
+  /** Most characters of lines that have not ended. */
+  maxPartialLength: number
+  /** Most bytes of results that are written and not read. */
+  maxUnreadBytes: number
+}
+
+/** Bounds that a relay has by default. */
+export const defaultRelayBounds: RelayBounds = {
+  maxPartialLength: 12_000_000,
+  maxUnreadBytes: 8_000_000,
+}
+
+/** Why a relay closed a connection; each is a label of the counter. */
+export type RelayLimitCause = 'relay-lines' | 'relay-results-unread'
+
+/**
+ * Counts what all connections of a relay hold. `C` identifies a connection.
+ *
+ * @example
+ * const usage = createRelayUsage(defaultRelayBounds)
+ * const largest = usage.setUnread(connection, res.writableLength)
+ */
+export function createRelayUsage<C>(bounds: RelayBounds): RelayUsage<C> {
+  const unreadBytes = new Map<C, number>()
+  let partialLength = 0
+  let totalUnreadBytes = 0
+  return {
+    addPartial: change => {
+      partialLength += change
+      return change <= 0 || partialLength <= bounds.maxPartialLength
+    },
+    setUnread: (connection, bytes) => {
+      totalUnreadBytes += bytes - (unreadBytes.get(connection) ?? 0)
+      if (bytes === 0) unreadBytes.delete(connection)
+      else unreadBytes.set(connection, bytes)
+      if (totalUnreadBytes <= bounds.maxUnreadBytes) return undefined
+      const [[largest] = []] = [...unreadBytes].sort(([, a], [, b]) => b - a)
+      return largest
+    },
+  }
+}
+
+/** What the connections of a relay hold now. */
+export interface RelayUsage<C> {
+  /** Adds to the length of lines that have not ended; returns whether it may grow so far. */
+  addPartial(change: number): boolean
+  /**
+   * Sets the bytes of results that a connection has not read. Returns the connection with the most if
+   * all together have too many; it has to be closed.
+   */
+  setUnread(connection: C, bytes: number): C | undefined
+}
