fix(runner-relay): bound the runners that a relay is connected to

What callers saw: the relay port opened a connection for each runner that a client named, until the process had no descriptor for callers or the store. Cause: a client for each address and id of a runner, kept as long as the connection. At the bound the one that has been unused for longest makes room; without one the call is not made and the result says so (not-done), upon which the dispatcher makes the call itself.

--- a/packages/caller-server/src/index.ts
+++ b/packages/caller-server/src/index.ts
@@ -12,6 +12,7 @@
   clientLimitSettings,
   internalLimits,
   readDescriptorLimit,
+  relayRunners,
   type ClientLimitSettings,
 } from './client-limit-settings.js'
 export type { ClientLimits, LimitCause } from './client-limits.js'
--- a/packages/host-program/__tests__/client-load/relay-calls.test.ts
+++ b/packages/host-program/__tests__/client-load/relay-calls.test.ts
@@ -37,9 +37,15 @@
     first: (runner: string) => stop(runner, 'r', 4_096),
     repeated: (runner: string) => stop(runner, 'r', 1),
   },
+  {
+    name: 'to very many runners',
+    first: () => '',
+    repeated: (runner: string) =>
+      Array.from({ length: 1_000 }, (_, n) => stop(runner, `r${n}`, 1)).join(''),
+  },
 ]
 
-// Guards against a relay that holds the results of calls without a bound.
+// Guards against a relay that holds the results of calls, or a connection for each runner, without a bound.
 for (const { name, first, repeated } of shapes) {
   void t.test(`relayed calls ${name}`, async t => {
     const host = await startHost(t)
--- a/packages/host-program/src/host-program.ts
+++ b/packages/host-program/src/host-program.ts
@@ -7,6 +7,7 @@
   createLimitReports,
   internalLimits,
   readDescriptorLimit,
+  relayRunners,
   type CallerServer,
   type ClientLimitSettings,
   type ClientLogLimit,
@@ -366,6 +367,7 @@
         this.#metrics.count('bulrush_relayed_calls_total', { kind })
       },
       limits: internalLimits(this.#opts.clientLimits, this.#descriptors),
+      maxRunners: relayRunners(this.#descriptors),
       onLimit: (cause, clientAddress) => {
         this.#limitReports.report('relay', cause, clientAddress)
       },
--- a/packages/runner-relay/src/relay-messages.ts
+++ b/packages/runner-relay/src/relay-messages.ts
@@ -13,6 +13,9 @@
 /** Response header that names the process behind the relay, to detect a reused address. */
 export const instanceHeader = 'relay-instance'
 
+/** Reason in the result of a call that a relay has not made, because it is at one of its bounds. */
+export const relayFullReason = 'the relay is at a bound'
+
 const target = {
   /** Number of the call on its connection, from 1. */
   id: z.int(),
--- a/packages/runner-relay/src/relay-server-connection.ts
+++ b/packages/runner-relay/src/relay-server-connection.ts
@@ -4,8 +4,9 @@
 import type { Logger } from '@bulrushbridge/telemetry'
 import type { FenceRecord } from './fence-record.js'
 import { createLineWriter, readLines, type LineWriter } from './line-stream.js'
-import { aliveId, relayedCallSchema, type RelayedCall } from './relay-messages.js'
+import { aliveId, relayedCallSchema, relayFullReason, type RelayedCall } from './relay-messages.js'
 import type { RelayLimitCause, RelayUsage } from './relay-usage.js'
+import { createRunnerClients, type RunnerClients } from './runner-clients.js'
 
 /**
  * Calls in progress from which a connection is not read. A dispatcher has one poll, and a few orders,
@@ -24,7 +25,7 @@
   usage: RelayUsage<RelayServerConnection>
   closeAfterPause: () => boolean
   onCall: (kind: RelayedCall['kind']) => void
-  /** Called when a connection is closed at a bound. */
+  /** Called for each call that is not made, and for the end of a connection, at a bound. */
   onLimit: (cause: RelayLimitCause, address: string) => void
 }
 
@@ -34,7 +35,7 @@
   readonly #res: ServerResponse
   readonly #parts: RelayServerParts
   readonly #results: LineWriter
-  readonly #runners = new Map<string, RunnerApi>()
+  readonly #runners: RunnerClients
   #callsInProgress = 0
   #isClosed = false
 
@@ -42,6 +43,7 @@
     this.#req = req
     this.#res = res
     this.#parts = parts
+    this.#runners = createRunnerClients(parts)
     this.#results = createLineWriter(res, resultDelayMs, bytes => {
       this.#noteUnread(bytes)
     })
@@ -74,7 +76,7 @@
 
   closeAtBound(cause: RelayLimitCause): void {
     if (this.#isClosed) return
-    this.#parts.onLimit(cause, this.#req.socket.remoteAddress ?? '')
+    this.#reportLimit(cause)
     this.close()
   }
 
@@ -83,7 +85,7 @@
     this.#isClosed = true
     this.#req.destroy()
     this.#res.destroy()
-    for (const runner of this.#runners.values()) void runner.close()
+    this.#runners.close()
     this.#parts.usage.setUnread(this, 0)
   }
 
@@ -98,43 +100,58 @@
   }
 
   async #carryOut(call: RelayedCall): Promise<void> {
-    const { fence } = call.order
     this.#callsInProgress += 1
     if (this.#callsInProgress >= maxCallsInProgress) this.#req.pause()
-    let result: CallResult<unknown>
-    if (!this.#parts.fences.accepts(call.runnerId, fence))
-      result = { outcome: 'done', value: fencedAnswers[call.kind] }
-    else {
-      this.#parts.onCall(call.kind)
-      try {
-        result = await callRunner(this.#runnerOf(call), call)
-      } catch (err) {
-        result = { outcome: 'unknown', reason: normalizeError(err).message }
-      }
-    }
+    const result = await this.#callRunner(call)
     this.#callsInProgress -= 1
     if (this.#callsInProgress < maxCallsInProgress && !this.#isClosed) this.#req.resume()
+    if (typeof result === 'string') {
+      this.#refuse(call, result)
+      return
+    }
     if (result.outcome !== 'done') this.#logFailure(call, result.reason)
+    this.#sendResult(call, result)
+  }
+
+  /** Returns the bound instead of a result when the call is not made because of it. */
+  async #callRunner(call: RelayedCall): Promise<CallResult<unknown> | RelayLimitCause> {
+    if (!this.#parts.fences.accepts(call.runnerId, call.order.fence))
+      return { outcome: 'done', value: fencedAnswers[call.kind] }
+    try {
+      const result = await this.#runners.call(call, runner => {
+        this.#parts.onCall(call.kind)
+        return callRunner(runner, call)
+      })
+      return result ?? 'relay-runners'
+    } catch (err) {
+      return { outcome: 'unknown', reason: normalizeError(err).message }
+    }
+  }
+
+  /** Answers a call that was not made; the dispatcher makes it itself. */
+  #refuse(call: RelayedCall, cause: RelayLimitCause): void {
+    this.#reportLimit(cause)
+    this.#sendResult(call, relayFull)
+  }
+
+  #sendResult(call: RelayedCall, result: CallResult<unknown>): void {
     if (!this.#isClosed) this.#results.write(JSON.stringify({ id: call.id, result }))
   }
 
+  #reportLimit(cause: RelayLimitCause): void {
+    this.#parts.onLimit(cause, this.#req.socket.remoteAddress ?? '')
+  }
+
   #logFailure({ kind, runnerId, order }: RelayedCall, reason: string): void {
     const task = 'task' in order ? order.task : undefined
     const fields = { call: kind, runner: runnerId, task, fence: order.fence, reason }
     this.#parts.log.info('relayed call to a runner failed', fields)
   }
-
-  #runnerOf({ address, runnerId }: RelayedCall): RunnerApi {
-    const key = `${address} ${runnerId}`
-    let runner = this.#runners.get(key)
-    if (runner === undefined) {
-      runner = this.#parts.createRunner({ address, runnerId })
-      this.#runners.set(key, runner)
-    }
-    return runner
-  }
 }
 
+/** Result of a call that was not made, because the relay is at a bound. */
+const relayFull = { outcome: 'not-done', reason: relayFullReason } as const
+
 /** Answers to calls whose fencing token is lower than one seen before. */
 const fencedAnswers: Record<RelayedCall['kind'], unknown> = {
   start: { refusal: 'fence' },
--- a/packages/runner-relay/src/relay-server.ts
+++ b/packages/runner-relay/src/relay-server.ts
@@ -28,7 +28,9 @@
   onCall?: (kind: RelayedCall['kind']) => void
   /** Bounds on what clients may make the server hold; without them it has none. */
   limits?: ClientLimits
-  /** Called for each connection that is closed, and each request that is rejected, by a limit. */
+  /** Most runners to which the relay has connections; 1,024 by default. */
+  maxRunners?: number
+  /** Called for each connection that is closed, and each request or call that is rejected, by a limit. */
   onLimit?: (cause: LimitCause | RelayLimitCause, address: string) => void
 }
 
@@ -68,11 +70,12 @@
   }
   const onLimit = (cause: LimitCause | RelayLimitCause, address: string) =>
     opts.onLimit?.(cause, address)
+  const { maxRunners = defaultRelayBounds.maxRunners } = opts
   const parts: RelayServerParts = {
     createRunner: opts.createRunner,
     log: opts.log,
     fences: new FenceRecord(),
-    usage: createRelayUsage(defaultRelayBounds),
+    usage: createRelayUsage({ ...defaultRelayBounds, maxRunners }),
     closeAfterPause: () => closeAfterPause(pauseDetector.peek()),
     onCall: kind => opts.onCall?.(kind),
     onLimit,
--- a/packages/runner-relay/src/relay-usage.ts
+++ b/packages/runner-relay/src/relay-usage.ts
@@ -1,7 +1,9 @@
-/** What the connections of a relay make it hold together. */
+/** What the connections of a relay make it hold together; calls beyond a bound are not made. */
 export interface RelayBounds {
   /** Most characters of lines that have not ended. */
   maxPartialLength: number
+  /** Most runners to which the relay has connections. */
+  maxRunners: number
   /** Most bytes of results that are written and not read. */
   maxUnreadBytes: number
 }
@@ -9,24 +11,34 @@
 /** Bounds that a relay has by default. */
 export const defaultRelayBounds: RelayBounds = {
   maxPartialLength: 12_000_000,
+  maxRunners: 1_024,
   maxUnreadBytes: 8_000_000,
 }
 
-/** Why a relay closed a connection; each is a label of the counter. */
-export type RelayLimitCause = 'relay-lines' | 'relay-results-unread'
+/** Why a relay did not make a call, or closed a connection; each is a label of the counter. */
+export type RelayLimitCause = 'relay-runners' | 'relay-lines' | 'relay-results-unread'
 
 /**
  * Counts what all connections of a relay hold. `C` identifies a connection.
  *
  * @example
  * const usage = createRelayUsage(defaultRelayBounds)
- * const largest = usage.setUnread(connection, res.writableLength)
+ * const isAdded = usage.addRunner()
  */
 export function createRelayUsage<C>(bounds: RelayBounds): RelayUsage<C> {
   const unreadBytes = new Map<C, number>()
   let partialLength = 0
+  let runners = 0
   let totalUnreadBytes = 0
   return {
+    addRunner: () => {
+      if (runners >= bounds.maxRunners) return false
+      runners += 1
+      return true
+    },
+    removeRunners: count => {
+      runners -= count
+    },
     addPartial: change => {
       partialLength += change
       return change <= 0 || partialLength <= bounds.maxPartialLength
@@ -44,6 +56,9 @@
 
 /** What the connections of a relay hold now. */
 export interface RelayUsage<C> {
+  /** Counts a runner unless there are too many; returns whether it did. */
+  addRunner(): boolean
+  removeRunners(count: number): void
   /** Adds to the length of lines that have not ended; returns whether it may grow so far. */
   addPartial(change: number): boolean
   /**
--- a/packages/runner-relay/src/relayed-runners.ts
+++ b/packages/runner-relay/src/relayed-runners.ts
@@ -7,6 +7,7 @@
 import {
   orderResultSchema,
   pollResultSchema,
+  relayFullReason,
   toOrderResult,
   toPollResult,
   type RelayedCall,
@@ -247,6 +248,7 @@
       pollResultSchema,
       performance.now() + request.waitMs + pollResultMarginMs,
     )
+    if (result !== undefined && isRelayFull(result)) return this.#direct.poll(request)
     if (result !== undefined) return toPollResult(result)
     // A second poll later must not acknowledge ends, as the runner may have restarted since.
     if (this.#isClosed || request.acknowledged > 0) return unknownOutcome(connection.host)
@@ -272,6 +274,7 @@
       orderResultSchema,
       performance.now() + orderResultMs,
     )
+    if (result !== undefined && isRelayFull(result)) return callDirectly()
     return result === undefined ? unknownOutcome(connection.host) : toOrderResult(result)
   }
 }
@@ -279,6 +282,11 @@
 type KindAndOrder<C> = C extends RelayedCall ? Pick<C, 'kind' | 'order'> : never
 type OrderCall = KindAndOrder<Extract<RelayedCall, { kind: 'start' | 'stop' | 'pace' }>>
 
+/** Whether a relay has not made a call because it is at one of its bounds. */
+function isRelayFull(result: { outcome: string; reason?: string }): boolean {
+  return result.outcome === 'not-done' && result.reason === relayFullReason
+}
+
 function unknownOutcome(host: string): CallResult<never> {
   return { outcome: 'unknown', reason: `the relay at ${host} did not return a result` }
 }
