fix(runner-relay): bound the calls that a relay has in progress

What callers saw: the process ended out of memory. A relay paused a connection only at 4,000 calls in progress, whatever their size and on each connection. All connections share 6,000 calls and 12,000,000 characters of their lines now; a call beyond that is not made, and the dispatcher makes it itself. Evidence: "relayed calls with large orders, to runners that do not answer" (20 clients, 64 MB of heap): before the process ended, after its peak is 149 MB, bound 200 MB.

--- a/packages/host-program/__tests__/client-load/relay-calls.test.ts
+++ b/packages/host-program/__tests__/client-load/relay-calls.test.ts
@@ -12,8 +12,8 @@
 
 const chunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`
 
-const stop = (address: string, runnerId: string, fence: number) => {
-  const order = { task: 't', run: 1, fence }
+const stop = (address: string, runnerId: string, fence: number, task = 't') => {
+  const order = { task, run: 1, fence }
   return `${JSON.stringify({ id: 1, kind: 'stop', address, runnerId, order })}\n`
 }
 
@@ -43,9 +43,15 @@
     repeated: (runner: string) =>
       Array.from({ length: 1_000 }, (_, n) => stop(runner, `r${n}`, 1)).join(''),
   },
+  {
+    name: 'with large orders, to runners that do not answer',
+    first: () => '',
+    repeated: (runner: string) => stop(runner, 'r', 1, 'x'.repeat(100_000)),
+  },
 ]
 
-// Guards against a relay that holds the results of calls, or a connection for each runner, without a bound.
+// Guards against a relay that holds the results of calls, the calls in progress, or a connection for
+// each runner, without a bound.
 for (const { name, first, repeated } of shapes) {
   void t.test(`relayed calls ${name}`, async t => {
     const host = await startHost(t)
--- a/packages/runner-relay/src/relay-server-connection.ts
+++ b/packages/runner-relay/src/relay-server-connection.ts
@@ -59,7 +59,7 @@
         if (this.#isClosed || parts.closeAfterPause()) return
         const call = parseCall(line)
         if (call === undefined) this.#reject()
-        else void this.#carryOut(call)
+        else void this.#carryOut(call, line.length)
       },
       () => {
         this.#reject()
@@ -99,10 +99,17 @@
     this.#parts.usage.setUnread(this, bytes)?.closeAtBound('relay-results-unread')
   }
 
-  async #carryOut(call: RelayedCall): Promise<void> {
+  async #carryOut(call: RelayedCall, length: number): Promise<void> {
+    const { usage } = this.#parts
+    const exceeded = usage.beginCall(length)
+    if (exceeded !== undefined) {
+      this.#refuse(call, exceeded)
+      return
+    }
     this.#callsInProgress += 1
     if (this.#callsInProgress >= maxCallsInProgress) this.#req.pause()
     const result = await this.#callRunner(call)
+    usage.endCall(length)
     this.#callsInProgress -= 1
     if (this.#callsInProgress < maxCallsInProgress && !this.#isClosed) this.#req.resume()
     if (typeof result === 'string') {
--- a/packages/runner-relay/src/relay-usage.ts
+++ b/packages/runner-relay/src/relay-usage.ts
@@ -1,5 +1,9 @@
 /** What the connections of a relay make it hold together; calls beyond a bound are not made. */
 export interface RelayBounds {
+  /** Most calls in progress. */
+  maxCalls: number
+  /** Most characters of the lines of these calls. */
+  maxCallLength: number
   /** Most characters of lines that have not ended. */
   maxPartialLength: number
   /** Most runners to which the relay has connections. */
@@ -10,27 +14,39 @@
 
 /** Bounds that a relay has by default. */
 export const defaultRelayBounds: RelayBounds = {
+  maxCalls: 6_000,
+  maxCallLength: 12_000_000,
   maxPartialLength: 12_000_000,
   maxRunners: 1_024,
   maxUnreadBytes: 8_000_000,
 }
 
 /** Why a relay did not make a call, or closed a connection; each is a label of the counter. */
-export type RelayLimitCause = 'relay-runners' | 'relay-lines' | 'relay-results-unread'
+export type RelayLimitCause =
+  'relay-calls' | 'relay-call-bytes' | 'relay-runners' | 'relay-lines' | 'relay-results-unread'
 
 /**
  * Counts what all connections of a relay hold. `C` identifies a connection.
  *
  * @example
  * const usage = createRelayUsage(defaultRelayBounds)
- * const isAdded = usage.addRunner()
+ * const exceeded = usage.beginCall(line.length)
  */
 export function createRelayUsage<C>(bounds: RelayBounds): RelayUsage<C> {
   const unreadBytes = new Map<C, number>()
-  let partialLength = 0
-  let runners = 0
-  let totalUnreadBytes = 0
+  let [calls, callLength, partialLength, runners, totalUnreadBytes] = [0, 0, 0, 0, 0]
   return {
+    beginCall: length => {
+      if (calls >= bounds.maxCalls) return 'relay-calls'
+      if (callLength + length > bounds.maxCallLength) return 'relay-call-bytes'
+      calls += 1
+      callLength += length
+      return undefined
+    },
+    endCall: length => {
+      calls -= 1
+      callLength -= length
+    },
     addRunner: () => {
       if (runners >= bounds.maxRunners) return false
       runners += 1
@@ -56,6 +72,9 @@
 
 /** What the connections of a relay hold now. */
 export interface RelayUsage<C> {
+  /** Counts a call whose line has `length` characters; returns the bound that does not allow it. */
+  beginCall(length: number): RelayLimitCause | undefined
+  endCall(length: number): void
   /** Counts a runner unless there are too many; returns whether it did. */
   addRunner(): boolean
   removeRunners(count: number): void
