fix(runner-relay): bound the names of runners that a relay keeps

What callers saw: the process ended out of memory, also long after the client had gone. A relay keeps the fencing token of each runner that a call names until the next term. Forgetting a token instead could let an outdated order pass.

--- a/packages/host-program/__tests__/client-load/relay-calls.test.ts
+++ b/packages/host-program/__tests__/client-load/relay-calls.test.ts
@@ -71,3 +71,26 @@
     await host.checkAfterLoad(t)
   })
 }
+
+/** Runners that one client names in the test below; their names together exceed the heap. */
+const namedRunners = 2_000
+
+// Guards against a relay that keeps the fencing token of each runner that a client names, long after
+// the client has gone.
+void t.test(
+  'relayed calls to runners with long names, on one connection after another',
+  async t => {
+    const host = await startHost(t)
+    const target = { host: host.ip, port: host.ports.relay, clients: 1, opening }
+    for (let n = 0; n < namedRunners; n += 100) {
+      const calls = Array.from({ length: 100 }, (_, m) =>
+        // Port 9 refuses connections.
+        stop(`${host.ip}:9`, `${n + m}${'x'.repeat(65_000)}`, 1),
+      )
+      const repeated = calls.map(chunk).join('')
+      const load = await runClients({ ...target, repeated, maxBytes: repeated.length })
+      load.close()
+    }
+    await host.checkAfterLoad(t)
+  },
+)
--- a/packages/runner-relay/src/relay-messages.ts
+++ b/packages/runner-relay/src/relay-messages.ts
@@ -16,12 +16,15 @@
 /** Reason in the result of a call that a relay has not made, because it is at one of its bounds. */
 export const relayFullReason = 'the relay is at a bound'
 
+/** Longest address and id of a runner, in characters; a relay keeps them. */
+const maxNameLength = 256
+
 const target = {
   /** Number of the call on its connection, from 1. */
   id: z.int(),
   /** `ip:port` of the runner. */
-  address: z.string(),
-  runnerId: z.string(),
+  address: z.string().max(maxNameLength),
+  runnerId: z.string().max(maxNameLength),
 }
 const run = { task: z.string(), run: z.int(), fence: z.number() }
 
--- a/packages/runner-relay/src/relay-server-connection.ts
+++ b/packages/runner-relay/src/relay-server-connection.ts
@@ -122,8 +122,9 @@
 
   /** Returns the bound instead of a result when the call is not made because of it. */
   async #callRunner(call: RelayedCall): Promise<CallResult<unknown> | RelayLimitCause> {
-    if (!this.#parts.fences.accepts(call.runnerId, call.order.fence))
-      return { outcome: 'done', value: fencedAnswers[call.kind] }
+    const verdict = this.#parts.fences.check(call.runnerId, call.order.fence)
+    if (verdict === 'refused') return { outcome: 'done', value: fencedAnswers[call.kind] }
+    if (verdict === 'full') return 'relay-fences'
     try {
       const result = await this.#runners.call(call, runner => {
         this.#parts.onCall(call.kind)
--- a/packages/runner-relay/src/relay-usage.ts
+++ b/packages/runner-relay/src/relay-usage.ts
@@ -23,7 +23,12 @@
 
 /** Why a relay did not make a call, or closed a connection; each is a label of the counter. */
 export type RelayLimitCause =
-  'relay-calls' | 'relay-call-bytes' | 'relay-runners' | 'relay-lines' | 'relay-results-unread'
+  | 'relay-calls'
+  | 'relay-call-bytes'
+  | 'relay-runners'
+  | 'relay-fences'
+  | 'relay-lines'
+  | 'relay-results-unread'
 
 /**
  * Counts what all connections of a relay hold. `C` identifies a connection.
