fix(entry): limits on the clients of the callers' port

What callers saw: bulrush-entry ended out of memory when clients sent requests ahead without reading, or had no descriptors left when they opened connections. It used the caller server without limits and logged each failed request. It has the limits and settings of bulrush-host now, but no time limit for a request, as uploads may take long, and at most 100 lines a second about the failed requests of one address; decision records are kept as before.

--- a/packages/caller-server/src/client-limit-settings.ts
+++ b/packages/caller-server/src/client-limit-settings.ts
@@ -6,7 +6,14 @@
 const count = z.coerce.number().int().min(1).max(1_000_000)
 const milliseconds = z.coerce.number().int().min(100).max(3_600_000)
 
-/** Settings of `bulrush-host` that bound what clients make it hold. */
+/** Setting of the time for a whole request to arrive, for programs whose bodies are short. */
+export const requestTimeoutSetting = {
+  schema: milliseconds.min(10_000),
+  description: 'time for a whole request to arrive, in milliseconds',
+  default: '60000',
+} satisfies SettingSpec
+
+/** Settings of a program that bound what clients make it hold. */
 export const clientLimitSettings = {
   'max-connections': {
     schema: count,
@@ -50,15 +57,10 @@
     description: 'time for which a client may leave a response unread, in milliseconds',
     default: '10000',
   },
-  'request-timeout': {
-    schema: milliseconds.min(10_000),
-    description: 'time for a whole request to arrive, in milliseconds',
-    default: '60000',
-  },
   'max-internal-connections': {
     schema: count,
     description:
-      'most connections to each of the ports for readiness, metrics and relays, at most a sixteenth of the descriptors',
+      'most connections to each of the ports that are not for callers, at most a sixteenth of the descriptors',
     default: '64',
   },
   'max-client-log-lines': {
@@ -103,8 +105,8 @@
 }
 
 /**
- * Derives the bounds of the ports for readiness, metrics and relays. Their clients are few, and all may
- * have one address.
+ * Derives the bounds of the ports that are not for callers. Their clients are few, and all may have one
+ * address.
  */
 export function internalLimits(cfg: ClientLimitSettings, descriptors: number): ClientLimits {
   const affordable = Math.max(2, Math.floor(descriptors * internalDescriptorFraction))
--- a/packages/caller-server/src/index.ts
+++ b/packages/caller-server/src/index.ts
@@ -13,6 +13,7 @@
   internalLimits,
   readDescriptorLimit,
   relayRunners,
+  requestTimeoutSetting,
   type ClientLimitSettings,
 } from './client-limit-settings.js'
 export type { ClientLimits, LimitCause } from './client-limits.js'
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -1,11 +1,19 @@
 import type { ConfigView } from '@bulrushbridge/config-view'
+import {
+  callerLimits,
+  createCallerServer,
+  createClientLogLimit,
+  createLimitReports,
+  readDescriptorLimit,
+  type CallerServer,
+  type LimitReports,
+} from '@bulrushbridge/caller-server'
 import { systemClock, type Clock } from '@bulrushbridge/errors'
 import { createIdempotencyRecords, type IdempotencyRecords } from '@bulrushbridge/idempotency'
 import { createJobService } from '@bulrushbridge/jobs'
 import { createOperatorApi } from '@bulrushbridge/operator-api'
 import type { Metrics } from '@bulrushbridge/telemetry'
 import { createCallHandler } from './call-handler.js'
-import { createCallerServer, type CallerServer } from '@bulrushbridge/caller-server'
 import { createEntryCore, type EntryCore } from './entry-core.js'
 import { createEntryTelemetry, type EntryTelemetry } from './entry-telemetry.js'
 import { registerGauges } from './gauges.js'
@@ -46,6 +54,7 @@
   const clock = systemClock
   const telemetry = createEntryTelemetry(cfg)
   const { log, metrics, tracing } = telemetry
+  const limitReports = createLimitReports(log, metrics)
   const storage = createStorage(cfg, clock)
   const { table, committer } = storage
   const core = await createEntryCore({ cfg, clock, storage, ...telemetry })
@@ -61,7 +70,7 @@
   let isShuttingDown = false
   let isRefusing = false
   const callerServer = await startCallerServer({
-    ...{ cfg, clock, storage, core, records, ...telemetry },
+    ...{ cfg, clock, storage, core, records, limitReports, ...telemetry },
     isRefusing: () => isRefusing,
   })
   const membership = createMembershipTask({ view, log, clock })
@@ -119,6 +128,7 @@
   storage: Storage
   core: EntryCore
   records: IdempotencyRecords
+  limitReports: LimitReports
   /**
    * Whether a shutdown has ended its wait for the balancer; new requests are refused from then on.
    */
@@ -127,7 +137,9 @@
 
 /** Starts the server for callers; each failed request is logged and gets a decision record. */
 function startCallerServer(parts: CallerServerParts): Promise<CallerServer> {
-  const { cfg, clock, storage, core, records, log, metrics, tracing, isRefusing } = parts
+  const { cfg, clock, storage, core, records, limitReports, log, metrics, tracing, isRefusing } =
+    parts
+  const logLimit = createClientLogLimit(cfg['max-client-log-lines'])
   const { view, services, keyring } = core
   const { table, committer, decisions } = storage
   const [defaultDeadlineMs, maxDeadlineMs] = [cfg['default-deadline'], cfg['max-deadline']]
@@ -154,8 +166,14 @@
       '/queues/:queue/jobs/**': handleJobs,
       '/queues/:queue/jobs': handleJobs,
     },
+    limits: callerLimits(cfg, readDescriptorLimit()),
+    onLimit: (cause, address) => {
+      limitReports.report('callers', cause, address)
+    },
     onError: (err, req, requestId) => {
-      logRequestError(log, err, req.url, requestId)
+      if (logLimit.allows(req.socket.remoteAddress ?? '', performance.now()))
+        logRequestError(log, err, req.url, requestId)
+      else metrics.count('bulrush_client_log_lines_suppressed_total')
       decisions.record({
         subject: { kind: 'request', id: requestId },
         rule: err.kind,
--- a/packages/entry/src/gauges.ts
+++ b/packages/entry/src/gauges.ts
@@ -26,6 +26,9 @@
   metrics.gauge('bulrush_caller_requests', 'Requests of callers in progress', () => [
     { value: callerServer.activeRequests() },
   ])
+  metrics.gauge('bulrush_client_held', 'What callers make this host hold', () =>
+    Object.entries(callerServer.held()).map(([kind, value]) => ({ labels: { kind }, value })),
+  )
   metrics.gauge('bulrush_peer_bytes', 'Bytes on connections that peers opened', () => [
     { value: peerServer.bytes() },
   ])
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -1,3 +1,4 @@
+import { clientLimitSettings } from '@bulrushbridge/caller-server'
 import type { Settings } from '@bulrushbridge/settings'
 import { z } from 'zod'
 
@@ -107,6 +108,7 @@
     description: 'part of the traces to record when the caller has not decided',
     default: '0.01',
   },
+  ...clientLimitSettings,
 } as const
 
 /** Parsed settings of `bulrush-entry`. */
--- a/packages/host-program/src/host-program.ts
+++ b/packages/host-program/src/host-program.ts
@@ -119,6 +119,8 @@
   dispatcherLeaseMs?: number
   /** Bounds on what clients may make the program hold. */
   clientLimits: ClientLimitSettings
+  /** Time for a whole request of a caller to arrive, in milliseconds. */
+  requestTimeoutMs: number
 }
 
 /** The running program of one entry host. */
@@ -197,7 +199,7 @@
         this.#recordFailedRequest(err, req, requestId)
       },
       limits: callerLimits(this.#opts.clientLimits, this.#descriptors),
-      requestTimeoutMs: this.#opts.clientLimits['request-timeout'],
+      requestTimeoutMs: this.#opts.requestTimeoutMs,
       onLimit: (cause, address) => {
         this.#limitReports.report('callers', cause, address)
       },
--- a/packages/host-program/src/main.ts
+++ b/packages/host-program/src/main.ts
@@ -25,6 +25,7 @@
       settingsPath,
       dispatcherLeaseMs: cfg['duty-lease'],
       clientLimits: cfg,
+      requestTimeoutMs: cfg['request-timeout'],
       log,
       suppressedLines: () => output.suppressedLines(),
     })
--- a/packages/host-program/src/settings.ts
+++ b/packages/host-program/src/settings.ts
@@ -1,4 +1,4 @@
-import { clientLimitSettings } from '@bulrushbridge/caller-server'
+import { clientLimitSettings, requestTimeoutSetting } from '@bulrushbridge/caller-server'
 import type { SettingSpec } from '@bulrushbridge/settings'
 import { z } from 'zod'
 
@@ -20,4 +20,5 @@
     default: '2000',
   },
   ...clientLimitSettings,
+  'request-timeout': requestTimeoutSetting,
 } satisfies Record<string, SettingSpec>
