fix(entry): limits on the clients of the operators' port

What operators saw: idle connections took all descriptors of bulrush-entry through the port for operators, readiness and metrics. It has the bounds of an internal port now. Where connections with complete requests may be closed for new ones, those whose responses are not read go first, so that an operator's request in progress is kept.

--- a/packages/caller-server/__tests__/client-limits.test.ts
+++ b/packages/caller-server/__tests__/client-limits.test.ts
@@ -27,6 +27,7 @@
   address: 'a',
   openRequests: 0,
   isReceiving: false,
+  isAnswered: false,
   activeAt: 0,
   ...state,
 })
@@ -52,5 +53,8 @@
   t.same(choose([busy, receiving]), ['receiving', 'receiving-closed'])
   t.equal(choose([busy]), undefined, 'a complete request is not cut off')
   t.same(choose([busy], undefined, true), ['busy', 'busy-closed'])
+  const unread = connection('unread', { openRequests: 2, isAnswered: true, activeAt: 9 })
+  t.same(choose([busy, unread], undefined, true), ['unread', 'unread-closed'])
+  t.equal(choose([unread]), undefined, 'callers get their responses')
   t.end()
 })
--- a/packages/caller-server/src/client-limits.ts
+++ b/packages/caller-server/src/client-limits.ts
@@ -24,6 +24,7 @@
 export type LimitCause =
   | 'idle-closed'
   | 'receiving-closed'
+  | 'unread-closed'
   | 'busy-closed'
   | 'connection-refused'
   | 'requests-of-address'
@@ -39,6 +40,8 @@
   openRequests: number
   /** Whether the only open request has not arrived completely. */
   isReceiving: boolean
+  /** Whether all open requests have been answered, and only their responses are not read. */
+  isAnswered: boolean
   /** Time of the last byte or, without open requests, of the last response; in milliseconds. */
   activeAt: number
 }
@@ -46,7 +49,8 @@
 /**
  * Chooses the connection that is closed for a new one: the one that has been idle for longest, then the
  * one that has been silent for longest among those whose request has not arrived completely, which
- * has therefore not run. It addresses clients that take all connections.
+ * has therefore not run. With `closesBusy`, connections whose responses are not read come next, and then
+ * those with requests in progress. It addresses clients that take all connections.
  *
  * @example
  * const choice = chooseConnectionToClose(connections, { address: undefined, closesBusy: false })
@@ -55,16 +59,25 @@
   connections: Iterable<C>,
   opts: { address: string | undefined; closesBusy: boolean },
 ): { connection: C; cause: LimitCause } | undefined {
-  const oldest: (C | undefined)[] = [undefined, undefined, undefined]
+  const oldest: (C | undefined)[] = [undefined, undefined, undefined, undefined]
   for (const connection of connections) {
     if (opts.address !== undefined && connection.address !== opts.address) continue
-    const rank = connection.openRequests === 0 ? 0 : connection.isReceiving ? 1 : 2
+    const rank = rankOf(connection)
     const best = oldest[rank]
     if (best === undefined || connection.activeAt < best.activeAt) oldest[rank] = connection
   }
-  const [idle, receiving, busy] = oldest
+  const [idle, receiving, unread, busy] = oldest
   if (idle !== undefined) return { connection: idle, cause: 'idle-closed' }
   if (receiving !== undefined) return { connection: receiving, cause: 'receiving-closed' }
-  if (busy !== undefined && opts.closesBusy) return { connection: busy, cause: 'busy-closed' }
+  if (!opts.closesBusy) return undefined
+  if (unread !== undefined) return { connection: unread, cause: 'unread-closed' }
+  if (busy !== undefined) return { connection: busy, cause: 'busy-closed' }
   return undefined
 }
+
+/** Connections of a lower rank are closed first. */
+function rankOf({ openRequests, isReceiving, isAnswered }: ConnectionState): number {
+  if (openRequests === 0) return 0
+  if (isReceiving) return 1
+  return isAnswered ? 2 : 3
+}
--- a/packages/caller-server/src/index.ts
+++ b/packages/caller-server/src/index.ts
@@ -1,4 +1,4 @@
-export { sendJson } from './json-response.js'
+export { sendError, sendJson } from './json-response.js'
 export {
   createCallerServer,
   listen,
--- a/packages/caller-server/src/limited-connection.ts
+++ b/packages/caller-server/src/limited-connection.ts
@@ -66,6 +66,10 @@
     return this.#exchanges.length === 1 && first?.req.complete === false && !first.isWritten
   }
 
+  get isAnswered(): boolean {
+    return this.#exchanges.every(({ isWritten }) => isWritten)
+  }
+
   get activeAt(): number {
     return this.#activeAt
   }
--- a/packages/entry/__tests__/client-load/unread-responses.test.ts
+++ b/packages/entry/__tests__/client-load/unread-responses.test.ts
@@ -30,6 +30,26 @@
     port: 'callers',
     request: (headers: string) => get('/queues/lamps-jobs/jobs', headers),
   },
+  {
+    name: 'for readiness',
+    port: 'operators',
+    request: () => get('/health/ready', 'host: h\r\n'),
+  },
+  {
+    name: 'for readiness, without headers',
+    port: 'operators',
+    request: () => get('/health/ready', ''),
+  },
+  {
+    name: 'for the metrics',
+    port: 'operators',
+    request: () => get('/metrics', 'host: h\r\n'),
+  },
+  {
+    name: 'of an operator without a credential',
+    port: 'operators',
+    request: () => get('/operator/v1/status', 'host: h\r\n'),
+  },
 ] as const
 
 // Guards against a process that holds a request, or a response, for each of the requests that a
--- a/packages/entry/__tests__/operator-server.test.ts
+++ b/packages/entry/__tests__/operator-server.test.ts
@@ -1,10 +1,23 @@
 import { once } from 'node:events'
 import { createConnection } from 'node:net'
+import type { ClientLimits } from '@bulrushbridge/caller-server'
 import { createMetrics } from '@bulrushbridge/telemetry'
 import { H3 } from 'h3'
 import t from 'tap'
 import { createOperatorServer } from '../src/operator-server.js'
 
+const limits: ClientLimits = {
+  maxConnections: 10,
+  maxAddressConnections: 10,
+  maxRequests: 100,
+  maxAddressRequests: 100,
+  maxPipelinedRequests: 2,
+  maxUnreadResponses: 100,
+  maxUnparsedBytes: 1_000_000,
+  maxUnreadMs: 1_000,
+  closesBusyConnections: true,
+}
+
 // Guards against a request that ends the process: h3 throws when the host and the target of a request
 // together are not a URL.
 void t.test('a host with a port out of range is refused', async t => {
@@ -14,6 +27,8 @@
     api: new H3(),
     metrics: createMetrics(),
     notReady: () => undefined,
+    limits,
+    onLimit: () => undefined,
   })
   t.teardown(() => server.close())
   const [host = '', port = ''] = server.address.split(':')
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -4,6 +4,7 @@
   createCallerServer,
   createClientLogLimit,
   createLimitReports,
+  internalLimits,
   readDescriptorLimit,
   type CallerServer,
   type LimitReports,
@@ -75,7 +76,7 @@
   })
   const membership = createMembershipTask({ view, log, clock })
   const operatorServer = await startOperatorServer({
-    ...{ cfg, clock, storage, view, metrics },
+    ...{ cfg, clock, storage, view, metrics, limitReports },
     notReady: () =>
       notReadyReason({ view, permits, membership, isShuttingDown: () => isShuttingDown }),
   })
@@ -191,12 +192,13 @@
   storage: Storage
   view: ConfigView
   metrics: Metrics
+  limitReports: LimitReports
   notReady: () => string | undefined
 }
 
 /** Starts the server for operators and for the balancer's health checks. */
 function startOperatorServer(parts: OperatorServerParts): Promise<OperatorServer> {
-  const { cfg, clock, storage, view, metrics, notReady } = parts
+  const { cfg, clock, storage, view, metrics, limitReports, notReady } = parts
   const { table, objects, decisions } = storage
   const bootstrapDigest = cfg['bootstrap-digest']
   const api = createOperatorApi({
@@ -210,6 +212,10 @@
     metrics,
     api,
     notReady,
+    limits: internalLimits(cfg, readDescriptorLimit()),
+    onLimit: (cause, address) => {
+      limitReports.report('operators', cause, address)
+    },
   })
 }
 
