fix(peer-link): check the secret before a message is read

What callers saw: bulrush-entry ended when a client without the secret sent long messages, or many calls, to the port for peers. The adapter reads a message completely, up to 4 GB, before the interceptor that checks the secret runs. The secret is checked in front of the adapter now, and the session of a call without it is closed. A session has at most 64 calls in progress, a message at most 16 MB.

--- a/packages/peer-link/src/peer-server.ts
+++ b/packages/peer-link/src/peer-server.ts
@@ -3,15 +3,32 @@
   createServer,
   type Http2SecureServer,
   type Http2Server,
+  type Http2ServerRequest,
+  type Http2ServerResponse,
   type ServerHttp2Session,
 } from 'node:http2'
 import type { Socket } from 'node:net'
-import { Code, ConnectError, type Interceptor, type ServiceImpl } from '@connectrpc/connect'
+import type { ServiceImpl } from '@connectrpc/connect'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
 import { PeerService } from '@bulrushbridge/wire'
 import { isPeerAuthorized } from './peer-secret.js'
 import type { PeerTls } from './peer-tls.js'
 
+/** Most calls in progress on one connection; a peer makes a few at once. */
+const maxConcurrentStreams = 64
+
+/** Largest message of a peer, in bytes; a document may have 8 MB. */
+const maxMessageBytes = 16_000_000
+
+/** Maximum size of the headers of a call. */
+const maxHeadersBytes = 16_384
+
+/** Time limit for a TLS handshake, in milliseconds. */
+const handshakeTimeoutMs = 10_000
+
+/** Time for a client without the secret to read that, in milliseconds. */
+const refusalTimeoutMs = 1_000
+
 /** Handlers of the calls that peers make. */
 export type PeerHandlers = ServiceImpl<typeof PeerService>
 
@@ -43,21 +60,33 @@
  * const server = await createPeerServer({ host: '127.0.1.1', port: 7200, secret, handlers })
  */
 export async function createPeerServer(opts: PeerServerOptions): Promise<PeerServer> {
-  const authenticate: Interceptor = next => req => {
-    if (!isPeerAuthorized(req.header.get('authorization'), opts.secret)) {
-      throw new ConnectError('the peer secret is missing or wrong', Code.Unauthenticated)
-    }
-    return next(req)
-  }
+  const { tls, secret } = opts
   const adapter = connectNodeAdapter({
-    interceptors: [authenticate],
     routes: router => router.service(PeerService, opts.handlers),
+    readMaxBytes: maxMessageBytes,
   })
-  const { tls } = opts
+  // The adapter reads the whole message before its interceptors run, so the secret is checked here.
+  const handle = (req: Http2ServerRequest, res: Http2ServerResponse) => {
+    if (isPeerAuthorized(req.headers.authorization ?? null, secret)) {
+      adapter(req, res)
+      return
+    }
+    refuse(res)
+  }
+  const options = { settings: { maxConcurrentStreams, maxHeaderListSize: maxHeadersBytes } }
   const secureServer =
     tls &&
-    createSecureServer({ ...tls.current(), requestCert: true, rejectUnauthorized: true }, adapter)
-  const server = secureServer ?? createServer({}, adapter)
+    createSecureServer(
+      {
+        ...options,
+        ...tls.current(),
+        requestCert: true,
+        rejectUnauthorized: true,
+        handshakeTimeout: handshakeTimeoutMs,
+      },
+      handle,
+    )
+  const server = secureServer ?? createServer(options, handle)
   const sessions = new Set<ServerHttp2Session>()
   server.on('session', session => {
     sessions.add(session)
@@ -95,6 +124,16 @@
   }
 }
 
+/** Answers a call without the secret, and ends its session. */
+function refuse(res: Http2ServerResponse): void {
+  const { session } = res.stream
+  const body = { code: 'unauthenticated', message: 'the peer secret is missing or wrong' }
+  res.writeHead(401, { 'content-type': 'application/json' }).end(JSON.stringify(body))
+  session?.close()
+  // The client may leave its message unfinished, or the answer unread.
+  setTimeout(() => session?.destroy(), refusalTimeoutMs).unref()
+}
+
 function bytesOf(socket: Socket): number {
   return socket.bytesRead + socket.bytesWritten
 }
