fix(peer-link): bound the connections to the port for peers

What callers saw: idle connections to the port for peers took all descriptors of bulrush-entry. The port takes as many connections as other internal ports (64). A peer is known by its first call with the secret; until then its connection may be closed for a newer one, the oldest first.

--- a/packages/entry/__tests__/client-load/idle-connections.test.ts
+++ b/packages/entry/__tests__/client-load/idle-connections.test.ts
@@ -13,7 +13,7 @@
 
 // Guards against connections that take all descriptors, so that callers, runners and the store cannot be
 // reached any more.
-for (const port of ['callers', 'operators'] as const) {
+for (const port of ['callers', 'operators', 'peers'] as const) {
   for (const text of ['', 'GET / HTTP/1.1\r\na:']) {
     const what = text === '' ? 'nothing' : 'a part of a request'
     void t.test(`more connections to ${port} than descriptors, that send ${what}`, async t => {
--- a/packages/entry/src/entry-core.ts
+++ b/packages/entry/src/entry-core.ts
@@ -1,5 +1,10 @@
 import { randomBytes } from 'node:crypto'
 import { createConfigView, type ConfigView } from '@bulrushbridge/config-view'
+import {
+  internalLimits,
+  readDescriptorLimit,
+  type LimitReports,
+} from '@bulrushbridge/caller-server'
 import type { EnvironmentConfiguration, Member } from '@bulrushbridge/contract'
 import { normalizeError, type Clock } from '@bulrushbridge/errors'
 import { createPeerLinks, createPeerServer } from '@bulrushbridge/peer-link'
@@ -28,6 +33,7 @@
   cfg: EntrySettings
   clock: Clock
   storage: Storage
+  limitReports: LimitReports
 }
 
 /** The core of an entry host: configuration view, permits, services and peer server. */
@@ -48,7 +54,7 @@
  * requests of callers.
  *
  * @example
- * const core = await createEntryCore({ cfg, clock, storage, log, metrics, tracing })
+ * const core = await createEntryCore({ cfg, clock, storage, limitReports, log, metrics, tracing })
  * await core.close()
  */
 export async function createEntryCore(opts: EntryCoreOptions): Promise<EntryCore> {
@@ -85,6 +91,10 @@
     port: cfg['peer-port'],
     secret,
     tls,
+    maxConnections: internalLimits(cfg, readDescriptorLimit()).maxConnections,
+    onLimit: (cause, address) => {
+      opts.limitReports.report('peers', cause, address)
+    },
     handlers: createPeerHandlers({
       view: () => view,
       permits: () => permits,
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -58,7 +58,7 @@
   const limitReports = createLimitReports(log, metrics)
   const storage = createStorage(cfg, clock)
   const { table, committer } = storage
-  const core = await createEntryCore({ cfg, clock, storage, ...telemetry })
+  const core = await createEntryCore({ cfg, clock, storage, limitReports, ...telemetry })
   const { view, permits, services } = core
   const hostList = createHostListReader({
     url: cfg['hosts-url'],
--- a/packages/peer-link/src/index.ts
+++ b/packages/peer-link/src/index.ts
@@ -1,4 +1,5 @@
 export { createPeerLink, type PeerLink, type PeerLinkOptions } from './peer-client.js'
+export type { PeerLimitCause } from './peer-connections.js'
 export { createPeerLinks, type PeerLinks } from './peer-links.js'
 export {
   createPeerServer,
--- a/packages/peer-link/src/peer-server.ts
+++ b/packages/peer-link/src/peer-server.ts
@@ -11,9 +11,13 @@
 import type { ServiceImpl } from '@connectrpc/connect'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
 import { PeerService } from '@bulrushbridge/wire'
+import { createPeerConnections, type PeerLimitCause } from './peer-connections.js'
 import { isPeerAuthorized } from './peer-secret.js'
 import type { PeerTls } from './peer-tls.js'
 
+/** Most connections by default; each peer has one, and a second while certificates change. */
+const defaultMaxConnections = 64
+
 /** Most calls in progress on one connection; a peer makes a few at once. */
 const maxConcurrentStreams = 64
 
@@ -40,6 +44,10 @@
   /** Certificates for mutual TLS; without them connections are not encrypted. */
   tls?: PeerTls | undefined
   handlers: PeerHandlers
+  /** Most connections; 64 by default. */
+  maxConnections?: number
+  /** Called for each connection that is closed and each call that is refused. */
+  onLimit?: (cause: PeerLimitCause, address: string) => void
 }
 
 /** The peer service of one entry host. */
@@ -60,17 +68,24 @@
  * const server = await createPeerServer({ host: '127.0.1.1', port: 7200, secret, handlers })
  */
 export async function createPeerServer(opts: PeerServerOptions): Promise<PeerServer> {
-  const { tls, secret } = opts
+  const { tls, secret, maxConnections = defaultMaxConnections } = opts
+  const connections = createPeerConnections({
+    maxConnections,
+    onLimit: (cause, address) => opts.onLimit?.(cause, address),
+  })
   const adapter = connectNodeAdapter({
     routes: router => router.service(PeerService, opts.handlers),
     readMaxBytes: maxMessageBytes,
   })
   // The adapter reads the whole message before its interceptors run, so the secret is checked here.
   const handle = (req: Http2ServerRequest, res: Http2ServerResponse) => {
+    const remote = req.stream.session?.socket
     if (isPeerAuthorized(req.headers.authorization ?? null, secret)) {
+      if (remote !== undefined) connections.authenticate(remote)
       adapter(req, res)
       return
     }
+    opts.onLimit?.('unauthenticated', remote?.remoteAddress ?? '')
     refuse(res)
   }
   const options = { settings: { maxConcurrentStreams, maxHeaderListSize: maxHeadersBytes } }
@@ -99,19 +114,13 @@
     // Connections made with the former certificates close after their calls; peers reconnect.
     for (const session of sessions) session.close()
   })
-  const sockets = new Set<Socket>()
-  let closedSocketBytes = 0
   server.on('connection', (socket: Socket) => {
-    sockets.add(socket)
-    socket.once('close', () => {
-      sockets.delete(socket)
-      closedSocketBytes += bytesOf(socket)
-    })
+    connections.add(socket)
   })
   const port = await listen(server, opts)
   return {
     address: `${opts.host}:${port}`,
-    bytes: () => [...sockets].reduce((sum, socket) => sum + bytesOf(socket), closedSocketBytes),
+    bytes: () => connections.bytes(),
     close: () => {
       stopListening?.()
       for (const session of sessions) session.destroy()
@@ -134,10 +143,6 @@
   setTimeout(() => session?.destroy(), refusalTimeoutMs).unref()
 }
 
-function bytesOf(socket: Socket): number {
-  return socket.bytesRead + socket.bytesWritten
-}
-
 async function listen(
   server: Http2Server | Http2SecureServer,
   opts: PeerServerOptions,
