fix(entry): bound the bytes of bodies that are buffered

bulrush-entry buffers up to 64 KiB of each body before the request is admitted, so the bodies of 2,048 requests could take 128 MB. All requests share 32 MB now, those of one address 30 MB and of one connection 1 MB; a request beyond that is rejected as not run with 429 or 503, with a counter and a log line by bound. bulrush-host counts its bodies with the same code, its bounds are unchanged. An ordinary request after the load may get 504 until the work of the requests that were cut off has ended at the runners; the check sends it again.

--- a/packages/caller-server/src/index.ts
+++ b/packages/caller-server/src/index.ts
@@ -6,6 +6,7 @@
   type CallerServer,
   type CallerServerOptions,
 } from './caller-server.js'
+export { createBodyUsage, type BodyBounds, type BodyShare, type BodyUsage } from './body-usage.js'
 export { createCachedValue } from './cached-value.js'
 export {
   callerLimits,
--- a/packages/caller-server/src/request-body.ts
+++ b/packages/caller-server/src/request-body.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http'
 import { PassThrough, pipeline, Readable, Transform } from 'node:stream'
 import { RequestError, type Clock } from '@bulrushbridge/errors'
+import type { BodyShare } from './body-usage.js'
 
 /**
  * Number of bytes of a body that are buffered before the request is admitted. A small body that
@@ -11,19 +12,29 @@
 /** Time limit for the next chunk of a body to arrive, in milliseconds. */
 const chunkTimeoutMs = 10_000
 
+/** Errors of requests whose body cannot be buffered, by the bound. */
+const fullKinds = {
+  connection: 'client-limit-reached',
+  address: 'client-limit-reached',
+  process: 'host-limit-reached',
+} as const
+
 /** Options of {@link readBody}. */
 export interface ReadBodyOptions {
   clock: Clock
   maxBytes: number
   /** Value of the `content-length` header; undefined when the length is not known in advance. */
   contentLength: number | undefined
+  /** Counts the bytes that are buffered, unless they have been counted before. */
+  share?: BodyShare
 }
 
 /**
  * Reads a request body: returns a Buffer when it has at most {@link bufferedBodyBytes} bytes,
  * otherwise a stream of the whole body, and undefined when there is no body.
  *
- * @throws RequestError `sender-too-slow`, `body-too-large`, `caller-left`
+ * @throws RequestError `sender-too-slow`, `body-too-large`, `caller-left`; `client-limit-reached` and
+ * `host-limit-reached` when too many bytes are buffered for all requests together
  */
 export function readBody(
   req: IncomingMessage,
@@ -56,7 +67,9 @@
     const onData = (chunk: Buffer) => {
       chunks.push(chunk)
       bytes += chunk.length
-      if (bytes > opts.maxBytes) fail(new RequestError('body-too-large'))
+      const exceeded = opts.share?.tryAdd(chunk.length)
+      if (exceeded !== undefined) fail(new RequestError(fullKinds[exceeded]))
+      else if (bytes > opts.maxBytes) fail(new RequestError('body-too-large'))
       else if (bytes > bufferedBodyBytes) {
         stopReading()
         resolve(streamWholeBody(req, chunks, bytes, opts.maxBytes))
--- a/packages/entry/src/call-handler.ts
+++ b/packages/entry/src/call-handler.ts
@@ -19,8 +19,12 @@
 } from '@bulrushbridge/telemetry'
 import type { UpstreamRequest } from '@bulrushbridge/upstream-link'
 import { parseCallRequest, type CallLimits, type CallRequest } from './call-request.js'
-import type { CallerHandler } from '@bulrushbridge/caller-server'
-import { readBody } from '@bulrushbridge/caller-server'
+import {
+  readBody,
+  type BodyShare,
+  type BodyUsage,
+  type CallerHandler,
+} from '@bulrushbridge/caller-server'
 import { captureAnswer, relayAnswer, replayAnswer } from './relay-answer.js'
 import type { ServiceGateway, AdmittedCall } from './service-gateway.js'
 
@@ -41,6 +45,8 @@
   clock: Clock
   view: ConfigView
   limits: CallLimits
+  /** Counts the buffered bodies of all requests. */
+  bodies: BodyUsage
   records: IdempotencyRecords
   metrics: Metrics
   tracing: Tracing
@@ -79,9 +85,16 @@
 export function createCallHandler(opts: CallHandlerOptions): CallerHandler {
   return async (req, res, id) => {
     const startedAt = opts.clock.now()
+    const share = opts.bodies.open(req.socket)
     const span = opts.tracing.startServerSpan('call', singleHeaderValue(req.headers.traceparent))
     try {
-      const call = await prepareCall(opts, req, res, id, formatTraceparent(span))
+      const call = await prepareCall(opts, {
+        req,
+        res,
+        id,
+        share,
+        traceparent: formatTraceparent(span),
+      })
       await serveCall(opts, call, res)
       span.end()
       opts.metrics.count('bulrush_requests_total', { queue: call.queue, outcome: 'finished' })
@@ -95,17 +108,26 @@
       endFailedSpan(span, err.kind)
       opts.metrics.count('bulrush_errors_total', { kind: err.kind, outcome: err.outcome })
       throw err
+    } finally {
+      share.close()
     }
   }
 }
 
+/** A request before its checks. */
+interface ReceivedCall {
+  req: IncomingMessage
+  res: ServerResponse
+  id: string
+  /** Counts the bytes of its body until it has ended. */
+  share: BodyShare
+  traceparent: string
+}
+
 /** Runs the checks that need no upstream, then reads the start of the body. */
 async function prepareCall(
   opts: CallHandlerOptions,
-  req: IncomingMessage,
-  res: ServerResponse,
-  id: string,
-  traceparent: string,
+  { req, res, id, share, traceparent }: ReceivedCall,
 ): Promise<Call> {
   const parsed = parseCallRequest(req, opts.limits, opts.clock.now())
   assertServing(opts)
@@ -117,7 +139,7 @@
   if (gateway === undefined) throw new RequestError('unknown-queue')
   const { contentLength } = parsed
   const { clock, limits } = opts
-  const body = await readBody(req, { clock, maxBytes: limits.maxBodyBytes, contentLength })
+  const body = await readBody(req, { clock, maxBytes: limits.maxBodyBytes, contentLength, share })
   return { ...parsed, id, owner, gateway, body, signal: callerSignal(res), traceparent }
 }
 
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -1,11 +1,14 @@
 import type { ConfigView } from '@bulrushbridge/config-view'
 import {
+  bufferedBodyBytes,
   callerLimits,
+  createBodyUsage,
   createCallerServer,
   createClientLogLimit,
   createLimitReports,
   internalLimits,
   readDescriptorLimit,
+  type BodyBounds,
   type CallerServer,
   type LimitReports,
 } from '@bulrushbridge/caller-server'
@@ -147,6 +150,12 @@
   const limits = { defaultDeadlineMs, maxDeadlineMs, maxBodyBytes: cfg['max-body'] }
   const gatewayOf = (name: string) => services.get(name)
   const sharedOptions = { clock, view, keyring, isRefusing }
+  const bodies = createBodyUsage({
+    ...bodyBounds(cfg['max-buffered-body-bytes']),
+    onExceeded: (bound, address) => {
+      limitReports.report('callers', `bodies-of-${bound}`, address)
+    },
+  })
   const jobs = createJobService({ table, committer, member: cfg.member })
   const handleCall = createCallHandler({
     ...sharedOptions,
@@ -154,9 +163,16 @@
     metrics,
     tracing,
     limits,
+    bodies,
     gatewayOf,
   })
-  const handleJobs = createJobsHandler({ ...sharedOptions, jobs, defaultDeadlineMs, maxDeadlineMs })
+  const handleJobs = createJobsHandler({
+    ...sharedOptions,
+    jobs,
+    bodies,
+    defaultDeadlineMs,
+    maxDeadlineMs,
+  })
   return createCallerServer({
     host: cfg.host,
     port: cfg['caller-port'],
@@ -185,6 +201,20 @@
   })
 }
 
+/** Fraction of the buffered bytes of bodies for one client address; the rest is left to others. */
+const addressBodyFraction = 15 / 16
+
+/** Most buffered bytes of bodies of one connection, enough for 16 bodies that are not streamed. */
+const maxConnectionBodyBytes = 16 * bufferedBodyBytes
+
+function bodyBounds(maxBytes: number): BodyBounds {
+  return {
+    maxBytes,
+    maxAddressBytes: Math.floor(maxBytes * addressBodyFraction),
+    maxConnectionBytes: maxConnectionBodyBytes,
+  }
+}
+
 /** What {@link startOperatorServer} needs. */
 interface OperatorServerParts {
   cfg: EntrySettings
--- a/packages/entry/src/jobs-handler.ts
+++ b/packages/entry/src/jobs-handler.ts
@@ -10,6 +10,8 @@
   sendJson,
   bufferedBodyBytes,
   readBody,
+  type BodyShare,
+  type BodyUsage,
   type CallerHandler,
 } from '@bulrushbridge/caller-server'
 
@@ -57,6 +59,8 @@
   /** Deadline of a request that gives none, in milliseconds from its arrival. */
   defaultDeadlineMs: number
   maxDeadlineMs: number
+  /** Counts the buffered bodies of all requests. */
+  bodies: BodyUsage
   keyring(): Keyring
   /**
    * Whether a shutdown has ended its wait for the balancer; new requests are refused from then on.
@@ -87,9 +91,11 @@
 export function createJobsHandler(opts: JobsHandlerOptions): CallerHandler {
   return async (req, res, requestId) => {
     const call = authorize(opts, req, res, requestId)
+    const share = opts.bodies.open(req.socket)
     try {
-      if (req.method === 'POST' && call.subPath === undefined) await acceptJob(opts, call)
-      else if (req.method === 'POST' && call.subPath === 'cancel') await cancelJobs(opts, call)
+      if (req.method === 'POST' && call.subPath === undefined) await acceptJob(opts, call, share)
+      else if (req.method === 'POST' && call.subPath === 'cancel')
+        await cancelJobs(opts, call, share)
       else if (req.method === 'GET' && call.subPath === undefined) await listJobs(opts, call)
       else if (req.method === 'GET') await getJob(opts, call)
       else throw new RequestError('unknown-path')
@@ -99,6 +105,8 @@
         outcome: cause.isResultKnown ? 'not-run' : 'unknown',
         cause,
       })
+    } finally {
+      share.close()
     }
   }
 }
@@ -133,9 +141,13 @@
   return ms
 }
 
-async function acceptJob(opts: JobsHandlerOptions, call: JobsRequest): Promise<void> {
+async function acceptJob(
+  opts: JobsHandlerOptions,
+  call: JobsRequest,
+  share: BodyShare,
+): Promise<void> {
   const { team, queue, pool, deadline, req } = call
-  const { kind, payload, ...submission } = await readJson(opts, req, acceptSchema)
+  const { kind, payload, ...submission } = await readJson(opts, req, acceptSchema, share)
   const header = req.headers['idempotency-key']
   if (header !== undefined && !idempotencyKeyPattern.test(String(header))) {
     throw new RequestError('bad-header', {
@@ -159,9 +171,13 @@
   sendAnswer(call, 202, { id, ...(estimatedWaitMs === undefined ? {} : { estimatedWaitMs }) })
 }
 
-async function cancelJobs(opts: JobsHandlerOptions, call: JobsRequest): Promise<void> {
+async function cancelJobs(
+  opts: JobsHandlerOptions,
+  call: JobsRequest,
+  share: BodyShare,
+): Promise<void> {
   const { team, queue } = call
-  const body = await readJson(opts, call.req, cancelSchema)
+  const body = await readJson(opts, call.req, cancelSchema, share)
   if ('ids' in body) {
     // Ids start with their queue's name. A request to one queue must not cancel jobs of another.
     const ownIds = body.ids.filter(id => id.startsWith(`${queue}.`))
@@ -199,6 +215,7 @@
   opts: JobsHandlerOptions,
   req: IncomingMessage,
   schema: z.ZodType<T>,
+  share: BodyShare,
 ): Promise<T> {
   const length = req.headers['content-length']
   const contentLength = length === undefined ? undefined : Number(length)
@@ -206,7 +223,7 @@
   if (contentLength !== undefined && contentLength > maxBytes) {
     throw new RequestError('body-too-large', { message: 'A job may have at most 64 KiB.' })
   }
-  const body = await readBody(req, { clock: opts.clock, maxBytes, contentLength })
+  const body = await readBody(req, { clock: opts.clock, maxBytes, contentLength, share })
   if (body === undefined || body instanceof Readable) throw new RequestError('bad-request')
   let data: unknown
   try {
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -109,6 +109,12 @@
     default: '0.01',
   },
   ...clientLimitSettings,
+  'max-buffered-body-bytes': {
+    schema: z.coerce.number().int().min(1_048_576).max(1_000_000_000),
+    description:
+      'most bytes of bodies that are buffered for requests in progress; further ones get 429 or 503',
+    default: '32000000',
+  },
 } as const
 
 /** Parsed settings of `bulrush-entry`. */
--- a/packages/job-front/src/job-handler.ts
+++ b/packages/job-front/src/job-handler.ts
@@ -1,8 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
 import {
   connectionSignal,
-  createUsageCounter,
+  createBodyUsage,
   sendJson,
   readBody,
   type CallerHandler,
@@ -129,11 +128,11 @@
   /** Settles when the refresh of the view that is in progress is over. */
   #refreshing: Promise<void> | undefined
   readonly #unsettled = createUnsettledAcceptances()
-  readonly #submittingBytes = createUsageCounter({
-    max: maxSubmittingBytes,
-    maxPerAddress: maxAddressSubmittingBytes,
+  readonly #bodies = createBodyUsage({
+    maxBytes: maxSubmittingBytes,
+    maxAddressBytes: maxAddressSubmittingBytes,
+    maxConnectionBytes: maxConnectionSubmittingBytes,
   })
-  readonly #connectionBytes = new WeakMap<Socket, number>()
   readonly #readGate = createStoreReadGate({
     maxRunning: maxRunningReads,
     maxWaiting: maxWaitingReads,
@@ -217,19 +216,14 @@
     const length = Number(ctx.req.headers['content-length'])
     // Without a length the body may be as large as it may be at all.
     const bytes = length <= maxBytes ? length : maxBytes
-    const { socket } = ctx.req
-    const address = socket.remoteAddress ?? ''
-    const connectionBytes = (this.#connectionBytes.get(socket) ?? 0) + bytes
-    const isFull =
-      connectionBytes > maxConnectionSubmittingBytes ||
-      this.#submittingBytes.tryAdd(address, bytes) !== undefined
-    if (isFull) throw new RequestError('submissions-full', { retryAfterMs })
-    this.#connectionBytes.set(socket, connectionBytes)
+    const share = this.#bodies.open(ctx.req.socket)
     try {
+      // Counted before the body arrives, as it takes several times its size until its job is stored.
+      if (share.tryAdd(bytes) !== undefined)
+        throw new RequestError('submissions-full', { retryAfterMs })
       await this.#accept(ctx)
     } finally {
-      this.#submittingBytes.remove(address, bytes)
-      this.#connectionBytes.set(socket, (this.#connectionBytes.get(socket) ?? 0) - bytes)
+      share.close()
     }
   }
 
