fix(entry): bound the log lines that wait for the reader of the log

Evidence: "failed requests while the log is not read" ended the process before the limits on callers (60 clients, paths of 8,000 characters). With these and their 100 lines a second for one address it passes already, so that this change alone is not shown; it bounds the lines about many addresses.

--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,4 +1,5 @@
 import { programExitStatuses, runProgram } from '@bulrushbridge/settings'
+import { createBoundedOutput, createLogger } from '@bulrushbridge/telemetry'
 import { createEntryHost, type EntryHost } from './entry-host.js'
 import { checkEntrySettings, entrySettings, type EntrySettings } from './settings.js'
 
@@ -8,12 +9,26 @@
   SIGTERM: programExitStatuses.terminated.status,
 } as const
 
+const standardError = 2
+
 await runProgram({
   name: 'bulrush-entry',
   description: 'Serves callers, peers and operators on one entry host.',
   settings: entrySettings,
   check: checkEntrySettings,
   main: async cfg => {
+    const log = createLogger({
+      program: 'bulrush-entry',
+      member: cfg.member,
+      level: cfg['log-level'],
+    })
+    // The default output keeps all lines in memory while the reader of the log is slow.
+    const output = createBoundedOutput({
+      descriptor: standardError,
+      onSuppressed: lines => {
+        log.warn('log lines suppressed', { lines })
+      },
+    })
     let entry = await createEntryHost(cfg)
     process.stdout.write(`${JSON.stringify({ program: 'bulrush-entry', ...entry.addresses })}\n`)
     let isStopping = false
@@ -32,9 +47,12 @@
       process.on(signal, () => {
         if (isStopping) process.exit(secondSignalStatuses[signal])
         isStopping = true
-        void entry.close().then(() => {
-          process.exit(0)
-        })
+        void entry
+          .close()
+          .then(() => output.close())
+          .then(() => {
+            process.exit(0)
+          })
       })
     }
   },
