--- a/bench/measurements.ts
+++ b/bench/measurements.ts
@@ -3,6 +3,7 @@
 import { measureCapacitySlopes } from './capacity.js'
 import { measureDispatchOverhead } from './dispatch-overhead.js'
 import { measureEnterCost } from './enter-cost.js'
+import { measureClientLimits } from './client-limits.js'
 import type { Measurement } from './figure.js'
 import { measureFleetShare } from './fleet-share.js'
 import { measureHopCost } from './hop.js'
@@ -38,6 +39,7 @@
     run: ({ seed, quick }) => measureShares({ seeds: [seed], hosts: quick ? 3 : 9 }),
   },
   { name: 'hop', run: measureHopCost },
+  { name: 'client-limits', run: measureClientLimits },
   { name: 'burst', run: measureBurst },
   { name: 'fleet', run: measureFleetShare },
   { name: 'in-force', run: measureInForceDelay },
--- a/bench/roles.ts
+++ b/bench/roles.ts
@@ -1,3 +1,4 @@
+import { serveCallers, type CallerServerRoleOptions } from './client-limits.js'
 import { measureJobSize, type JobSizeOptions } from './job-size.js'
 import { generateLoad, type LoadOptions } from './load.js'
 import { simulatePolicies, type PolicyOptions } from './policy.js'
@@ -24,6 +25,9 @@
     })
     printJson(results)
   },
+  'caller-server': async (opts: CallerServerRoleOptions) => {
+    printJson(await serveCallers(opts))
+  },
   'job-size': async (opts: JobSizeOptions) => {
     printJson(await measureJobSize(opts))
     process.exit(0)
