fix(telemetry): cut the fields of a log line

The bounded output keeps up to 2,000 lines, whatever their length, and some fields, such as the task of a relayed call, come from clients and had up to 4 MB. A field has at most 2,000 characters now, cut after secrets were hidden.

--- a/packages/telemetry/src/logger.ts
+++ b/packages/telemetry/src/logger.ts
@@ -22,6 +22,9 @@
   level?: LogLevel
 }
 
+/** Most characters of a field of a log line; some fields come from clients. */
+const maxFieldLength = 2_000
+
 const levelValues = { debug: 20, info: 30, warn: 40, error: 50, silent: 100 } as const
 
 /** Names of the log levels; `silent` turns logging off. */
@@ -60,7 +63,8 @@
   return (message: string, fields: LogFields = {}) => {
     const redactedFields: LogFields = {}
     for (const [name, value] of Object.entries(fields)) {
-      redactedFields[name] = typeof value === 'string' ? hideSecrets(value) : value
+      redactedFields[name] =
+        typeof value === 'string' ? hideSecrets(value).slice(0, maxFieldLength) : value
     }
     roarr[level](redactedFields, hideSecrets(message))
   }
