--- a/packages/host-program/__tests__/client-load/host-process.ts
+++ b/packages/host-program/__tests__/client-load/host-process.ts
@@ -5,7 +5,12 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { countDescriptors, createLoopback, peakResidentMb } from '@bulrushbridge/testbed'
+import {
+  countDescriptors,
+  createLoopback,
+  limitedCommand,
+  peakResidentMb,
+} from '@bulrushbridge/testbed'
 import type { MemoryStore } from '@bulrushbridge/standins'
 import type { Test } from 'tap'
 import { createStoreServer } from './store-server.js'
@@ -91,12 +96,8 @@
   const folder = mkdtempSync(join(tmpdir(), 'bulrush-clients-'))
   const settingsPath = join(folder, 'settings.toml')
   writeFileSync(settingsPath, settingsText(ip, ports, store.address))
-  const command = `ulimit -n ${maxOpenFiles}; unset NODE_OPTIONS; exec "$0" "$@"`
-  const heap = [`--max-old-space-size=${maxHeapMb}`, `--max-semi-space-size=${maxSemiSpaceMb}`]
-  const args = [process.execPath, ...heap, programPath, ...flags]
-  // The test runner adds NODE_OPTIONS to each child that it spawns, and with them source maps, which
-  // take 40 MB of the heap. The shell removes them.
-  const child = spawn('sh', ['-c', command, ...args], {
+  const limits = { maxHeapMb, maxSemiSpaceMb, maxOpenFiles }
+  const child = spawn(...limitedCommand([programPath, ...flags], limits), {
     stdio: ['ignore', 'pipe', 'pipe'],
     env: { PATH: process.env.PATH, ...loweredLimits, BULRUSHBRIDGE_BOOT: settingsPath },
   })
--- a/packages/testbed/src/index.ts
+++ b/packages/testbed/src/index.ts
@@ -2,6 +2,7 @@
 export { runClients, type ClientLoad, type OpenLoad } from './client-load.js'
 export {
   launch,
+  limitedCommand,
   runToEnd,
   type ProcessLimits,
   type ProgramName,
--- a/packages/testbed/src/launch.ts
+++ b/packages/testbed/src/launch.ts
@@ -41,11 +41,13 @@
 }
 
 /**
- * Command and arguments that start a program. With limits, a shell sets them and removes the options that
- * the test runner adds to each child; their source maps take tens of megabytes of the heap.
+ * Returns the command and arguments that start a program of Node with limits. A shell sets them and removes
+ * the options that the test runner adds to each child; their source maps take tens of megabytes of the heap.
+ *
+ * @example
+ * const child = spawn(...limitedCommand([programPath], { maxHeapMb: 64, maxSemiSpaceMb: 4, maxOpenFiles: 400 }))
  */
-function commandOf(args: string[], limits: ProcessLimits | undefined): [string, string[]] {
-  if (limits === undefined) return [process.execPath, args]
+export function limitedCommand(args: string[], limits: ProcessLimits): [string, string[]] {
   const script = `ulimit -n ${limits.maxOpenFiles}; unset NODE_OPTIONS; exec "$0" "$@"`
   const heap = [
     `--max-old-space-size=${limits.maxHeapMb}`,
@@ -67,7 +69,10 @@
   env: Record<string, string> = {},
   limits?: ProcessLimits,
 ): Promise<RunningProgram> {
-  const child = spawn(...commandOf([programPath(name), ...args], limits), {
+  const programArgs = [programPath(name), ...args]
+  const command: [string, string[]] =
+    limits === undefined ? [process.execPath, programArgs] : limitedCommand(programArgs, limits)
+  const child = spawn(...command, {
     stdio: ['ignore', 'pipe', 'pipe'],
     env: { ...process.env, ...env },
   })
