fix(caller-server): stop parsing what a destroyed connection has buffered

What callers saw: a busy bulrush-host ran out of memory when clients sent many requests ahead and cut their connections.

Cause: a flowing stream emits all that it has buffered in one turn, also after it was destroyed. When the write of a response failed, the rest of the 64 KB that were read was parsed, 543 requests for each connection, and all of them stayed until the end of the connection was reported. A slow process ends many connections in one turn.

Why this works: the stream is paused at the next piece, so at most 512 bytes are parsed.

--- a/packages/caller-server/src/split-reads.ts
+++ b/packages/caller-server/src/split-reads.ts
@@ -16,7 +16,10 @@
 export function splitReads(socket: Socket, onHeld: (bytes: number) => void): void {
   // A listener of its own ends the direct connection of the socket's handle to the parser, which
   // bypasses the stream.
-  socket.on('data', () => undefined)
+  socket.on('data', () => {
+    // A flowing stream passes on all that it has buffered, also after it was destroyed.
+    if (socket.destroyed) socket.pause()
+  })
   const push = socket.push.bind(socket)
   socket.push = (chunk: unknown, encoding?: BufferEncoding) => {
     if (!Buffer.isBuffer(chunk)) return push(chunk, encoding)
