fix(host-program): derive bounds from the descriptors that the platform states

What callers saw: nothing was refused, but relays made only a part of the calls of an ordinary dispatcher, so that the host that places work made them itself, with new connections each time.

Cause: the bounds on connections and on the relay's runners followed from the limit of the process. The platform sets that for files only, 200, and counts sockets apart; its settings file states max_fds, 4,100 and more. A relay then had connections to 8 runners instead of 170, and a dispatcher uses it for 40. The bound on callers' connections was 100 instead of 2,048, that on internal ports 12 instead of 64.

The new test of a dispatcher's calls to 40 runners failed before.

Why this works: the settings file states the number for the process, so it goes first; the limit of the process stays in use where nothing is stated.

--- a/packages/host-program/__tests__/client-load/host-process.ts
+++ b/packages/host-program/__tests__/client-load/host-process.ts
@@ -80,9 +80,9 @@
 
 /**
  * Starts `bulrush-host` against a stand-in of the store, with a queue that needs no key. `flags` are
- * settings of the program.
+ * settings of the program, `limits` further lines of that table of the settings file.
  */
-export async function startHost(t: Test, flags: string[] = []): Promise<HostProcess> {
+export async function startHost(t: Test, flags: string[] = [], limits = ''): Promise<HostProcess> {
   if (!existsSync(programPath)) throw new Error('dist/bulrush-host.mjs is missing; run the build')
   const ip = loopback.nextAddress()
   // Ordinary requests come from another address than those of the load.
@@ -95,9 +95,9 @@
   const ports = { callers: 7_000, readiness: 7_001, metrics: 7_002, relay: 7_003 }
   const folder = mkdtempSync(join(tmpdir(), 'bulrush-clients-'))
   const settingsPath = join(folder, 'settings.toml')
-  writeFileSync(settingsPath, settingsText(ip, ports, store.address))
-  const limits = { maxHeapMb, maxSemiSpaceMb, maxOpenFiles }
-  const child = spawn(...limitedCommand([programPath, ...flags], limits), {
+  writeFileSync(settingsPath, settingsText(ip, ports, store.address, limits))
+  const processLimits = { maxHeapMb, maxSemiSpaceMb, maxOpenFiles }
+  const child = spawn(...limitedCommand([programPath, ...flags], processLimits), {
     stdio: ['ignore', 'pipe', 'pipe'],
     env: { PATH: process.env.PATH, ...loweredLimits, BULRUSHBRIDGE_BOOT: settingsPath },
   })
@@ -212,7 +212,12 @@
   }
 }
 
-function settingsText(ip: string, ports: HostProcess['ports'], store: string): string {
+function settingsText(
+  ip: string,
+  ports: HostProcess['ports'],
+  store: string,
+  limits: string,
+): string {
   return `node = "h1"
 zone = "zone-a"
 ip = "${ip}"
@@ -222,6 +227,7 @@
 ready = "${ip}:${ports.readiness}"
 [limits]
 cpu_share = 0.5
+${limits}
 [bounds]
 grace_s = 2
 hold_max_ms = 10000
--- a/packages/host-program/__tests__/client-load/relay-calls.test.ts
+++ b/packages/host-program/__tests__/client-load/relay-calls.test.ts
@@ -1,4 +1,6 @@
-import { createServer } from 'node:net'
+import { once } from 'node:events'
+import { connect, createServer } from 'node:net'
+import { waitUntil } from '@bulrushbridge/standins'
 import { createLoopback, runClients } from '@bulrushbridge/testbed'
 import t, { type Test } from 'tap'
 import { startHost } from './host-process.js'
@@ -18,9 +20,10 @@
 }
 
 /** A server that accepts connections and never answers. */
-async function startSilentRunner(t: Test): Promise<string> {
+async function startSilentRunner(t: Test, onConnection = () => undefined): Promise<string> {
   const host = createLoopback().nextAddress()
   const server = createServer(socket => {
+    onConnection()
     socket.resume()
     socket.on('error', () => undefined)
   })
@@ -94,3 +97,24 @@
     await host.checkAfterLoad(t)
   },
 )
+
+/** Runners for which a dispatcher uses one relay. */
+const runnersOfRelay = 40
+
+// Guards against the refusal of an ordinary dispatcher where the limit of the process is lower than the
+// number of descriptors that the platform states.
+void t.test('the calls of a dispatcher to all runners of a relay are made', async t => {
+  const host = await startHost(t, [], 'max_fds = 4100')
+  let connections = 0
+  const runner = await startSilentRunner(t, () => void (connections += 1))
+  const socket = connect(host.ports.relay, host.ip)
+  t.teardown(() => socket.destroy())
+  await once(socket, 'connect')
+  let results = ''
+  socket.on('data', (data: Buffer) => (results += data.toString()))
+  const calls = Array.from({ length: runnersOfRelay }, (_, n) => chunk(stop(runner, `r${n}`, 1)))
+  socket.write(opening + calls.join(''))
+  await waitUntil(() => connections === runnersOfRelay || results.includes('at a bound'))
+  t.notMatch(results, 'at a bound')
+  await host.checkAfterLoad(t)
+})
--- a/packages/host-program/src/host-program.ts
+++ b/packages/host-program/src/host-program.ts
@@ -159,7 +159,8 @@
   readonly #dispatcher: Dispatcher
   readonly #limitReports: LimitReports
   readonly #clientLogLimit: ClientLogLimit
-  readonly #descriptors = readDescriptorLimit()
+  /** Descriptors that the program may open. */
+  readonly #descriptors: number
   #internalServers: InternalServer[] = []
   #relayServer: RelayServer | undefined
   #relayAnnouncer: RelayAnnouncer | undefined
@@ -171,6 +172,10 @@
     this.#cfg = cfg
     this.#opts = opts
     this.#log = opts.log
+    const processDescriptors = readDescriptorLimit()
+    // The platform counts sockets apart from the files that the limit of the process is for.
+    this.#descriptors = cfg.maxDescriptors ?? processDescriptors
+    this.#log.info('descriptors', { stated: cfg.maxDescriptors, ofProcess: processDescriptors })
     this.#store = createStoreClient(cfg.storeAddress)
     this.#view = createLoggedView(this.#log)
     this.#operatorFollower = this.#followOperatorTable()
