--- a/packages/caller-server/src/client-limit-settings.ts
+++ b/packages/caller-server/src/client-limit-settings.ts
@@ -124,24 +124,6 @@
   }
 }
 
-/** Fraction of the descriptors for the relay's connections to runners, and the connections to one. */
-const relayDescriptorFraction = 1 / 4
-const connectionsPerRunner = 6
-
-/** Most runners to which a relay has connections, however many descriptors there are. */
-const maxRelayRunners = 1_024
-
-/**
- * Derives the number of runners to which the relay of a host may have connections.
- *
- * @example
- * relayRunners(4_100) // 170
- */
-export function relayRunners(descriptors: number): number {
-  const affordable = Math.floor((descriptors * relayDescriptorFraction) / connectionsPerRunner)
-  return Math.max(1, Math.min(maxRelayRunners, affordable))
-}
-
 /** Reads the number of descriptors that this process may open; infinite where it is not known. */
 export function readDescriptorLimit(): number {
   try {
--- a/packages/caller-server/src/index.ts
+++ b/packages/caller-server/src/index.ts
@@ -13,7 +13,6 @@
   clientLimitSettings,
   internalLimits,
   readDescriptorLimit,
-  relayRunners,
   requestTimeoutSetting,
   type ClientLimitSettings,
 } from './client-limit-settings.js'
--- a/packages/host-program/src/host-program.ts
+++ b/packages/host-program/src/host-program.ts
@@ -7,7 +7,6 @@
   createLimitReports,
   internalLimits,
   readDescriptorLimit,
-  relayRunners,
   type CallerServer,
   type ClientLimitSettings,
   type ClientLogLimit,
@@ -64,6 +63,7 @@
 import { dispatchCapacity } from './dispatch-capacity.js'
 import { followLoad } from './follow-load.js'
 import { createInternalServer, type InternalServer } from './internal-server.js'
+import { relayRunners } from './relay-runners.js'
 import { dispatcherTiming } from './timing.js'
 
 /** Pause between two calls that wait for changes of the operators' table, in milliseconds. */
