--- a/packages/caller-server/src/caller-server.ts
+++ b/packages/caller-server/src/caller-server.ts
@@ -191,8 +191,14 @@
   'requests-of-process': 'host-limit-reached',
 }
 
-/** HTTP/1.1 requires a host; one without it is refused, as Node does by default. */
-function lacksHost(req: IncomingMessage): boolean {
+/**
+ * Whether a request has no host, which HTTP/1.1 requires. Servers with limits on clients check it after
+ * these, instead of Node.
+ *
+ * @example
+ * if (lacksHost(req)) refuse('bad-request')
+ */
+export function lacksHost(req: IncomingMessage): boolean {
   return req.httpVersion === '1.1' && req.headers.host === undefined
 }
 
--- a/packages/caller-server/src/index.ts
+++ b/packages/caller-server/src/index.ts
@@ -1,6 +1,7 @@
 export { sendError, sendJson } from './json-response.js'
 export {
   createCallerServer,
+  lacksHost,
   listen,
   type CallerHandler,
   type CallerServer,
--- a/packages/entry/src/operator-server.ts
+++ b/packages/entry/src/operator-server.ts
@@ -5,6 +5,7 @@
 import type { Metrics } from '@bulrushbridge/telemetry'
 import {
   createCachedValue,
+  lacksHost,
   limitConnections,
   listen,
   sendError,
@@ -98,7 +99,7 @@
         refuse('host-limit-reached')
         return
       }
-      if (req.headers.host === undefined && req.httpVersion === '1.1') {
+      if (lacksHost(req)) {
         refuse('bad-request')
         return
       }
