--- a/packages/runner-relay/src/relay-server.ts
+++ b/packages/runner-relay/src/relay-server.ts
@@ -1,6 +1,11 @@
 import { createServer } from 'node:http'
 import { randomUUID } from 'node:crypto'
-import { limitConnections, type ClientLimits, type LimitCause } from '@bulrushbridge/caller-server'
+import {
+  limitConnections,
+  listen,
+  type ClientLimits,
+  type LimitCause,
+} from '@bulrushbridge/caller-server'
 import type { RunnerApi } from '@bulrushbridge/scheduler'
 import type { Logger } from '@bulrushbridge/telemetry'
 import { FenceRecord } from './fence-record.js'
@@ -110,12 +115,7 @@
     if (closeAfterPause(pauseDetector.check())) return
     for (const connection of connections) connection.showAlive()
   }, aliveIntervalMs)
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(opts.port, opts.host, resolve)
-  })
-  const bound = server.address()
-  const port = typeof bound === 'object' && bound !== null ? bound.port : opts.port
+  const port = await listen(server, opts.host, opts.port)
   return {
     address: `${opts.host}:${port}`,
     instance,
