--- a/packages/entry/src/entry-core.ts
+++ b/packages/entry/src/entry-core.ts
@@ -1,10 +1,6 @@
 import { randomBytes } from 'node:crypto'
 import { createConfigView, type ConfigView } from '@bulrushbridge/config-view'
-import {
-  internalLimits,
-  readDescriptorLimit,
-  type LimitReports,
-} from '@bulrushbridge/caller-server'
+import { internalLimits, type LimitReports } from '@bulrushbridge/caller-server'
 import type { EnvironmentConfiguration, Member } from '@bulrushbridge/contract'
 import { normalizeError, type Clock } from '@bulrushbridge/errors'
 import { createPeerLinks, createPeerServer } from '@bulrushbridge/peer-link'
@@ -34,6 +30,8 @@
   clock: Clock
   storage: Storage
   limitReports: LimitReports
+  /** Descriptors that the program may open. */
+  descriptors: number
 }
 
 /** The core of an entry host: configuration view, permits, services and peer server. */
@@ -54,7 +52,8 @@
  * requests of callers.
  *
  * @example
- * const core = await createEntryCore({ cfg, clock, storage, limitReports, log, metrics, tracing })
+ * const telemetry = createEntryTelemetry(cfg)
+ * const core = await createEntryCore({ cfg, clock, storage, limitReports, descriptors, ...telemetry })
  * await core.close()
  */
 export async function createEntryCore(opts: EntryCoreOptions): Promise<EntryCore> {
@@ -91,7 +90,7 @@
     port: cfg['peer-port'],
     secret,
     tls,
-    maxConnections: internalLimits(cfg, readDescriptorLimit()).maxConnections,
+    maxConnections: internalLimits(cfg, opts.descriptors).maxConnections,
     onLimit: (cause, address) => {
       opts.limitReports.report('peers', cause, address)
     },
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -59,9 +59,17 @@
   const telemetry = createEntryTelemetry(cfg)
   const { log, metrics, tracing } = telemetry
   const limitReports = createLimitReports(log, metrics)
+  const descriptors = readDescriptorLimit()
   const storage = createStorage(cfg, clock)
   const { table, committer } = storage
-  const core = await createEntryCore({ cfg, clock, storage, limitReports, ...telemetry })
+  const core = await createEntryCore({
+    cfg,
+    clock,
+    storage,
+    limitReports,
+    descriptors,
+    ...telemetry,
+  })
   const { view, permits, services } = core
   const hostList = createHostListReader({
     url: cfg['hosts-url'],
@@ -74,12 +82,12 @@
   let isShuttingDown = false
   let isRefusing = false
   const callerServer = await startCallerServer({
-    ...{ cfg, clock, storage, core, records, limitReports, ...telemetry },
+    ...{ cfg, clock, storage, core, records, limitReports, descriptors, ...telemetry },
     isRefusing: () => isRefusing,
   })
   const membership = createMembershipTask({ view, log, clock })
   const operatorServer = await startOperatorServer({
-    ...{ cfg, clock, storage, view, metrics, limitReports },
+    ...{ cfg, clock, storage, view, metrics, limitReports, descriptors },
     notReady: () =>
       notReadyReason({ view, permits, membership, isShuttingDown: () => isShuttingDown }),
   })
@@ -133,6 +141,8 @@
   core: EntryCore
   records: IdempotencyRecords
   limitReports: LimitReports
+  /** Descriptors that the program may open. */
+  descriptors: number
   /**
    * Whether a shutdown has ended its wait for the balancer; new requests are refused from then on.
    */
@@ -183,7 +193,7 @@
       '/queues/:queue/jobs/**': handleJobs,
       '/queues/:queue/jobs': handleJobs,
     },
-    limits: callerLimits(cfg, readDescriptorLimit()),
+    limits: callerLimits(cfg, parts.descriptors),
     onLimit: (cause, address) => {
       limitReports.report('callers', cause, address)
     },
@@ -223,6 +233,8 @@
   view: ConfigView
   metrics: Metrics
   limitReports: LimitReports
+  /** Descriptors that the program may open. */
+  descriptors: number
   notReady: () => string | undefined
 }
 
@@ -242,7 +254,7 @@
     metrics,
     api,
     notReady,
-    limits: internalLimits(cfg, readDescriptorLimit()),
+    limits: internalLimits(cfg, parts.descriptors),
     onLimit: (cause, address) => {
       limitReports.report('operators', cause, address)
     },
