fix(dispatcher): delete the blocks of done steps after the row that says so

Cause: the rows of a large job fill several transactions, and one list held new blocks and deleted blocks before the job's own row. A dispatcher that ended between two of these transactions left an own row that said "in blocks" of steps whose blocks were gone; the next one took all their tasks for untouched.

Now blocks are written before the own row and deleted after it, and the own row shares a transaction with the rows that are deleted together with it (queued and accepted job, cancellation, chunks of the definition).

--- /dev/null
+++ b/packages/dispatcher/__tests__/split-rows-takeover.test.ts
@@ -0,0 +1,55 @@
+import { taskBlocksTable, type Step } from '@bulrushbridge/scheduler'
+import { waitUntil, type MemoryStore } from '@bulrushbridge/standins'
+import t from 'tap'
+import { createFleet, oneTask } from './fixture.js'
+
+const id = '00000000000000a1'
+const stepCount = 200
+const tinyTask: Step = { ...oneTask, amounts: { cpuMillis: 1, memoryMb: 1, accelerators: 0 } }
+
+/** Makes the store refuse all calls once it has performed some transactions that delete blocks. */
+function refuseAfterDeletions(store: MemoryStore, count: number): { readonly performed: number } {
+  const commit = store.commit.bind(store)
+  const deletions = { performed: 0 }
+  store.commit = async (tx, opts) => {
+    const result = await commit(tx, opts)
+    if (tx.writes.some(({ table, value }) => table === taskBlocksTable && value === null)) {
+      deletions.performed += 1
+      if (deletions.performed === count) store.fault = 'refuse'
+    }
+    return result
+  }
+  return deletions
+}
+
+// Guards against TWICE: the blocks of steps that had ended were deleted some transactions before the job's
+// own row said that the steps were done, and a dispatcher that took over in between started their tasks anew.
+for (const boundary of [1, 2, 3]) {
+  void t.test(
+    `tasks that have ended run once if the holder is lost after transaction ${boundary} of their end`,
+    async t => {
+      const fleet = createFleet({ dispatcherLeaseMs: 1_000 })
+      const capacity = { cpuMillis: 100_000, memoryMb: 100_000, accelerators: 0 }
+      const runner = await fleet.addRunner('i-7f3a91c0', { capacity })
+      const first = fleet.start('host-1')
+      const steps = Array.from({ length: stepCount }, () => ({ ...tinyTask, count: 2 }))
+      await fleet.submit(id, [...steps, { ...tinyTask, after: steps.map((_, n) => n) }])
+      await waitUntil(() => runner.running.size === 2 * stepCount)
+      for (const task of [...runner.running.keys()])
+        if (task.endsWith('.0')) runner.end(task, 'done')
+      await waitUntil(() => runner.acknowledged === stepCount)
+      refuseAfterDeletions(fleet.store, boundary)
+      for (const task of [...runner.running.keys()]) runner.end(task, 'done')
+      await waitUntil(() => fleet.store.fault === 'refuse')
+      await first.close()
+      fleet.store.fault = 'none'
+      const second = fleet.start('host-2')
+      t.teardown(() => second.close())
+      const last = `${id}.0.${stepCount}.0`
+      await waitUntil(() => runner.running.has(last))
+      t.equal(runner.startedRuns.length, 2 * stepCount + 1, 'no task ran twice')
+      runner.end(last, 'done')
+      await waitUntil(async () => (await fleet.progress(id))?.status === 'completed')
+    },
+  )
+}
--- a/packages/dispatcher/src/part-writer.ts
+++ b/packages/dispatcher/src/part-writer.ts
@@ -4,7 +4,7 @@
 import { StoreError, wait, type Check, type TableService, type Write } from '@bulrushbridge/store'
 import type { Logger } from '@bulrushbridge/telemetry'
 import { z } from 'zod'
-import { groupIntoTransactions, takeJobRows } from './job-rows.js'
+import { groupIntoTransactions, markRowsUnstored, takeJobRows } from './job-rows.js'
 
 /** Key of the head row of each part (partition) of the store; it names the term that may write. */
 const headKey = 'dispatcher'
@@ -187,7 +187,7 @@
   /** Writes jobs, in as many transactions as their size asks for. */
   async #writeBatch(batch: readonly PendingWrite[]): Promise<void> {
     this.#oldestInFlightSince = batch[0]?.since
-    const rows = new Map(batch.map(each => [each.job, takeJobRows(each.job)]))
+    const rows = new Map(batch.map(({ job }) => [job, takeJobRows(job)]))
     let outcome: CommitOutcome = 'stored'
     for (const { writes, completes } of groupIntoTransactions([...rows.values()])) {
       outcome = await this.#commit(writes, completes.length)
@@ -198,7 +198,7 @@
       }
     }
     const unwritten = batch.filter(({ job }) => rows.has(job))
-    for (const { job } of unwritten) job.markUnstored(rows.get(job)?.blockKeys ?? [])
+    for (const each of rows.values()) markRowsUnstored(each)
     const [first] = unwritten
     if (outcome === 'rejected' && unwritten.length === 1 && first !== undefined) this.#reject(first)
     else this.#requeue(unwritten)
