fix(dispatcher): store that a job has ended before the blocks that show why

Callers could see a task start once more than its queue allows (BUDGET).

Cause: when a task failed for the last time, its block was written some transactions before the job's own row said `failed`. A dispatcher that took over in between found a job that runs and a task that has used all attempts, whose last end had been counted, and started the task again. The same holds for a job that is given up because a task crashes runners.

The own row of a job that has ended now comes first. Nothing of such a job starts, so its blocks may say less; their runs are found and stopped as before. A job that is loaded as ended and without runs is written once more, so that its rows don't stay.

--- a/packages/dispatcher/__tests__/split-rows-takeover.test.ts
+++ b/packages/dispatcher/__tests__/split-rows-takeover.test.ts
@@ -1,7 +1,13 @@
-import { taskBlocksTable, type Step } from '@bulrushbridge/scheduler'
+import {
+  acceptedJobsTable,
+  partOf,
+  progressTable,
+  taskBlocksTable,
+  type Step,
+} from '@bulrushbridge/scheduler'
 import { waitUntil, type MemoryStore } from '@bulrushbridge/standins'
 import t from 'tap'
-import { createFleet, oneTask } from './fixture.js'
+import { createFleet, oneTask, queueName } from './fixture.js'
 
 const id = '00000000000000a1'
 const stepCount = 200
@@ -53,3 +59,25 @@
     },
   )
 }
+
+// Guards against rows that stay for ever: the own row of a job that has ended is stored some transactions
+// before its blocks, and a dispatcher that took over in between never wrote the job again.
+void t.test(
+  'a job that has ended is removed although its last rows were not all stored',
+  async t => {
+    const fleet = createFleet()
+    const part = partOf(id)
+    const put = (table: string, key: string, value: unknown) =>
+      fleet.store.commit({ checks: [], writes: [{ table, part, key, value }] }, { part })
+    await fleet.submit(id, [{ ...tinyTask, count: 300 }])
+    const steps = { 0: '2' }
+    await put(progressTable, id, { status: 'failed', queue: queueName, endedAt: Date.now(), steps })
+    const tasks = [[0, 2, 2, 0, -1, -1]]
+    await put(taskBlocksTable, `${id}.0.0.0`, { done: '', runners: [], checkpoints: [], tasks })
+    const dispatcher = fleet.start('host-1')
+    t.teardown(() => dispatcher.close())
+    await waitUntil(async () => (await fleet.store.scan(taskBlocksTable, { part })).length === 0)
+    t.equal(await fleet.store.read(acceptedJobsTable, id, { part }), undefined)
+    t.match(await fleet.progress(id), { status: 'failed', steps: undefined })
+  },
+)
--- a/packages/dispatcher/__tests__/split-rows.test.ts
+++ b/packages/dispatcher/__tests__/split-rows.test.ts
@@ -1,9 +1,15 @@
-import { type JobDefinition, type JobExecution, type Task } from '@bulrushbridge/scheduler'
+import {
+  maxCrashes,
+  type JobDefinition,
+  type JobExecution,
+  type Task,
+} from '@bulrushbridge/scheduler'
 import t from 'tap'
 import { oneTask, queueName } from './fixture.js'
 import {
   beginAll,
   createSplitPlay,
+  fail,
   finish,
   type SplitPlay,
   type WriteFault,
@@ -33,6 +39,18 @@
 const isFirst = ({ index }: Task) => index === 0
 const isInStepBelow = (limit: number) => (task: Task) => task.step.number < limit
 
+function crash(job: JobExecution, task: Task): void {
+  job.recordCrash(task)
+  if (task.crashes >= maxCrashes) job.end('failed', 1)
+  job.abandonRun(task)
+}
+
+const firstTask = (job: JobExecution): Task => {
+  const task = job.task(0, 0, 0)
+  if (task === undefined) throw new Error('the job has no task')
+  return task
+}
+
 const scenarios: Record<string, Scenario> = {
   'the first starts': {
     steps: stepsOf(270),
@@ -88,6 +106,36 @@
       beginAll(job)
     },
   },
+  'a failure of the job': {
+    steps: stepsOf(200, 2),
+    prepare: async play => {
+      await beginAndWrite(play)
+      fail(play.job, firstTask(play.job))
+      await beginAndWrite(play)
+    },
+    change: job => {
+      fail(job, firstTask(job))
+      finish(job, isInStepBelow(100))
+      for (const task of [...job.tasksWithRun()].slice(0, 95)) fail(job, task)
+    },
+    changeLater: job => {
+      for (const task of [...job.tasksWithRun()]) job.clearRun(task)
+    },
+  },
+  'a job that fails because its task crashes runners': {
+    steps: stepsOf(270),
+    prepare: async play => {
+      await beginAndWrite(play)
+      for (let n = 1; n < maxCrashes; n++) {
+        crash(play.job, firstTask(play.job))
+        await beginAndWrite(play)
+      }
+    },
+    change: job => {
+      crash(job, firstTask(job))
+      for (const task of [...job.tasksWithRun()].slice(0, 95)) crash(job, task)
+    },
+  },
   'a cancellation': {
     steps: stepsOf(200, 2),
     prepare: beginAndWrite,
--- a/packages/dispatcher/src/job-rows.ts
+++ b/packages/dispatcher/src/job-rows.ts
@@ -28,17 +28,20 @@
  * - A task that has begun is found as begun, and one that is done as done. The own row names the steps
  *   and occurrences that are done, and supersedes their blocks. So a block that says more than the own
  *   row is stored before it, and a block is deleted after the own row that supersedes it.
+ * - No task may start once more than its job allows. A job ends for a reason that its blocks show, such
+ *   as the failures of a task. So once it has ended its own row comes first; nothing of it starts then,
+ *   so that blocks may say less.
  * - What the own row says of the job as a whole agrees with its other tables, because the rows that
  *   depend on each other share a transaction.
  */
 export interface JobRows {
   job: JobExecution
   status: JobStatus
-  /** Blocks that are stored before the own rows. */
+  /** Blocks that are written before the own rows. */
   before: Write[]
   /** The job's own row, and the rows that are deleted together with it. */
   own: Write[]
-  /** Blocks that are deleted after the own rows. */
+  /** Blocks that are written or deleted after the own rows. */
   after: Write[]
 }
 
@@ -55,7 +58,7 @@
   const after: Write[] = []
   for (const { key, value } of blocks) {
     const write = { table: taskBlocksTable, part: job.part, key: blockRowKey(job, key), value }
-    if (value === null) after.push(write)
+    if (value === null || job.hasEnded) after.push(write)
     else before.push(write)
   }
   return { job, status: job.status, before, own: ownRows(job, progress), after }
--- a/packages/dispatcher/src/job-tracker.ts
+++ b/packages/dispatcher/src/job-tracker.ts
@@ -131,6 +131,8 @@
     const { status } = job
     this.#ctx.opts.log.info('job loaded', { job: id, queue, organisation, status, ageMs, chunks })
     this.#onJobLoaded(definition)
+    // Its last rows were stored in part: they say that it has ended, but not that nothing of it runs.
+    if (job.hasEnded && !job.hasRuns) this.#storeAndForget(job)
     this.#ctx.requestPass()
     if (this.#cancelledEarly.delete(id)) this.#cancel(id)
   }
@@ -252,9 +254,7 @@
     if (task?.run?.number !== runNumber || task.run.runnerId !== session.id) return
     const { job } = task.step
     job.abandonRun(task)
-    void this.#ctx.storeJob(job).then(() => {
-      this.#forgetIfEnded(job)
-    })
+    this.#storeAndForget(job)
     this.#ctx.requestPass()
   }
 
@@ -301,9 +301,7 @@
       this.#logOutcome(job)
       this.#stopRuns(job)
     }
-    void this.#ctx.storeJob(job).then(() => {
-      this.#forgetIfEnded(job)
-    })
+    this.#storeAndForget(job)
   }
 
   /** Deletes the cancellation of a job that ended before the cancellation was read. */
@@ -339,6 +337,12 @@
     if (allocation.state !== 'recorded') void session.stop(allocation)
   }
 
+  #storeAndForget(job: JobExecution): void {
+    void this.#ctx.storeJob(job).then(() => {
+      this.#forgetIfEnded(job)
+    })
+  }
+
   /** Removes an ended job without runs from memory; later run ends of it need not be stored. */
   #forgetIfEnded(job: JobExecution): void {
     if (!job.hasEnded || job.hasRuns) return
