fix(scheduler): restore a job whose progress was being moved to blocks

Callers could see a task run twice after two takeovers, or beside its run after one (TWICE).

Cause: a job with up to 256 open tasks keeps their progress in its own row. When it outgrows the row, for example as occurrences open, its progress moves to blocks, which fill several transactions before the own row. A dispatcher that took over in between applied the blocks and counted the rest of the own row as stored in blocks too, so its next write left out all tasks that had no block yet. It also kept the runs of tasks which the own row showed as running and a block as done.

The tasks of all steps are now counted once, after blocks have been applied to what the own row says; a block without a run clears the run; and if the own row is not yet one of a job in blocks, all blocks are written with the next write.

--- a/packages/dispatcher/__tests__/split-rows-fixture.ts
+++ b/packages/dispatcher/__tests__/split-rows-fixture.ts
@@ -62,6 +62,7 @@
   readonly breaches: string[] = []
   transactionCount = 0
   readonly #store = createMemoryStore()
+  readonly #commit = this.#store.commit.bind(this.#store)
   readonly #writer: PartWriter
   /** The job as it was when a write of it was last answered. */
   #answered: JobSummary
@@ -80,7 +81,7 @@
     const accepted = [{ table: progressTable, part, key: id, value }]
     await this.#store.commit({ checks: [], writes: accepted }, { part })
     await this.#writer.claim()
-    const commit = this.#store.commit.bind(this.#store)
+    const commit = this.#commit
     this.#store.commit = async (tx, opts) => {
       if (!tx.writes.some(({ key }) => key.startsWith(id))) return commit(tx, opts)
       this.transactionCount += 1
--- a/packages/dispatcher/__tests__/split-rows.test.ts
+++ b/packages/dispatcher/__tests__/split-rows.test.ts
@@ -182,6 +182,25 @@
       finish(job, ({ step }) => step.occurrence < 250)
     },
   },
+  'a job that outgrows its own row': {
+    steps: stepsOf(1),
+    schedule: { occurrences: 600, firstAt: 0, intervalMs: 1 },
+    prepare: async play => {
+      play.job.openDueOccurrences(200)
+      await beginAndWrite(play)
+      finish(play.job, ({ step }) => step.occurrence % 2 === 0)
+      await play.write()
+    },
+    change: job => {
+      finish(job, ({ step }) => step.occurrence % 3 === 0)
+      job.openDueOccurrences(450)
+      beginAll(job)
+    },
+    changeLater: job => {
+      // Only runs whose record was answered can have been ordered, and have ended.
+      finish(job, ({ step }) => step.occurrence < 200 && step.occurrence % 5 === 0)
+    },
+  },
   'a gang that starts beside other steps': {
     steps: [...stepsOf(150), { ...oneTask, count: 300, isGang: true }],
     prepare: () => Promise.resolve(),
@@ -189,10 +208,7 @@
   },
 }
 
-async function play(
-  { steps, schedule, prepare, change, changeLater }: Scenario,
-  fault?: { at: number; kind: WriteFault },
-) {
+async function createPrepared({ steps, schedule, prepare, change }: Scenario): Promise<SplitPlay> {
   const definition: JobDefinition = {
     id,
     queue: queueName,
@@ -201,25 +217,25 @@
     acceptedAt: 0,
     ...(schedule === undefined ? {} : { schedule }),
   }
-  const created = await createSplitPlay(definition)
+  const play = await createSplitPlay(definition)
+  play.job.openDueOccurrences(0)
+  await prepare(play)
+  change(play.job)
+  return play
+}
+
+async function writeChange(scenario: Scenario, fault?: { at: number; kind: WriteFault }) {
+  const play = await createPrepared(scenario)
   try {
-    created.job.openDueOccurrences(0)
-    await prepare(created)
-    change(created.job)
-    await created.write(
-      fault === undefined
-        ? undefined
-        : {
-            ...fault,
-            whileFailed: () => changeLater?.(created.job),
-          },
-    )
-    const { transactionCount, breaches } = created
-    if (created.job.hasEnded && !created.job.hasRuns && (await created.blockCount()) > 0)
-      return { transactionCount, breaches: [...breaches, 'blocks are left'] }
-    return { transactionCount, breaches }
+    const { job } = play
+    const whileFailed = () => scenario.changeLater?.(job)
+    await play.write(fault === undefined ? undefined : { ...fault, whileFailed })
+    const { transactionCount, breaches } = play
+    const isOver = job.hasEnded && !job.hasRuns
+    const left = isOver && (await play.blockCount()) > 0 ? ['blocks are left'] : []
+    return { transactionCount, breaches: [...breaches, ...left] }
   } finally {
-    await created.close()
+    await play.close()
   }
 }
 
@@ -227,17 +243,17 @@
   // Guards against TWICE, BUDGET and LOST: a dispatcher was killed between two transactions of one job,
   // and the next one read rows of which some were older than others.
   void t.test(`after each transaction the job is whole: ${name}`, async t => {
-    const { transactionCount, breaches } = await play(scenario)
+    const { transactionCount, breaches } = await writeChange(scenario)
     t.ok(transactionCount > 1, 'the rows fill several transactions')
     t.same(breaches.slice(0, 5), [])
   })
 
   // Guards against the same when a transaction fails and the job is written again with later changes.
   void t.test(`after each transaction of a repeated write the job is whole: ${name}`, async t => {
-    const { transactionCount } = await play(scenario)
+    const { transactionCount } = await writeChange(scenario)
     for (const kind of ['refused', 'answer-lost'] as const) {
       for (let at = 1; at <= transactionCount; at++) {
-        const { breaches } = await play(scenario, { at, kind })
+        const { breaches } = await writeChange(scenario, { at, kind })
         t.same(breaches.slice(0, 5), [], `${kind} at transaction ${at}`)
       }
     }
--- a/packages/scheduler/src/job-execution.ts
+++ b/packages/scheduler/src/job-execution.ts
@@ -109,12 +109,12 @@
     this.hasQueuedRow =
       job.schedule === undefined && (progress === undefined || progress.status === 'queued')
     if (progress !== undefined) this.#restore(progress)
-    const restored = new Set<StepExecution>()
-    for (const block of blocks) {
-      const step = this.#restoreBlock(block)
-      if (step !== undefined) restored.add(step)
+    for (const block of blocks) this.#restoreBlock(block)
+    for (const { steps } of this.openOccurrences.values()) {
+      for (const step of steps) if (!step.tasks.isUntouched) this.#finishRestore(step)
     }
-    for (const step of restored) this.#finishRestore(step)
+    // A dispatcher ended while it moved the progress from the own row to blocks.
+    if (this.#usesBlocks && progress?.steps === undefined) this.#changeAllBlocks()
     this.#isPlaced = this.openOccurrences.size > 0
   }
 
@@ -251,10 +251,7 @@
     if (!isStepDone(step)) return
     const occurrence = this.openOccurrences.get(step.occurrence)
     if (occurrence !== undefined) occurrence.readySteps = undefined
-    for (let index = 0; index < step.tasks.length; index += tasksPerBlock) {
-      const key = blockKey(step, index)
-      if (this.#storedBlocks.has(key)) this.#changedBlocks.add(key)
-    }
+    for (const key of blockKeys(step)) if (this.#storedBlocks.has(key)) this.#changedBlocks.add(key)
     if (occurrence?.steps.every(isStepDone) === true) {
       this.openOccurrences.delete(step.occurrence)
       if (this.openOccurrences.size > 0) this.onOccurrenceComplete()
@@ -351,8 +348,7 @@
     for (const { steps } of this.openOccurrences.values()) {
       for (const step of steps) {
         if (step.tasks.isUntouched || isStepDone(step)) continue
-        for (let index = 0; index < step.tasks.length; index += tasksPerBlock)
-          this.#changedBlocks.add(blockKey(step, index))
+        for (const key of blockKeys(step)) this.#changedBlocks.add(key)
       }
     }
   }
@@ -414,16 +410,14 @@
       for (const [index, step] of steps.entries()) {
         if (states[index] !== stepStates.done) continue
         step.tasks.markAllDone()
-        this.#finishRestore(step)
+        step.doneCount = step.tasks.length
       }
     }
     for (const [name, crashes] of Object.entries(progress.crashes ?? {})) {
       const parsed = parseTaskName(`${this.definition.id}.${name}`)
       const task =
         parsed === undefined ? undefined : this.task(parsed.occurrence, parsed.step, parsed.index)
-      if (task === undefined) continue
-      task.crashes = crashes
-      this.#crashSuspects.add(task)
+      if (task !== undefined) task.crashes = crashes
     }
   }
 
@@ -433,12 +427,12 @@
         if (each === 1) step.tasks.markDone(index)
         else if (each !== 0) restoreTask(step, index, each)
       }
-      this.#finishRestore(step)
+      step.doneCount = step.tasks.doneCount
     }
   }
 
-  /** Restores the tasks of a block; returns their step, if it is not done. */
-  #restoreBlock({ key, value }: StoredBlock): StepExecution | undefined {
+  /** Restores the tasks of a block, whose progress is not older than that in the own row. */
+  #restoreBlock({ key, value }: StoredBlock): void {
     this.#storedBlocks.add(key)
     const [number = -1, step = -1, block = 0] = key.split('.').map(Number)
     const isComplete = this.#completeOccurrences.has(number)
@@ -446,11 +440,10 @@
     if (execution === undefined || isStepDone(execution)) {
       // It is left over from a complete step and is deleted with the next write.
       this.#changedBlocks.add(key)
-      return undefined
+      return
     }
     this.#usesBlocks = true
     applyBlock(execution.tasks, block, value)
-    return execution
   }
 
   /** Counts the tasks of a step, after they were restored. */
@@ -546,6 +539,14 @@
   return `${occurrence}.${number}.${Math.floor(index / tasksPerBlock)}`
 }
 
+/** Keys of all blocks that a step can have, in the order of their tasks. */
+function blockKeys(step: StepExecution): string[] {
+  const keys: string[] = []
+  for (let index = 0; index < step.tasks.length; index += tasksPerBlock)
+    keys.push(blockKey(step, index))
+  return keys
+}
+
 function jsonBytes(value: unknown): number {
   return Buffer.byteLength(JSON.stringify(value))
 }
--- a/packages/scheduler/src/task-block.ts
+++ b/packages/scheduler/src/task-block.ts
@@ -129,11 +129,11 @@
     const checkpoint = checkpoints[checkpointAt] ?? ''
     Object.assign(task, { failures, lastRun, crashes } satisfies Partial<Task>)
     tasks.saveCheckpoint(task, checkpoint)
-    const runner = runners[runnerAt]
-    if (runner !== undefined) {
-      const [runnerId, runnerStartedAt] = runner
-      task.run = { number: lastRun, runnerId, runnerStartedAt, isOrdered: true }
-    }
+    const [runnerId, runnerStartedAt] = runners[runnerAt] ?? []
+    task.run =
+      runnerId === undefined || runnerStartedAt === undefined
+        ? undefined
+        : { number: lastRun, runnerId, runnerStartedAt, isOrdered: true }
     tasks.update(task)
   }
   return true
