fix(scheduler): take no step for untouched whose blocks were deleted

A host that is upgraded may meet rows that the earlier build left behind when it ended between two transactions: a step that its job's own row shows as in blocks, and of which blocks are missing. All tasks of the missing blocks were started again (TWICE).

Earlier builds deleted blocks of steps that were done, and of no others: the step is now restored as done. That holds for a step without any block, and for one with a gap below a block whose tasks have all begun. The log names the job. So that no other row looks like this, a step is stored as begun only if a task of it has begun, not if one is merely kept in memory; and blocks that were not stored are written before later ones, in the order in which they began.

Not to be told from rows of a step that goes on, and so still taken for tasks that have not begun: the last blocks of a step of more than 128 tasks, if only these were deleted.

--- a/packages/dispatcher/__tests__/split-rows-fixture.ts
+++ b/packages/dispatcher/__tests__/split-rows-fixture.ts
@@ -10,6 +10,7 @@
 import { createMemoryStore, waitUntil, type MemoryStore } from '@bulrushbridge/standins'
 import { StoreError } from '@bulrushbridge/store'
 import { createLogger } from '@bulrushbridge/telemetry'
+import { takeJobRows } from '../src/job-rows.js'
 import { createPartWriter, type PartWriter } from '../src/part-writer.js'
 import { readProgress, type EarlierProgress } from '../src/read-progress.js'
 import { queueName } from './fixture.js'
@@ -23,6 +24,9 @@
 /** Logger of what the play calls. */
 const log = createLogger({ program: 'test', level: 'silent' })
 
+/** Number of deleted blocks after which {@link SplitPlay.deleteBlocksFirst} checks the job. */
+const checkedDeletions = 47
+
 interface TaskState {
   isDone: boolean
   lastRun: number
@@ -45,6 +49,11 @@
   readonly breaches: readonly string[]
   /** Writes the job; `fault` befalls the transaction with this number, and `whileFailed` is called then. */
   write(fault?: { at: number; kind: WriteFault; whileFailed: () => void }): Promise<void>
+  /**
+   * Deletes the blocks that the next write would delete, one by one and before all other rows, as earlier
+   * builds did.
+   */
+  deleteBlocksFirst(): Promise<void>
   /** Number of blocks that the store has. */
   blockCount(): Promise<number>
   close(): Promise<void>
@@ -109,6 +118,18 @@
     this.#answered = summarize(this.job)
   }
 
+  async deleteBlocksFirst(): Promise<void> {
+    const { part } = this.job
+    const { after } = takeJobRows(this.job)
+    this.transactionCount = 0
+    for (const write of after) {
+      this.transactionCount += 1
+      await this.#commit({ checks: [], writes: [write] }, { part })
+      if (this.transactionCount % checkedDeletions === 0) await this.#check()
+    }
+    await this.#check()
+  }
+
   async blockCount(): Promise<number> {
     return (await this.#store.scan(taskBlocksTable, { part: this.job.part })).length
   }
--- a/packages/dispatcher/__tests__/split-rows.test.ts
+++ b/packages/dispatcher/__tests__/split-rows.test.ts
@@ -259,3 +259,22 @@
     }
   })
 }
+
+const earlyDeletions = [
+  'ends of steps',
+  'ends of steps of several blocks',
+  'occurrences that are complete and others that open',
+]
+for (const name of earlyDeletions) {
+  // Guards against TWICE after an upgrade: earlier builds deleted blocks some transactions before the own row
+  // said that their steps were done, and what they left was taken for tasks that had not begun.
+  void t.test(`blocks that earlier builds have deleted start no task: ${name}`, async t => {
+    const scenario = scenarios[name]
+    if (scenario === undefined) throw new Error(`there is no scenario ${name}`)
+    const play = await createPrepared(scenario)
+    t.teardown(() => play.close())
+    await play.deleteBlocksFirst()
+    t.ok(play.transactionCount > 40, 'blocks were deleted')
+    t.same(play.breaches.slice(0, 5), [])
+  })
+}
--- a/packages/dispatcher/src/job-tracker.ts
+++ b/packages/dispatcher/src/job-tracker.ts
@@ -129,7 +129,15 @@
     const { queue, organisation, acceptedAt } = definition
     const ageMs = Date.now() - acceptedAt
     const { status } = job
-    this.#ctx.opts.log.info('job loaded', { job: id, queue, organisation, status, ageMs, chunks })
+    const { log } = this.#ctx.opts
+    log.info('job loaded', { job: id, queue, organisation, status, ageMs, chunks })
+    const [first] = job.stepsWithLostBlocks
+    if (first !== undefined)
+      log.warn('steps taken for done, their stored tasks are missing', {
+        job: id,
+        steps: job.stepsWithLostBlocks.length,
+        first: first.name,
+      })
     this.#onJobLoaded(definition)
     // Its last rows were stored in part: they say that it has ended, but not that nothing of it runs.
     if (job.hasEnded && !job.hasRuns) this.#storeAndForget(job)
--- a/packages/scheduler/__tests__/job-execution.test.ts
+++ b/packages/scheduler/__tests__/job-execution.test.ts
@@ -126,3 +126,38 @@
   t.equal(job.status, 'completed')
   t.end()
 })
+
+// Guards against a job that counts as done although a step of it never ran: a takeover takes a step for done
+// that is stored as begun and of which no block is stored.
+void t.test('a step is stored as begun only if a task of it has begun', t => {
+  const job = createJob('1', { steps: [{ ...step, count: 300 }, step] })
+  const [task] = job.startableSteps()[0]?.tasks.pending() ?? []
+  if (task === undefined) throw new Error('the job has no task')
+  job.beginRun(task, 'r1', 1)
+  // A runner reports a run that was never recorded.
+  t.ok(job.task(0, 1, 0))
+  const { progress, blocks } = job.takeState()
+  t.same(progress.steps, { 0: '20' })
+  t.same(
+    blocks.map(({ key }) => key),
+    ['0.0.0'],
+  )
+  t.end()
+})
+
+// Guards against the same for a task that has begun before those below it.
+void t.test('a block above others that are missing is no sign of a step that is done', t => {
+  const job = createJob('1', { steps: [{ ...step, count: 300 }] })
+  const task = job.task(0, 0, 200)
+  if (task === undefined) throw new Error('the job has no task')
+  job.beginRun(task, 'r1', 1)
+  const { progress, blocks } = job.takeState()
+  t.same(
+    blocks.map(({ key }) => key),
+    ['0.0.1'],
+  )
+  const restored = new JobExecution(job.definition, progress, blocks)
+  t.same(restored.stepsWithLostBlocks, [])
+  t.equal(restored.startableSteps()[0]?.pendingCount, 299)
+  t.end()
+})
--- a/packages/scheduler/src/job-execution.ts
+++ b/packages/scheduler/src/job-execution.ts
@@ -1,5 +1,6 @@
 import { canBeSuspect } from './crash-suspects.js'
 import { hasEnded, type JobDefinition, type JobStatus, type Step } from './job.js'
+import { hasLostBlocks } from './lost-blocks.js'
 import { NumberRanges } from './number-ranges.js'
 import { stepStates, type Progress, type TaskProgress } from './progress.js'
 import { StepTasks } from './step-tasks.js'
@@ -81,6 +82,8 @@
   hasQueuedRow: boolean
   /** Number of rows that hold the definition, if it is too large for the row of the job. */
   definitionChunks = 0
+  /** Steps that were restored as done because blocks of them are missing from the store. */
+  readonly stepsWithLostBlocks: readonly StepExecution[]
   /** Called when one of several open occurrences is complete. */
   onOccurrenceComplete: () => void = () => undefined
   /** Occurrences that have begun and are not complete, by number. */
@@ -103,16 +106,26 @@
   /** Tasks under which runners have crashed. */
   readonly #crashSuspects = new Set<Task>()
 
-  constructor(job: JobDefinition, progress?: Progress, blocks: readonly StoredBlock[] = []) {
+  /** `wallNow` is the time at which the stored state was read, in Unix milliseconds. */
+  constructor(
+    job: JobDefinition,
+    progress?: Progress,
+    blocks: readonly StoredBlock[] = [],
+    wallNow = Date.now(),
+  ) {
     this.definition = job
     this.part = partOf(job.id)
     this.hasQueuedRow =
       job.schedule === undefined && (progress === undefined || progress.status === 'queued')
     if (progress !== undefined) this.#restore(progress)
     for (const block of blocks) this.#restoreBlock(block)
+    this.stepsWithLostBlocks =
+      progress === undefined ? [] : this.#completeStepsWithLostBlocks(progress)
     for (const { steps } of this.openOccurrences.values()) {
       for (const step of steps) if (!step.tasks.isUntouched) this.#finishRestore(step)
     }
+    for (const { occurrence } of this.stepsWithLostBlocks)
+      this.#completeOccurrence(occurrence, wallNow)
     // A dispatcher ended while it moved the progress from the own row to blocks.
     if (this.#usesBlocks && progress?.steps === undefined) this.#changeAllBlocks()
     this.#isPlaced = this.openOccurrences.size > 0
@@ -252,13 +265,17 @@
     const occurrence = this.openOccurrences.get(step.occurrence)
     if (occurrence !== undefined) occurrence.readySteps = undefined
     for (const key of blockKeys(step)) if (this.#storedBlocks.has(key)) this.#changedBlocks.add(key)
-    if (occurrence?.steps.every(isStepDone) === true) {
-      this.openOccurrences.delete(step.occurrence)
-      if (this.openOccurrences.size > 0) this.onOccurrenceComplete()
-      this.#completeOccurrences.add(step.occurrence)
-      if (this.#completeOccurrences.size === this.#occurrenceCount() && !this.hasEnded)
-        this.end('completed', wallNow)
-    }
+    this.#completeOccurrence(step.occurrence, wallNow)
+  }
+
+  /** Completes an open occurrence, and with the last one the job, if its steps are all done. */
+  #completeOccurrence(number: number, wallNow: number): void {
+    if (this.openOccurrences.get(number)?.steps.every(isStepDone) !== true) return
+    this.openOccurrences.delete(number)
+    if (this.openOccurrences.size > 0) this.onOccurrenceComplete()
+    this.#completeOccurrences.add(number)
+    if (this.#completeOccurrences.size === this.#occurrenceCount() && !this.hasEnded)
+      this.end('completed', wallNow)
   }
 
   /** Ends the job with its final status. */
@@ -318,10 +335,14 @@
 
   /** Notes that blocks which {@link takeState} returned may not be stored as they were. */
   markUnstored(keys: Iterable<string>): void {
+    // They go first, so that the blocks of a step are stored in the order in which they have begun.
+    const changedLater = [...this.#changedBlocks]
+    this.#changedBlocks.clear()
     for (const key of keys) {
       this.#changedBlocks.add(key)
       this.#storedBlocks.add(key)
     }
+    for (const key of changedLater) this.#changedBlocks.add(key)
   }
 
   #takeChangedBlocks(): JobState['blocks'] {
@@ -446,6 +467,25 @@
     applyBlock(execution.tasks, block, value)
   }
 
+  /** Marks the steps as done of which blocks were deleted before the own row said that they are. */
+  #completeStepsWithLostBlocks({ status, steps: states = {} }: Progress): StepExecution[] {
+    const found: StepExecution[] = []
+    // The own row of a job that has ended is stored before its blocks.
+    if (hasEnded(status)) return found
+    for (const [name, statesOfSteps] of Object.entries(states)) {
+      for (const step of this.openOccurrences.get(Number(name))?.steps ?? []) {
+        if (statesOfSteps[step.number] !== stepStates.inBlocks) continue
+        const keys = blockKeys(step)
+        const stored = [...keys.keys()].filter(n => this.#storedBlocks.has(keys[n] ?? ''))
+        if (!hasLostBlocks(step.tasks, stored)) continue
+        step.tasks.markAllDone()
+        for (const n of stored) this.#changedBlocks.add(keys[n] ?? '')
+        found.push(step)
+      }
+    }
+    return found
+  }
+
   /** Counts the tasks of a step, after they were restored. */
   #finishRestore(step: StepExecution): void {
     let runCount = 0
--- a/packages/scheduler/src/step-tasks.ts
+++ b/packages/scheduler/src/step-tasks.ts
@@ -33,9 +33,11 @@
     return this.#lastCheckpoint
   }
 
-  /** Whether no task has a state. */
+  /** Whether no task has begun. One that has not may be kept, but nothing of it is stored. */
   get isUntouched(): boolean {
-    return this.#doneCount === 0 && this.#kept.size === 0
+    if (this.#doneCount > 0) return false
+    for (const { lastRun } of this.#kept.values()) if (lastRun > 0) return false
+    return true
   }
 
   *[Symbol.iterator](): Generator<Task> {
