fix(dispatcher): remove blocks only while their job's row is as it was found

Not seen by callers.

Acceptance stores the progress row together with the job, before any block, so with today's hosts a block of a job that goes on always has a row; nothing but that order guaranteed it. Each removal now checks that the job's row is still as it was found, or absent, and blocks are removed before the rows by which they are recognized. The log counts what was removed.

Evidence: "blocks of a job whose progress row has come since it was looked for are kept" was red before.

--- a/packages/dispatcher/src/progress-retention.ts
+++ b/packages/dispatcher/src/progress-retention.ts
@@ -6,14 +6,17 @@
   progressTable,
   taskBlocksTable,
 } from '@bulrushbridge/scheduler'
-import { wait, type Row, type TableService } from '@bulrushbridge/store'
+import { wait, type Check, type Row, type TableService } from '@bulrushbridge/store'
 import type { Logger } from '@bulrushbridge/telemetry'
 
 /** Pause between two removals, in milliseconds. */
 const removalPauseMs = 60_000
 
-/** Most rows in one transaction; with a check for each they stay below the store's 100 entries. */
-const maxRowsPerTransaction = 45
+/**
+ * Most rows in one transaction; with a check for each, and one for the job of each block, they stay below
+ * the store's 100 entries.
+ */
+const maxRowsPerTransaction = 32
 
 /** Factor on the time for which an ended job's status is kept, because hosts' clocks differ. */
 const retentionMargin = 1.5
@@ -67,38 +70,61 @@
   part: string,
   wallNow: number,
 ): Promise<void> {
-  // Blocks are read before progress: a job whose block is found has a progress row by then.
   const blocks = await store.scan(taskBlocksTable, { part })
   const rows = await store.scan(progressTable, { part })
   const old: Row[] = []
   const unfinished = new Set<string>()
+  const versions = new Map<string, number>()
   for (const row of rows) {
+    versions.set(row.key, row.version)
     const { data: progress } = progressSchema.safeParse(row.value)
     const isOver = progress !== undefined && hasEnded(progress.status)
     if (!isOver || progress.steps !== undefined) unfinished.add(row.key)
     if (!isOver) continue
     if (wallNow - (progress.endedAt ?? wallNow) > retentionMargin * statusKeptMs) old.push(row)
   }
-  const leftBlocks = blocks.filter(({ key }) => !unfinished.has(key.slice(0, key.indexOf('.'))))
-  await removeRows(store, { table: progressTable, part }, old)
-  await removeRows(store, { table: taskBlocksTable, part }, leftBlocks)
-  if (old.length + leftBlocks.length > 0)
-    log.info('progress of ended jobs removed', {
-      part,
-      jobs: old.length,
-      blocks: leftBlocks.length,
-    })
+  const leftBlocks = blocks.filter(({ key }) => !unfinished.has(jobOf(key)))
+  // Blocks go first: they are recognized by the progress row of their job. The job may be written beside
+  // the scans, so its row must still be as it was found, or absent.
+  const progressCheck = (key: string): Check => {
+    const job = jobOf(key)
+    return { table: progressTable, part, key: job, version: versions.get(job) ?? 0 }
+  }
+  const place = { table: taskBlocksTable, part }
+  const removedBlocks = await removeRows(store, place, leftBlocks, progressCheck)
+  const removedJobs = await removeRows(store, { table: progressTable, part }, old)
+  if (removedJobs + removedBlocks > 0)
+    log.info('progress of ended jobs removed', { part, jobs: removedJobs, blocks: removedBlocks })
+}
+
+/** The job of a block, by the key of its row. */
+function jobOf(blockKey: string): string {
+  return blockKey.slice(0, blockKey.indexOf('.'))
 }
 
+/**
+ * Removes rows that are still as they were read, if a further check for each of them holds too; returns
+ * their number.
+ */
 async function removeRows(
   store: TableService,
   place: { table: string; part: string },
   rows: readonly Row[],
-): Promise<void> {
+  furtherCheck?: (key: string) => Check,
+): Promise<number> {
+  let removed = 0
   for (let from = 0; from < rows.length; from += maxRowsPerTransaction) {
     const batch = rows.slice(from, from + maxRowsPerTransaction)
-    const checks = batch.map(({ key, version }) => ({ ...place, key, version }))
+    const checks = batch.map(({ key, version }): Check => ({ ...place, key, version }))
+    const further = new Map<string, Check>()
+    for (const { key } of batch) {
+      const check = furtherCheck?.(key)
+      if (check !== undefined) further.set(check.key, check)
+    }
     const writes = batch.map(({ key }) => ({ ...place, key, value: null }))
-    await store.commit({ checks, writes }, { part: place.part })
+    const tx = { checks: [...checks, ...further.values()], writes }
+    const { committed } = await store.commit(tx, { part: place.part })
+    if (committed) removed += batch.length
   }
+  return removed
 }
