fix(scheduler): give the members of a gang one run number after a split write

Callers could see a large gang that never works: its members wait for each other and end `alone` (GANG). PROTOCOL.md: "The members of a gang share the same value" of the number of a run.

Cause: a gang of more than 128 members has several blocks. A dispatcher that took over between two transactions of its first start found run 1 recorded of some members and none of the others, gave the recorded runs up, and started the former with run 2 and the latter with run 1. The numbers are now aligned when the gang is restored.

Evidence: "a gang that starts beside other steps", with the boundary inside of the gang and a check of its numbers, was red before, both tests of it (would start with several run numbers).

--- a/packages/dispatcher/__tests__/split-rows-fixture.ts
+++ b/packages/dispatcher/__tests__/split-rows-fixture.ts
@@ -152,6 +152,7 @@
     for (const [name, { failures, crashes }] of next.tasks)
       if (failures >= maxAttempts || crashes >= maxCrashes)
         this.#note(`${name} may start once more`)
+    this.#checkGangs(restored)
     const copy = await copyJobRows(this.#store, restored)
     const writer = createWriter(copy, restored.part)
     await writer.claim()
@@ -181,6 +182,17 @@
     }
   }
 
+  /** The members of a gang share the number of their run, so their next runs must have the same. */
+  #checkGangs(restored: JobExecution): void {
+    for (const { steps } of restored.openOccurrences.values()) {
+      for (const { name, definition, tasks } of steps) {
+        if (definition.isGang !== true) continue
+        const lastRuns = new Set(Array.from(tasks, ({ lastRun }) => lastRun))
+        if (lastRuns.size > 1) this.#note(`${name} would start with several run numbers`)
+      }
+    }
+  }
+
   #note(breach: string): void {
     this.breaches.push(`after transaction ${this.transactionCount}: ${breach}`)
   }
--- a/packages/dispatcher/__tests__/split-rows.test.ts
+++ b/packages/dispatcher/__tests__/split-rows.test.ts
@@ -202,7 +202,7 @@
     },
   },
   'a gang that starts beside other steps': {
-    steps: [...stepsOf(150), { ...oneTask, count: 300, isGang: true }],
+    steps: [...stepsOf(93), { ...oneTask, count: 300, isGang: true }],
     prepare: () => Promise.resolve(),
     change: beginAll,
   },
--- a/packages/scheduler/src/job-execution.ts
+++ b/packages/scheduler/src/job-execution.ts
@@ -495,10 +495,21 @@
       this.#tasksWithRun.add(task)
       runCount += 1
     }
+    if (step.definition.isGang === true) this.#alignRunNumbers(step.tasks)
     step.doneCount = step.tasks.doneCount
     step.pendingCount = step.tasks.length - step.doneCount - runCount
   }
 
+  /** The members of a gang share the number of their run, but the start of only some may be stored. */
+  #alignRunNumbers(members: StepTasks): void {
+    let lastRun = 0
+    for (const member of members.kept()) lastRun = Math.max(lastRun, member.lastRun)
+    for (let index = 0; index < members.length; index++) {
+      const member = members.isDone(index) ? undefined : members.get(index)
+      if (member !== undefined) member.lastRun = lastRun
+    }
+  }
+
   #openOccurrence(number: number): Occurrence {
     let occurrence = this.openOccurrences.get(number)
     if (occurrence === undefined) {
