--- a/packages/dispatcher/__tests__/split-rows-takeover.test.ts
+++ b/packages/dispatcher/__tests__/split-rows-takeover.test.ts
@@ -81,3 +81,44 @@
     t.match(await fleet.progress(id), { status: 'failed', steps: undefined })
   },
 )
+
+// Guards against TWICE after an upgrade: an earlier build that ended between two transactions left steps that
+// were shown as in blocks and had no block, and all their tasks were started again.
+void t.test('tasks whose blocks an earlier build has deleted are not started', async t => {
+  const fleet = createFleet()
+  const runner = await fleet.addRunner('i-7f3a91c0')
+  const part = partOf(id)
+  await fleet.submit(id, [
+    { ...tinyTask, count: 300 },
+    { ...tinyTask, after: [0] },
+  ])
+  const steps = { 0: '20' }
+  const value = { status: 'running', queue: queueName, steps }
+  const write = { table: progressTable, part, key: id, value }
+  await fleet.store.commit({ checks: [], writes: [write] }, { part })
+  const dispatcher = fleet.start('host-1')
+  t.teardown(() => dispatcher.close())
+  const last = `${id}.0.1.0`
+  await waitUntil(() => runner.running.has(last))
+  runner.end(last, 'done')
+  await waitUntil(async () => (await fleet.progress(id))?.status === 'completed')
+  t.same(runner.startedRuns, [{ task: last, run: 1 }])
+})
+
+// Guards against LOST in the same place: no run of the job is left whose end would complete it.
+void t.test(
+  'a job of which only deleted blocks are missing is completed by a takeover',
+  async t => {
+    const fleet = createFleet()
+    const runner = await fleet.addRunner('i-7f3a91c0')
+    const part = partOf(id)
+    await fleet.submit(id, [{ ...tinyTask, count: 300 }])
+    const value = { status: 'running', queue: queueName, steps: { 0: '2' } }
+    const write = { table: progressTable, part, key: id, value }
+    await fleet.store.commit({ checks: [], writes: [write] }, { part })
+    const dispatcher = fleet.start('host-1')
+    t.teardown(() => dispatcher.close())
+    await waitUntil(async () => (await fleet.progress(id))?.status === 'completed')
+    t.same(runner.startedRuns, [])
+  },
+)
