feat(dispatcher): log the blocks of a loaded job and the rows of a failed transaction

"job loaded" tells with how many blocks a takeover restored a job, and "job transaction failed" how many rows it had, so that a takeover in the middle of a large job's rows can be told from other causes of a second start. Removals of progress rows keep batches of half of a transaction; those of blocks take a third.

--- a/packages/dispatcher/src/job-tracker.ts
+++ b/packages/dispatcher/src/job-tracker.ts
@@ -130,7 +130,8 @@
     const ageMs = Date.now() - acceptedAt
     const { status } = job
     const { log } = this.#ctx.opts
-    log.info('job loaded', { job: id, queue, organisation, status, ageMs, chunks })
+    const counts = { chunks, blocks: blocks?.length }
+    log.info('job loaded', { job: id, queue, organisation, status, ageMs, ...counts })
     const [first] = job.stepsWithLostBlocks
     if (first !== undefined)
       log.warn('steps taken for done, their stored tasks are missing', {
--- a/packages/dispatcher/src/part-writer.ts
+++ b/packages/dispatcher/src/part-writer.ts
@@ -255,7 +255,8 @@
       const { message } = normalizeError(err)
       const isUnknown = err instanceof StoreError && !err.isResultKnown
       const isRejected = err instanceof StoreError && err.isRejected
-      log.warn('job transaction failed', { part, jobs, isUnknown, isRejected, reason: message })
+      const size = { jobs, rows: rows.length }
+      log.warn('job transaction failed', { part, ...size, isUnknown, isRejected, reason: message })
       if (isRejected) return 'rejected'
       await wait(systemClock, retryPauseMs, this.#closing.signal)
     }
--- a/packages/dispatcher/src/progress-retention.ts
+++ b/packages/dispatcher/src/progress-retention.ts
@@ -6,18 +6,18 @@
   progressTable,
   taskBlocksTable,
 } from '@bulrushbridge/scheduler'
-import { wait, type Check, type Row, type TableService } from '@bulrushbridge/store'
+import {
+  maxTransactionEntries,
+  wait,
+  type Check,
+  type Row,
+  type TableService,
+} from '@bulrushbridge/store'
 import type { Logger } from '@bulrushbridge/telemetry'
 
 /** Pause between two removals, in milliseconds. */
 const removalPauseMs = 60_000
 
-/**
- * Most rows in one transaction; with a check for each, and one for the job of each block, they stay below
- * the store's 100 entries.
- */
-const maxRowsPerTransaction = 32
-
 /** Factor on the time for which an ended job's status is kept, because hosts' clocks differ. */
 const retentionMargin = 1.5
 
@@ -112,9 +112,11 @@
   rows: readonly Row[],
   furtherCheck?: (key: string) => Check,
 ): Promise<number> {
+  const entriesPerRow = furtherCheck === undefined ? 2 : 3
+  const batchSize = Math.floor(maxTransactionEntries / entriesPerRow)
   let removed = 0
-  for (let from = 0; from < rows.length; from += maxRowsPerTransaction) {
-    const batch = rows.slice(from, from + maxRowsPerTransaction)
+  for (let from = 0; from < rows.length; from += batchSize) {
+    const batch = rows.slice(from, from + batchSize)
     const checks = batch.map(({ key, version }): Check => ({ ...place, key, version }))
     const further = new Map<string, Check>()
     for (const { key } of batch) {
