refactor(scheduler): number the runs of a gang by its step

The number that the members share is chosen as the first of them begins, in place of raising the last run of each member at a takeover, which could give a member with a run the number of another. The blocks of a step that is done are marked for deletion in one place.

--- a/packages/dispatcher/__tests__/split-rows-fixture.ts
+++ b/packages/dispatcher/__tests__/split-rows-fixture.ts
@@ -152,7 +152,7 @@
     for (const [name, { failures, crashes }] of next.tasks)
       if (failures >= maxAttempts || crashes >= maxCrashes)
         this.#note(`${name} may start once more`)
-    this.#checkGangs(restored)
+    await this.#checkGangs()
     const copy = await copyJobRows(this.#store, restored)
     const writer = createWriter(copy, restored.part)
     await writer.claim()
@@ -182,13 +182,16 @@
     }
   }
 
-  /** The members of a gang share the number of their run, so their next runs must have the same. */
-  #checkGangs(restored: JobExecution): void {
-    for (const { steps } of restored.openOccurrences.values()) {
-      for (const { name, definition, tasks } of steps) {
+  /** The members of a gang share the number of their run, also of the next one after a takeover. */
+  async #checkGangs(): Promise<void> {
+    const restored = await restore(this.#store, this.job.definition)
+    for (const { steps } of restored?.openOccurrences.values() ?? []) {
+      for (const { name, definition, tasks, job } of steps) {
         if (definition.isGang !== true) continue
-        const lastRuns = new Set(Array.from(tasks, ({ lastRun }) => lastRun))
-        if (lastRuns.size > 1) this.#note(`${name} would start with several run numbers`)
+        for (const task of [...tasks.kept()]) job.abandonRun(task)
+        for (const task of [...tasks.pending()]) job.beginRun(task, 'i-7f3a91c0', 1)
+        const numbers = new Set(Array.from(tasks.kept(), ({ run }) => run?.number))
+        if (numbers.size > 1) this.#note(`${name} would start with several run numbers`)
       }
     }
   }
--- a/packages/scheduler/src/job-execution.ts
+++ b/packages/scheduler/src/job-execution.ts
@@ -45,6 +45,8 @@
   pendingCount: number
   /** Number of tasks that are done. */
   doneCount: number
+  /** Highest number of a run of any task; 0 before the first. */
+  lastRun: number
 }
 
 /** One execution of all steps of a job; a job with a schedule can have several. */
@@ -190,8 +192,9 @@
 
   /** Records a new run. The caller must store the job before it orders the run. */
   beginRun(task: Task, runnerId: string, runnerStartedAt: number): TaskRun {
-    const number = task.lastRun + 1
+    const number = nextRunNumber(task)
     task.lastRun = number
+    task.step.lastRun = Math.max(task.step.lastRun, number)
     task.run = { number, runnerId, runnerStartedAt, isOrdered: false }
     this.#tasksWithRun.add(task)
     task.step.pendingCount -= 1
@@ -264,10 +267,15 @@
     if (!isStepDone(step)) return
     const occurrence = this.openOccurrences.get(step.occurrence)
     if (occurrence !== undefined) occurrence.readySteps = undefined
-    for (const key of blockKeys(step)) if (this.#storedBlocks.has(key)) this.#changedBlocks.add(key)
+    this.#deleteBlocks(step)
     this.#completeOccurrence(step.occurrence, wallNow)
   }
 
+  /** Has the blocks of a step that is done deleted with the next write. */
+  #deleteBlocks(step: StepExecution): void {
+    for (const key of blockKeys(step)) if (this.#storedBlocks.has(key)) this.#changedBlocks.add(key)
+  }
+
   /** Completes an open occurrence, and with the last one the job, if its steps are all done. */
   #completeOccurrence(number: number, wallNow: number): void {
     if (this.openOccurrences.get(number)?.steps.every(isStepDone) !== true) return
@@ -467,7 +475,7 @@
     applyBlock(execution.tasks, block, value)
   }
 
-  /** Marks the steps as done of which blocks were deleted before the own row said that they are. */
+  /** Marks steps as done whose blocks were deleted before the own row said that they are done. */
   #completeStepsWithLostBlocks({ status, steps: states = {} }: Progress): StepExecution[] {
     const found: StepExecution[] = []
     // The own row of a job that has ended is stored before its blocks.
@@ -475,11 +483,10 @@
     for (const [name, statesOfSteps] of Object.entries(states)) {
       for (const step of this.openOccurrences.get(Number(name))?.steps ?? []) {
         if (statesOfSteps[step.number] !== stepStates.inBlocks) continue
-        const keys = blockKeys(step)
-        const stored = [...keys.keys()].filter(n => this.#storedBlocks.has(keys[n] ?? ''))
+        const stored = blockKeys(step).flatMap((key, n) => (this.#storedBlocks.has(key) ? [n] : []))
         if (!hasLostBlocks(step.tasks, stored)) continue
         step.tasks.markAllDone()
-        for (const n of stored) this.#changedBlocks.add(keys[n] ?? '')
+        this.#deleteBlocks(step)
         found.push(step)
       }
     }
@@ -491,25 +498,15 @@
     let runCount = 0
     for (const task of step.tasks.kept()) {
       if (task.crashes > 0) this.#crashSuspects.add(task)
+      step.lastRun = Math.max(step.lastRun, task.lastRun)
       if (task.run === undefined) continue
       this.#tasksWithRun.add(task)
       runCount += 1
     }
-    if (step.definition.isGang === true) this.#alignRunNumbers(step.tasks)
     step.doneCount = step.tasks.doneCount
     step.pendingCount = step.tasks.length - step.doneCount - runCount
   }
 
-  /** The members of a gang share the number of their run, but the start of only some may be stored. */
-  #alignRunNumbers(members: StepTasks): void {
-    let lastRun = 0
-    for (const member of members.kept()) lastRun = Math.max(lastRun, member.lastRun)
-    for (let index = 0; index < members.length; index++) {
-      const member = members.isDone(index) ? undefined : members.get(index)
-      if (member !== undefined) member.lastRun = lastRun
-    }
-  }
-
   #openOccurrence(number: number): Occurrence {
     let occurrence = this.openOccurrences.get(number)
     if (occurrence === undefined) {
@@ -563,6 +560,7 @@
   readonly tasks: StepTasks
   pendingCount: number
   doneCount = 0
+  lastRun = 0
 
   constructor(
     readonly job: JobExecution,
@@ -577,6 +575,16 @@
   }
 }
 
+/**
+ * Number of the run that begins with a task. The members of a gang share it, also after a takeover that
+ * found the last start of only some of them stored.
+ */
+function nextRunNumber({ step, lastRun }: Task): number {
+  if (step.definition.isGang !== true) return lastRun + 1
+  const isFirstMember = step.pendingCount + step.doneCount === step.tasks.length
+  return isFirstMember ? step.lastRun + 1 : step.lastRun
+}
+
 function isStepDone({ doneCount, tasks }: StepExecution): boolean {
   return doneCount === tasks.length
 }
--- a/packages/scheduler/src/lost-blocks.ts
+++ b/packages/scheduler/src/lost-blocks.ts
@@ -2,10 +2,11 @@
 import type { StepTasks } from './step-tasks.js'
 
 /**
- * Whether blocks of a step that is not done by its job's own row have been deleted because it was done.
- * Earlier builds deleted the blocks of a step some transactions before the own row said that it was
- * done. Of a step that goes on at least one block is stored, and as tasks begin in the order of their
- * index, a block is missing below another one only if that one has tasks which have not begun.
+ * Whether blocks are missing of a step that the job's own row shows as in blocks. Earlier builds deleted
+ * the blocks of a step that was done some transactions before the own row said so, and no other blocks.
+ *
+ * A step that goes on has at least one block. As its tasks begin in the order of their index, it has no
+ * block above a missing one, unless that block has tasks which have not begun.
  *
  * `stored` are the numbers of the step's stored blocks, which have been applied to `tasks`.
  *
