--- a/packages/dispatcher/__tests__/split-rows.test.ts
+++ b/packages/dispatcher/__tests__/split-rows.test.ts
@@ -35,7 +35,7 @@
   await play.write()
 }
 
-/** The task with an index in each step, for ends that complete no step. */
+/** The first task of each step; its end completes no step of two tasks. */
 const isFirst = ({ index }: Task) => index === 0
 const isInStepBelow = (limit: number) => (task: Task) => task.step.number < limit
 
